Add the skeleton, the design and a thin path end to end

Cause: the repository was empty.

no claims of non-idempotent work yet; a booking has a single attempt. Measurement: make test, 7 scripted requests through real processes pass. Conclusion: the parts can be built side by side on these interfaces.

--- /dev/null
+++ b/internal/endpt/attempt.go
@@ -0,0 +1,163 @@
+package endpt
+
+import (
+	"context"
+	"sync"
+
+	"github.com/hibiscuslug/hibiscuslug/internal/engine"
+	"github.com/hibiscuslug/hibiscuslug/pkg/clock"
+	"github.com/hibiscuslug/hibiscuslug/pkg/wire"
+)
+
+// attempt is one attempt with its buffered answers. Answers are kept until the
+// attempt is swept, so that an entry VM can attach again on a new connection.
+type attempt struct {
+	request *wire.Attempt
+	clock   *clock.Clock
+	arrived clock.Millis
+
+	// mu guards the fields below. It is a leaf lock.
+	mu       sync.Mutex
+	state    wire.AttemptState
+	answers  []*wire.Answer
+	changed  chan struct{}
+	attached int
+	// idleSince is when the last stream detached.
+	idleSince clock.Millis
+	cancel    context.CancelFunc
+	started   clock.Millis
+	produced  uint64
+}
+
+func newAttempt(request *wire.Attempt, ticker *clock.Clock) *attempt {
+	now := ticker.Now()
+	return &attempt{
+		request: request, clock: ticker, arrived: now, idleSince: now,
+		state: wire.AttemptState_ATTEMPT_STATE_QUEUED, changed: make(chan struct{}),
+	}
+}
+
+// Head records the status of the engine's answer.
+func (run *attempt) Head(status int, contentType string) {
+	run.add(&wire.Answer{Kind: wire.AnswerKind_ANSWER_KIND_HEAD, Status: uint32(status), ContentType: contentType})
+}
+
+// Data records a part of the engine's answer.
+func (run *attempt) Data(events [][]byte) {
+	run.add(&wire.Answer{Kind: wire.AnswerKind_ANSWER_KIND_DATA, Events: events})
+}
+
+func (run *attempt) add(answer *wire.Answer) {
+	run.mu.Lock()
+	defer run.mu.Unlock()
+	run.addLocked(answer)
+}
+
+func (run *attempt) addLocked(answer *wire.Answer) {
+	answer.RequestId = run.request.GetRequestId()
+	answer.Attempt = run.request.GetAttempt()
+	answer.Sequence = uint64(len(run.answers))
+	run.answers = append(run.answers, answer)
+	run.produced += uint64(len(answer.GetEvents()))
+	close(run.changed)
+	run.changed = make(chan struct{})
+}
+
+// begin moves the attempt from queued to running, unless it was fenced.
+func (run *attempt) begin(cancel context.CancelFunc) bool {
+	run.mu.Lock()
+	defer run.mu.Unlock()
+	if run.state != wire.AttemptState_ATTEMPT_STATE_QUEUED {
+		return false
+	}
+	run.state = wire.AttemptState_ATTEMPT_STATE_RUNNING
+	run.cancel = cancel
+	run.started = run.clock.Now()
+	return true
+}
+
+// finish records the last answer.
+func (run *attempt) finish(result engine.Result, load *wire.EngineLoad) {
+	run.mu.Lock()
+	defer run.mu.Unlock()
+	if run.state == wire.AttemptState_ATTEMPT_STATE_FINISHED || run.state == wire.AttemptState_ATTEMPT_STATE_FENCED {
+		return
+	}
+	run.state = wire.AttemptState_ATTEMPT_STATE_FINISHED
+	run.endLocked(result, load)
+}
+
+// fence refuses the attempt if it has not started.
+func (run *attempt) fence() wire.AttemptState {
+	run.mu.Lock()
+	defer run.mu.Unlock()
+	if run.state == wire.AttemptState_ATTEMPT_STATE_QUEUED {
+		run.state = wire.AttemptState_ATTEMPT_STATE_FENCED
+		run.endLocked(engine.Result{Outcome: wire.Outcome_OUTCOME_NOT_RUN, Err: errFenced}, nil)
+	}
+	return run.state
+}
+
+func (run *attempt) endLocked(result engine.Result, load *wire.EngineLoad) {
+	end := &wire.Answer{Kind: wire.AnswerKind_ANSWER_KIND_END, Outcome: result.Outcome, Load: load}
+	if result.Err != nil {
+		end.Error = result.Err.Error()
+	}
+	if run.started > 0 {
+		end.Queued = int64(run.started - run.arrived)
+	}
+	run.idleSince = run.clock.Now()
+	run.addLocked(end)
+}
+
+// known returns the state and the number of answers.
+func (run *attempt) known() (wire.AttemptState, uint64) {
+	run.mu.Lock()
+	defer run.mu.Unlock()
+	return run.state, uint64(len(run.answers))
+}
+
+// next returns the answers from a sequence number on, and a channel that is
+// closed when there are more.
+func (run *attempt) next(from uint64) ([]*wire.Answer, <-chan struct{}) {
+	run.mu.Lock()
+	defer run.mu.Unlock()
+	return run.answers[min(from, uint64(len(run.answers))):], run.changed
+}
+
+func (run *attempt) attach() {
+	run.mu.Lock()
+	defer run.mu.Unlock()
+	run.attached++
+}
+
+func (run *attempt) detach() {
+	run.mu.Lock()
+	defer run.mu.Unlock()
+	run.attached--
+	run.idleSince = run.clock.Now()
+}
+
+// abandoned tells whether nobody has been attached since an instant.
+func (run *attempt) abandoned(since clock.Millis) bool {
+	run.mu.Lock()
+	defer run.mu.Unlock()
+	return run.attached == 0 && run.idleSince < since
+}
+
+// stop cancels a running attempt.
+func (run *attempt) stop() {
+	run.mu.Lock()
+	cancel := run.cancel
+	run.mu.Unlock()
+	if cancel != nil {
+		cancel()
+	}
+}
+
+// busy tells whether a stream is attached.
+func (run *attempt) busy() bool {
+	run.mu.Lock()
+	defer run.mu.Unlock()
+	return run.attached > 0
+}
--- /dev/null
+++ b/internal/endpt/relay.go
@@ -0,0 +1,153 @@
+package endpt
+
+import (
+	"context"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/hibiscuslug/hibiscuslug/pkg/clock"
+	"github.com/hibiscuslug/hibiscuslug/pkg/wire"
+)
+
+// progressEvery is the time between signs of life on an attempt without answers.
+const progressEvery = 500 * clock.Millis(1)
+
+var (
+	errIncarnation = errors.New("attempt is for another incarnation of this endpoint process")
+	errLeaving     = errors.New("endpoint takes no new work")
+	errNoEngine    = errors.New("endpoint has no such engine")
+)
+
+// Run queues an attempt and streams its answers. A repeated message attaches
+// to the attempt that is there.
+func (endpoint *Endpoint) Run(request *wire.Attempt, stream wire.DRPCRelay_RunStream) error {
+	if err := endpoint.accepts(request); err != nil {
+		// The fence keeps a delayed copy of the message from starting the attempt.
+		endpoint.table.fence(request.GetRequestId(), request.GetAttempt(), endpoint.clock)
+		return stream.Send(notRun(request, err))
+	}
+	run, added := endpoint.table.admit(newAttempt(request, endpoint.clock))
+	if added {
+		endpoint.lanes[request.GetEngine()].submit(run)
+	}
+	return endpoint.stream(stream.Context(), run, 0, stream.Send)
+}
+
+func (endpoint *Endpoint) accepts(request *wire.Attempt) error {
+	if request.GetIncarnation() != endpoint.incarnation {
+		return errIncarnation
+	}
+	if _, ok := endpoint.lanes[request.GetEngine()]; !ok {
+		return errNoEngine
+	}
+	if endpoint.leaving.Load() || endpoint.view.State().Drained(endpoint.settings.Node.Name) {
+		return errLeaving
+	}
+	return nil
+}
+
+// notRun ends an attempt that was never queued.
+func notRun(request *wire.Attempt, reason error) *wire.Answer {
+	return &wire.Answer{
+		RequestId: request.GetRequestId(), Attempt: request.GetAttempt(),
+		Kind: wire.AnswerKind_ANSWER_KIND_END, Outcome: wire.Outcome_OUTCOME_NOT_RUN, Error: reason.Error(),
+	}
+}
+
+// Resume streams an attempt's answers again, from a sequence number on.
+func (endpoint *Endpoint) Resume(request *wire.ResumeRequest, stream wire.DRPCRelay_ResumeStream) error {
+	run, ok := endpoint.table.find(request.GetRequestId(), request.GetAttempt())
+	if !ok || request.GetIncarnation() != endpoint.incarnation {
+		return errors.Newf("attempt %d of request %s is not known", request.GetAttempt(), request.GetRequestId())
+	}
+	return endpoint.stream(stream.Context(), run, request.GetFromSequence(), stream.Send)
+}
+
+func (endpoint *Endpoint) stream(ctx context.Context, run *attempt, from uint64, send func(*wire.Answer) error) error {
+	run.attach()
+	defer run.detach()
+	for {
+		answers, changed := run.next(from)
+		for _, answer := range answers {
+			if err := send(answer); err != nil {
+				return err
+			}
+			if answer.GetKind() == wire.AnswerKind_ANSWER_KIND_END {
+				return nil
+			}
+		}
+		from += uint64(len(answers))
+		quiet, err := waitChange(ctx, changed)
+		if err != nil {
+			return err
+		}
+		if quiet {
+			if err := send(progress(run, from)); err != nil {
+				return err
+			}
+		}
+	}
+}
+
+// waitChange waits for more answers and tells whether none came for progressEvery.
+func waitChange(ctx context.Context, changed <-chan struct{}) (bool, error) {
+	idle, cancel := context.WithTimeout(ctx, progressEvery.Duration())
+	defer cancel()
+	select {
+	case <-changed:
+		return false, nil
+	case <-idle.Done():
+		return true, ctx.Err()
+	}
+}
+
+func progress(run *attempt, from uint64) *wire.Answer {
+	return &wire.Answer{
+		RequestId: run.request.GetRequestId(), Attempt: run.request.GetAttempt(),
+		Sequence: from, Kind: wire.AnswerKind_ANSWER_KIND_PROGRESS,
+	}
+}
+
+// Ask tells what is known of an attempt and fences it on request.
+func (endpoint *Endpoint) Ask(_ context.Context, request *wire.AskRequest) (*wire.AskReply, error) {
+	if request.GetIncarnation() != endpoint.incarnation {
+		return &wire.AskReply{State: wire.AttemptState_ATTEMPT_STATE_OTHER_INCARNATION}, nil
+	}
+	run, ok := endpoint.table.find(request.GetRequestId(), request.GetAttempt())
+	if !ok && !request.GetFence() {
+		return &wire.AskReply{State: wire.AttemptState_ATTEMPT_STATE_NEVER_SEEN}, nil
+	}
+	if !ok {
+		run = endpoint.table.fence(request.GetRequestId(), request.GetAttempt(), endpoint.clock)
+	}
+	if request.GetFence() && run.fence() == wire.AttemptState_ATTEMPT_STATE_FENCED {
+		endpoint.withdraw(run)
+	}
+	state, next := run.known()
+	return &wire.AskReply{State: state, NextSequence: next}, nil
+}
+
+// Cancel fences a queued attempt and stops a running one.
+func (endpoint *Endpoint) Cancel(_ context.Context, request *wire.CancelRequest) (*wire.CancelReply, error) {
+	run, ok := endpoint.table.find(request.GetRequestId(), request.GetAttempt())
+	if !ok {
+		return &wire.CancelReply{State: wire.AttemptState_ATTEMPT_STATE_NEVER_SEEN}, nil
+	}
+	endpoint.stopAttempt(run)
+	state, _ := run.known()
+	return &wire.CancelReply{State: state}, nil
+}
+
+func (endpoint *Endpoint) stopAttempt(run *attempt) {
+	if run.fence() == wire.AttemptState_ATTEMPT_STATE_FENCED {
+		endpoint.withdraw(run)
+		return
+	}
+	run.stop()
+}
+
+func (endpoint *Endpoint) withdraw(run *attempt) {
+	if lane, ok := endpoint.lanes[run.request.GetEngine()]; ok {
+		lane.withdraw(run)
+	}
+}
--- /dev/null
+++ b/internal/entry/entry.go
@@ -0,0 +1,173 @@
+// Package entry is the entry process: it wires the parts that serve callers on
+// an entry VM.
+package entry
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sync/atomic"
+
+	"github.com/sourcegraph/conc"
+
+	"github.com/hibiscuslug/hibiscuslug/internal/event"
+	"github.com/hibiscuslug/hibiscuslug/internal/feed"
+	"github.com/hibiscuslug/hibiscuslug/internal/front"
+	"github.com/hibiscuslug/hibiscuslug/internal/ledger"
+	"github.com/hibiscuslug/hibiscuslug/internal/link"
+	"github.com/hibiscuslug/hibiscuslug/internal/member"
+	"github.com/hibiscuslug/hibiscuslug/internal/opts"
+	"github.com/hibiscuslug/hibiscuslug/internal/place"
+	"github.com/hibiscuslug/hibiscuslug/internal/route"
+	"github.com/hibiscuslug/hibiscuslug/pkg/clock"
+	"github.com/hibiscuslug/hibiscuslug/pkg/wire"
+)
+
+const (
+	// keptRequests bounds the finished requests that can still be explained.
+	keptRequests  = 10_000
+	exchangeEvery = clock.Second
+	peerLifetime  = 5 * clock.Second
+	expireEvery   = 100 * clock.Millis(1)
+)
+
+// Settings of an entry VM.
+type Settings struct {
+	Node  opts.Node
+	Entry opts.Entry
+}
+
+// Entry is a running entry process.
+type Entry struct {
+	settings    Settings
+	incarnation uint64
+	sequence    atomic.Uint64
+	clock       *clock.Clock
+	log         *event.Log
+	view        *feed.View
+	pool        *link.Pool
+	server      *link.Server
+	members     *member.Table
+	fleet       *engines
+	ledger      *ledger.Ledger
+	front       *front.Front
+	leaving     atomic.Bool
+	loops       conc.WaitGroup
+	cancel      context.CancelFunc
+}
+
+// New starts an entry process.
+func New(settings Settings, ticker *clock.Clock, log *event.Log) (*Entry, error) {
+	entry := &Entry{
+		settings: settings, incarnation: rand.Uint64(), clock: ticker, log: log, view: feed.NewView(ticker),
+		pool: link.NewPool(), members: member.NewTable(), ledger: ledger.New(keptRequests),
+	}
+	entry.fleet = newEngines(entry.members, entry.view)
+	server, err := link.Listen(settings.Node.Listen)
+	if err != nil {
+		return nil, err
+	}
+	entry.server = server
+	if err := entry.register(); err != nil {
+		return nil, err
+	}
+	placer := place.New(settings.Node.Zone, rand.IntN)
+	router := route.New(route.Settings{Node: settings.Node.Name, SilenceLimit: settings.Entry.SilenceLimit},
+		entry.pool, placer, entry.fleet, entry.ledger, ticker, log)
+	entry.front, err = front.New(settings.Entry, entry.view, router, entry.ledger, ticker, entry.newID)
+	if err != nil {
+		return nil, err
+	}
+	entry.start()
+	return entry, nil
+}
+
+func (entry *Entry) register() error {
+	mux := entry.server.Mux()
+	if err := wire.DRPCRegisterMember(mux, entry); err != nil {
+		return err
+	}
+	if err := wire.DRPCRegisterOperate(mux, entry); err != nil {
+		return err
+	}
+	return wire.DRPCRegisterFeed(mux, feed.NewServer(entry.view, entry.clock))
+}
+
+func (entry *Entry) start() {
+	ctx, cancel := context.WithCancel(context.Background())
+	entry.cancel = cancel
+	entry.server.Start()
+	follower := feed.NewFollower(entry.view, entry.settings.Node.Name, entry.pool, entry.clock, entry.log, entry.sources)
+	entry.loops.Go(func() { follower.Run(ctx) })
+	entry.loops.Go(func() { entry.expire(ctx) })
+	entry.loops.Go(func() { entry.exchange(ctx) })
+	entry.log.Write(event.Started, "role", "entry", "address", entry.server.Address(), "http", entry.front.Address())
+}
+
+// Address returns the address for other processes.
+func (entry *Entry) Address() string { return entry.server.Address() }
+
+// HTTPAddress returns the address for callers.
+func (entry *Entry) HTTPAddress() string { return entry.front.Address() }
+
+// newID returns a request id that is unique over all entry VMs.
+func (entry *Entry) newID() string {
+	return fmt.Sprintf("%s-%08x-%d", entry.settings.Node.Name, uint32(entry.incarnation), entry.sequence.Add(1))
+}
+
+// sources lists where revisions can be had: control first, then neighbours.
+func (entry *Entry) sources() []string {
+	sources := slices.Clone(entry.settings.Entry.Control)
+	rand.Shuffle(len(sources), func(first, second int) {
+		sources[first], sources[second] = sources[second], sources[first]
+	})
+	for _, peer := range entry.members.Role(wire.NodeRole_NODE_ROLE_ENTRY) {
+		if peer.GetNode() != entry.settings.Node.Name && peer.GetZone() == entry.settings.Node.Zone {
+			sources = append(sources, peer.GetAddress())
+		}
+	}
+	return sources
+}
+
+func (entry *Entry) announcement() *wire.Announcement {
+	node := entry.settings.Node
+	address := node.Advertise
+	if address == "" {
+		address = entry.server.Address()
+	}
+	state := wire.NodeState_NODE_STATE_SERVING
+	if entry.leaving.Load() {
+		state = wire.NodeState_NODE_STATE_LEAVING
+	}
+	return &wire.Announcement{
+		Node: node.Name, Role: wire.NodeRole_NODE_ROLE_ENTRY, Incarnation: entry.incarnation, Address: address,
+		Zone: node.Zone, Region: node.Region, State: state, Lifetime: int64(peerLifetime),
+		Sequence: uint64(entry.clock.Now()), Revision: entry.view.State().Revision(), RevisionAge: int64(entry.view.Age()),
+	}
+}
+
+func (entry *Entry) expire(ctx context.Context) {
+	for entry.clock.Sleep(ctx, expireEvery) == nil {
+		for _, gone := range entry.members.Expire(entry.clock.Now()) {
+			entry.log.Write(event.EndpointExpired, "gone", gone.GetNode(), "role", gone.GetRole())
+			entry.pool.Discard(gone.GetAddress())
+		}
+	}
+}
+
+// Close refuses new requests, waits for those in flight and stops.
+func (entry *Entry) Close() error {
+	entry.leaving.Store(true)
+	entry.log.Write(event.Stopping)
+	if err := entry.front.Close(entry.settings.Node.ShutdownLimit.Duration()); err != nil {
+		entry.log.Write(event.ShutdownLimit, "error", err)
+	}
+	entry.cancel()
+	entry.loops.Wait()
+	if err := entry.server.Close(); err != nil {
+		return err
+	}
+	entry.log.Write(event.Stopped)
+	return entry.pool.Close()
+}
--- /dev/null
+++ b/internal/event/event.go
@@ -0,0 +1,61 @@
+// Package event writes numbered log events. The catalogue in docs/EVENTS.md
+// lists every number with what the operator should do; a test compares the two.
+package event
+
+import (
+	"io"
+
+	"github.com/go-kit/log"
+)
+
+// Event is a numbered kind of log record.
+type Event struct {
+	Number  int
+	Message string
+}
+
+// Events, by subsystem: 1xx process, 2xx requests, 3xx membership,
+// 4xx configuration and control, 5xx engines, 6xx expert maps and models.
+var (
+	Started            = Event{101, "process started"}
+	Stopping           = Event{102, "process is shutting down"}
+	Stopped            = Event{103, "process stopped"}
+	ShutdownLimit      = Event{104, "shutdown limit reached with requests in flight"}
+	ServeFailed        = Event{105, "listener failed"}
+	AttemptFailed      = Event{201, "attempt failed"}
+	AttemptSilent      = Event{202, "connection made no progress"}
+	EndpointJoined     = Event{301, "endpoint announced itself"}
+	EndpointExpired    = Event{302, "endpoint's announcement expired"}
+	EndpointLeaving    = Event{303, "endpoint is leaving"}
+	AnnounceFailed     = Event{304, "announcement failed"}
+	RevisionApplied    = Event{401, "configuration revision applied"}
+	RevisionRefused    = Event{402, "configuration revision refused"}
+	FeedLost           = Event{403, "configuration feed lost"}
+	ProposalFailed     = Event{404, "change could not be accepted"}
+	EngineUnreachable  = Event{501, "engine does not answer"}
+	InstructionRefused = Event{502, "instruction with an old fencing number refused"}
+)
+
+// Log writes events of one process.
+type Log struct {
+	logger log.Logger
+}
+
+// New returns a log that writes logfmt lines.
+func New(out io.Writer, node, zone string) *Log {
+	logger := log.NewLogfmtLogger(log.NewSyncWriter(out))
+	logger = log.With(logger, "time", log.DefaultTimestampUTC, "node", node, "zone", zone)
+	return &Log{logger: logger}
+}
+
+// Discard returns a log that writes nothing.
+func Discard() *Log {
+	return &Log{logger: log.NewNopLogger()}
+}
+
+// Write writes an event with its attributes, given as pairs of name and value.
+func (sink *Log) Write(kind Event, attributes ...any) {
+	pairs := append([]any{"event", kind.Number, "message", kind.Message}, attributes...)
+	// A log line that cannot be written has nowhere else to go.
+	_ = sink.logger.Log(pairs...)
+}
--- /dev/null
+++ b/internal/fake/desk.go
@@ -0,0 +1,70 @@
+package fake
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/gofiber/fiber/v2"
+	"github.com/sourcegraph/conc"
+)
+
+// Desk is a fake order desk. It counts the bookings that it ran by their body,
+// so that a doubled booking shows.
+type Desk struct {
+	delay    time.Duration
+	listener net.Listener
+	app      *fiber.App
+	running  conc.WaitGroup
+
+	// mu guards booked.
+	mu     sync.Mutex
+	booked map[string]int
+}
+
+// NewDesk starts a fake order desk that takes a while for each booking.
+func NewDesk(listen string, delay time.Duration) (*Desk, error) {
+	var config net.ListenConfig
+	listener, err := config.Listen(context.Background(), "tcp", listen)
+	if err != nil {
+		return nil, err
+	}
+	desk := &Desk{delay: delay, listener: listener, booked: map[string]int{}}
+	desk.app = fiber.New(fiber.Config{DisableStartupMessage: true})
+	desk.app.Get("/engine/runs", func(ctx *fiber.Ctx) error { return ctx.JSON(desk.Booked()) })
+	desk.app.All("/*", desk.book)
+	desk.running.Go(func() { _ = desk.app.Listener(listener) })
+	return desk, nil
+}
+
+// URL returns the desk's address.
+func (desk *Desk) URL() string { return "http://" + desk.listener.Addr().String() }
+
+// Booked returns how often each body was booked.
+func (desk *Desk) Booked() map[string]int {
+	desk.mu.Lock()
+	defer desk.mu.Unlock()
+	booked := make(map[string]int, len(desk.booked))
+	for body, count := range desk.booked {
+		booked[body] = count
+	}
+	return booked
+}
+
+// Close stops the desk.
+func (desk *Desk) Close() error {
+	err := desk.app.ShutdownWithTimeout(time.Second)
+	desk.running.Wait()
+	return err
+}
+
+func (desk *Desk) book(ctx *fiber.Ctx) error {
+	body := string(ctx.Body())
+	desk.mu.Lock()
+	desk.booked[body]++
+	count := desk.booked[body]
+	desk.mu.Unlock()
+	time.Sleep(desk.delay)
+	return ctx.JSON(fiber.Map{"booked": body, "count": count})
+}
--- /dev/null
+++ b/internal/feed/view.go
@@ -0,0 +1,123 @@
+// Package feed brings configuration revisions to every process. A View holds
+// the newest revision a process knows; control VMs and entry VMs serve it to
+// others, so that a process cut off from control learns from zone neighbours.
+package feed
+
+import (
+	"sync"
+
+	"github.com/hibiscuslug/hibiscuslug/internal/state"
+	"github.com/hibiscuslug/hibiscuslug/pkg/clock"
+	"github.com/hibiscuslug/hibiscuslug/pkg/wire"
+)
+
+// keptChanges bounds the changes that a view can send one by one; a watcher
+// further behind gets a snapshot.
+const keptChanges = 1024
+
+// View is the newest configuration a process knows. It never goes back.
+type View struct {
+	clock *clock.Clock
+
+	// mu guards all fields below and is held only for short updates.
+	mu        sync.Mutex
+	state     *state.State
+	recent    []*wire.Numbered
+	confirmed clock.Millis
+	changed   chan struct{}
+}
+
+// NewView returns a view with the empty configuration, never confirmed.
+func NewView(ticker *clock.Clock) *View {
+	return &View{clock: ticker, state: state.New(), changed: make(chan struct{})}
+}
+
+// State returns the newest configuration known.
+func (view *View) State() *state.State {
+	view.mu.Lock()
+	defer view.mu.Unlock()
+	return view.state
+}
+
+// Age returns the time since control confirmed the revision.
+func (view *View) Age() clock.Millis {
+	view.mu.Lock()
+	defer view.mu.Unlock()
+	return view.clock.Now() - view.confirmed
+}
+
+// Changed returns a channel that is closed at the next revision.
+func (view *View) Changed() <-chan struct{} {
+	view.mu.Lock()
+	defer view.mu.Unlock()
+	return view.changed
+}
+
+// Confirm records that control stood behind the current revision so long ago.
+func (view *View) Confirm(revision uint64, age clock.Millis) {
+	view.mu.Lock()
+	defer view.mu.Unlock()
+	if revision == view.state.Revision() {
+		view.confirmed = max(view.confirmed, view.clock.Now()-age)
+	}
+}
+
+// Apply takes an item of a feed. It skips revisions it has, and returns an
+// error for a gap.
+func (view *View) Apply(item *wire.FeedItem) error {
+	view.mu.Lock()
+	defer view.mu.Unlock()
+	before := view.state.Revision()
+	if snapshot := item.GetSnapshot(); snapshot != nil && snapshot.GetRevision() > before {
+		next, err := view.state.WithSnapshot(snapshot)
+		if err != nil {
+			return err
+		}
+		view.state, view.recent = next, nil
+	}
+	if err := view.applyChanges(item.GetChanges()); err != nil {
+		return err
+	}
+	if view.state.Revision() != before {
+		close(view.changed)
+		view.changed = make(chan struct{})
+	}
+	if item.GetRevision() == view.state.Revision() {
+		view.confirmed = max(view.confirmed, view.clock.Now()-clock.Millis(item.GetAge()))
+	}
+	return nil
+}
+
+func (view *View) applyChanges(changes []*wire.Numbered) error {
+	for _, numbered := range changes {
+		if numbered.GetRevision() <= view.state.Revision() {
+			continue
+		}
+		next, err := view.state.WithNumbered(numbered)
+		if err != nil {
+			return err
+		}
+		view.state = next
+		view.recent = append(view.recent, numbered)
+	}
+	if len(view.recent) > 2*keptChanges {
+		view.recent = append([]*wire.Numbered(nil), view.recent[len(view.recent)-keptChanges:]...)
+	}
+	return nil
+}
+
+// since returns what a watcher at a revision is missing.
+func (view *View) since(revision uint64) (*wire.FeedItem, <-chan struct{}) {
+	view.mu.Lock()
+	defer view.mu.Unlock()
+	item := &wire.FeedItem{Revision: view.state.Revision(), Age: int64(view.clock.Now() - view.confirmed)}
+	missing := view.state.Revision() - min(revision, view.state.Revision())
+	switch {
+	case missing == 0:
+	case missing <= uint64(len(view.recent)):
+		item.Changes = view.recent[uint64(len(view.recent))-missing:]
+	default:
+		item.Snapshot = view.state.Snapshot()
+	}
+	return item, view.changed
+}
--- /dev/null
+++ b/internal/link/pool.go
@@ -0,0 +1,90 @@
+// Package link carries drpc between the system's own processes. A drpc
+// connection carries one stream at a time, so a Pool keeps several for each
+// peer, and a stalled stream blocks no other.
+package link
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"storj.io/drpc"
+	"storj.io/drpc/drpcconn"
+	"storj.io/drpc/drpcmanager"
+	"storj.io/drpc/drpcpool"
+	"storj.io/drpc/drpcwire"
+
+	"github.com/hibiscuslug/hibiscuslug/pkg/clock"
+)
+
+// MaxFrame is the largest message between our processes, in bytes. A larger
+// frame closes its connection.
+const MaxFrame = 4 << 20
+
+const (
+	idlePerPeer   = 64
+	idleExpiry    = 30 * time.Second
+	dialLimit     = 500 * clock.Millis(1)
+	cancelGrace   = 5 * time.Millisecond
+	keepAliveIdle = 10 * time.Second
+)
+
+func managerOptions() drpcmanager.Options {
+	return drpcmanager.Options{
+		Reader:          drpcwire.ReaderOptions{MaximumBufferSize: MaxFrame},
+		SoftCancel:      true,
+		SoftCancelGrace: cancelGrace,
+	}
+}
+
+// Pool holds idle connections by address.
+type Pool struct {
+	idle *drpcpool.Pool[string, drpcpool.Conn]
+}
+
+// NewPool returns an empty pool.
+func NewPool() *Pool {
+	return &Pool{idle: drpcpool.New[string, drpcpool.Conn](drpcpool.Options{
+		Expiration:  idleExpiry,
+		KeyCapacity: idlePerPeer,
+	})}
+}
+
+// Conn returns a connection to an address. It takes an idle one or dials when
+// the first call is made.
+func (pool *Pool) Conn(ctx context.Context, address string) drpc.Conn {
+	return pool.idle.Get(ctx, address, dial)
+}
+
+// Fresh dials a connection that did not exist before. Use it when existing
+// connections to the address may be silent.
+func (pool *Pool) Fresh(ctx context.Context, address string) (drpc.Conn, error) {
+	return dial(ctx, address)
+}
+
+// Discard closes the idle connections to an address.
+func (pool *Pool) Discard(address string) {
+	for {
+		conn, ok := pool.idle.Take(address)
+		if !ok {
+			return
+		}
+		// The connection is given up in any case.
+		_ = conn.Close()
+	}
+}
+
+// Close closes all idle connections.
+func (pool *Pool) Close() error {
+	return pool.idle.Close()
+}
+
+func dial(ctx context.Context, address string) (drpcpool.Conn, error) {
+	dialer := net.Dialer{Timeout: dialLimit.Duration(), KeepAlive: keepAliveIdle}
+	conn, err := dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, errors.Wrapf(err, "connect to %s", address)
+	}
+	return drpcconn.NewWithOptions(conn, drpcconn.Options{Manager: managerOptions()}), nil
+}
--- /dev/null
+++ b/internal/link/server.go
@@ -0,0 +1,60 @@
+package link
+
+import (
+	"context"
+	"net"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sourcegraph/conc"
+	"storj.io/drpc/drpcmux"
+	"storj.io/drpc/drpcserver"
+)
+
+// Server accepts connections from other processes.
+type Server struct {
+	listener net.Listener
+	mux      *drpcmux.Mux
+	cancel   context.CancelFunc
+	running  conc.WaitGroup
+}
+
+// Listen opens an address. Register services on Mux before Start.
+func Listen(address string) (*Server, error) {
+	var config net.ListenConfig
+	listener, err := config.Listen(context.Background(), "tcp", address)
+	if err != nil {
+		return nil, errors.Wrapf(err, "listen on %s", address)
+	}
+	return &Server{listener: listener, mux: drpcmux.New()}, nil
+}
+
+// Mux returns the registry of services.
+func (server *Server) Mux() *drpcmux.Mux {
+	return server.mux
+}
+
+// Address returns the listening address.
+func (server *Server) Address() string {
+	return server.listener.Addr().String()
+}
+
+// Start serves until Close.
+func (server *Server) Start() {
+	ctx, cancel := context.WithCancel(context.Background())
+	server.cancel = cancel
+	handler := drpcserver.NewWithOptions(server.mux, drpcserver.Options{Manager: managerOptions()})
+	server.running.Go(func() {
+		// Serve returns once the listener is closed; there is nothing left to report then.
+		_ = handler.Serve(ctx, server.listener)
+	})
+}
+
+// Close ends all calls and waits for them.
+func (server *Server) Close() error {
+	if server.cancel == nil {
+		return server.listener.Close()
+	}
+	server.cancel()
+	server.running.Wait()
+	return nil
+}
--- /dev/null
+++ b/internal/state/snapshot.go
@@ -0,0 +1,49 @@
+package state
+
+import (
+	"github.com/hibiscuslug/hibiscuslug/pkg/wire"
+)
+
+// Snapshot returns the whole configuration as a message.
+func (state *State) Snapshot() *wire.Snapshot {
+	return &wire.Snapshot{
+		Revision:   state.revision,
+		Customers:  state.Customers(),
+		Tiers:      state.Tiers(),
+		Rules:      state.rules,
+		Drains:     state.Drains(),
+		Blocks:     state.Blocks(),
+		Groups:     state.Groups(),
+		Placements: state.Placements(),
+	}
+}
+
+// FromSnapshot returns the configuration in a message.
+func FromSnapshot(snapshot *wire.Snapshot) *State {
+	state := New()
+	state.revision = snapshot.GetRevision()
+	state.rules = snapshot.GetRules()
+	clear(state.tiers)
+	for _, tier := range snapshot.GetTiers() {
+		state.tiers[tier.GetName()] = tier
+	}
+	for _, customer := range snapshot.GetCustomers() {
+		state.customers[customer.GetName()] = customer
+		if customer.GetTokenHash() != "" {
+			state.tokens[customer.GetTokenHash()] = customer
+		}
+	}
+	for _, drain := range snapshot.GetDrains() {
+		state.drains[drain.GetEndpoint()] = drain
+	}
+	for _, block := range snapshot.GetBlocks() {
+		state.blocks[block.GetFingerprint()] = block
+	}
+	for _, group := range snapshot.GetGroups() {
+		state.groups[group.GetName()] = group
+	}
+	for _, placement := range snapshot.GetPlacements() {
+		state.placements[placement.GetEngine()] = placement
+	}
+	return state
+}
--- /dev/null
+++ b/internal/state/state.go
@@ -0,0 +1,152 @@
+// Package state holds the replicated configuration as an immutable value. Each
+// accepted change makes the next revision.
+package state
+
+import (
+	"maps"
+	"slices"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/hibiscuslug/hibiscuslug/pkg/wire"
+)
+
+const (
+	// keptResults bounds the answers kept for resent commands: at 68,000
+	// changes a day it covers more than a day.
+	keptResults = 100_000
+	// keptChanges bounds the changes that a conflict can name.
+	keptChanges = 1024
+)
+
+// State is the configuration at one revision. Its records must not be modified.
+type State struct {
+	revision   uint64
+	customers  map[string]*wire.Customer
+	tokens     map[string]*wire.Customer
+	tiers      map[string]*wire.TierRecord
+	rules      []*wire.Rule
+	drains     map[string]*wire.Drain
+	blocks     map[uint64]*wire.Block
+	groups     map[string]*wire.GroupRecord
+	placements map[string]*wire.Placement
+}
+
+// New returns the empty configuration at revision 0, with the built-in tiers.
+func New() *State {
+	return &State{
+		customers: map[string]*wire.Customer{},
+		tokens:    map[string]*wire.Customer{},
+		tiers: map[string]*wire.TierRecord{
+			"paid": {Name: "paid", Level: wire.Tier_TIER_PAID, Patience: 60_000},
+			"free": {Name: "free", Level: wire.Tier_TIER_FREE, Patience: 600_000},
+		},
+		drains:     map[string]*wire.Drain{},
+		blocks:     map[uint64]*wire.Block{},
+		groups:     map[string]*wire.GroupRecord{},
+		placements: map[string]*wire.Placement{},
+	}
+}
+
+// Revision returns the number of accepted changes.
+func (state *State) Revision() uint64 { return state.revision }
+
+// ByToken returns the customer with a token's hash.
+func (state *State) ByToken(hash string) (*wire.Customer, bool) {
+	customer, ok := state.tokens[hash]
+	return customer, ok
+}
+
+// Customer returns a customer by name.
+func (state *State) Customer(name string) (*wire.Customer, bool) {
+	customer, ok := state.customers[name]
+	return customer, ok
+}
+
+// Tier returns a tier by name.
+func (state *State) Tier(name string) (*wire.TierRecord, bool) {
+	tier, ok := state.tiers[name]
+	return tier, ok
+}
+
+// Rules returns the rules in the order in which they are tried.
+func (state *State) Rules() []*wire.Rule { return state.rules }
+
+// Customers returns all customers by name.
+func (state *State) Customers() []*wire.Customer { return sorted(state.customers) }
+
+// Tiers returns all tiers by name.
+func (state *State) Tiers() []*wire.TierRecord { return sorted(state.tiers) }
+
+// Drains returns the drained endpoints by name.
+func (state *State) Drains() []*wire.Drain { return sorted(state.drains) }
+
+// Groups returns the rank groups by name.
+func (state *State) Groups() []*wire.GroupRecord { return sorted(state.groups) }
+
+// Placements returns the wanted models of each engine by name.
+func (state *State) Placements() []*wire.Placement { return sorted(state.placements) }
+
+// Blocks returns the blocked requests.
+func (state *State) Blocks() []*wire.Block { return sorted(state.blocks) }
+
+// Drained tells whether new work is kept from an endpoint.
+func (state *State) Drained(endpoint string) bool {
+	_, ok := state.drains[endpoint]
+	return ok
+}
+
+// Block returns the block of a request's fingerprint.
+func (state *State) Block(fingerprint uint64) (*wire.Block, bool) {
+	block, ok := state.blocks[fingerprint]
+	return block, ok
+}
+
+// Group returns a rank group by name.
+func (state *State) Group(name string) (*wire.GroupRecord, bool) {
+	group, ok := state.groups[name]
+	return group, ok
+}
+
+func sorted[K comparable, V any](records map[K]V) []V {
+	type named interface{ GetName() string }
+	list := slices.Collect(maps.Values(records))
+	slices.SortFunc(list, func(first, second V) int {
+		left, ok := any(first).(named)
+		right, _ := any(second).(named)
+		if !ok {
+			return 0
+		}
+		return compare(left.GetName(), right.GetName())
+	})
+	return list
+}
+
+func compare(left, right string) int {
+	switch {
+	case left < right:
+		return -1
+	case left > right:
+		return 1
+	}
+	return 0
+}
+
+// ErrOldRevision is returned for a change whose revision is not the next one.
+var ErrOldRevision = errors.New("revision is not the next one")
+
+// WithNumbered applies an accepted change. It refuses any revision but the next.
+func (state *State) WithNumbered(numbered *wire.Numbered) (*State, error) {
+	if numbered.GetRevision() != state.revision+1 {
+		return nil, errors.Wrapf(ErrOldRevision, "have %d, got %d", state.revision, numbered.GetRevision())
+	}
+	return state.WithChange(numbered.GetChange())
+}
+
+// WithSnapshot replaces the configuration by a newer one.
+func (state *State) WithSnapshot(snapshot *wire.Snapshot) (*State, error) {
+	if snapshot.GetRevision() < state.revision {
+		return nil, errors.Wrapf(ErrOldRevision, "have %d, got a snapshot of %d", state.revision, snapshot.GetRevision())
+	}
+	return FromSnapshot(snapshot), nil
+}
--- /dev/null
+++ b/pkg/query/reply.go
@@ -0,0 +1,22 @@
+package query
+
+import (
+	"github.com/cockroachdb/errors"
+
+	"github.com/hibiscuslug/hibiscuslug/pkg/wire"
+)
+
+// Failure returns the reply to a command that could not be parsed.
+func Failure(err error) *wire.CommandReply {
+	reply := &wire.CommandReply{Code: CodeSyntax, Error: err.Error(), Column: 1}
+	var syntax *SyntaxError
+	if errors.As(err, &syntax) {
+		reply.Column = uint32(syntax.Column)
+	}
+	return reply
+}
+
+// Invalid returns the reply to a command that makes no sense.
+func Invalid(err error) *wire.CommandReply {
+	return &wire.CommandReply{Code: CodeInvalid, Error: err.Error()}
+}
