--- /dev/null
+++ b/cmd/hibbench/main.go
@@ -0,0 +1,69 @@
+// Command hibbench measures the project's figures. Run it by `make bench`.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/exec"
+	"strings"
+
+	"github.com/jessevdk/go-flags"
+
+	"github.com/hibiscuslug/hibiscuslug/internal/figure"
+)
+
+type settings struct {
+	Suite []string `long:"suite" description:"Suite to run; all when none is given; may be repeated"`
+	Seed  uint64   `long:"seed" default:"1" description:"Seed of every random choice"`
+	Out   string   `long:"out" default:"bench/out/figures.json" description:"File for the figures"`
+}
+
+// suite measures a group of figures. Suites live in folders below bench.
+type suite struct {
+	name string
+	run  func(*figure.Report) error
+}
+
+var suites = []suite{}
+
+func revision() string {
+	out, err := exec.CommandContext(context.Background(), "git", "rev-parse", "--short", "HEAD").Output()
+	if err != nil {
+		return "unknown"
+	}
+	return strings.TrimSpace(string(out))
+}
+
+func wanted(set settings, name string) bool {
+	for _, chosen := range set.Suite {
+		if chosen == name {
+			return true
+		}
+	}
+	return len(set.Suite) == 0
+}
+
+func run() error {
+	var set settings
+	if _, err := flags.Parse(&set); err != nil {
+		return err
+	}
+	report := figure.NewReport(os.Stdout, set.Seed, revision())
+	for _, measured := range suites {
+		if !wanted(set, measured.name) {
+			continue
+		}
+		if err := measured.run(report); err != nil {
+			return fmt.Errorf("suite %s: %w", measured.name, err)
+		}
+	}
+	return report.Save(set.Out)
+}
+
+func main() {
+	if err := run(); err != nil {
+		fmt.Fprintln(os.Stderr, "hibbench:", err)
+		os.Exit(1)
+	}
+}
