Check commands against a catalogue of records

Cause: show and create took any field, numbers compared as texts, and an error did not say what was expected. Change: package query holds every kind of record with typed columns and every field of create and alter; Parse refuses what is not among them and points at the column.

--- /dev/null
+++ b/pkg/query/check.go
@@ -0,0 +1,192 @@
+package query
+
+import (
+	"fmt"
+	"slices"
+	"strconv"
+	"strings"
+
+	"github.com/alecthomas/participle/v2/lexer"
+
+	"github.com/hibiscuslug/hibiscuslug/pkg/wire"
+)
+
+var verbs = []string{"show", "create", "alter", "drop", "drain", "undrain", "cancel", "unblock", "explain", "add", "remove"}
+
+var recordKinds = []string{"customer", "tier", "rule"}
+
+func wrong(at lexer.Position, format string, values ...any) *fault {
+	return &fault{at: at, message: fmt.Sprintf(format, values...)}
+}
+
+// explain adds what was expected where the parser's own message is silent.
+func explain(whole string, at int, message string) string {
+	words := strings.Fields(whole)
+	switch {
+	case len(words) == 0:
+		return "empty command; expected one of " + strings.Join(verbs, ", ")
+	case !slices.Contains(verbs, words[0]):
+		return fmt.Sprintf("%q is no command; expected one of %s", words[0], strings.Join(verbs, ", "))
+	case strings.Contains(message, "invalid input text"):
+		return "this character belongs to no word, quoted text or comparison; quote texts as \"…\""
+	case at >= len(whole):
+		return "command ends too early: " + strings.Replace(message, "unexpected token \"<EOF>\"", "", 1)
+	}
+	return message
+}
+
+// check compares the parsed command with the catalogue.
+func (command *Command) check() *fault {
+	if found := command.checkRevision(); found != nil {
+		return found
+	}
+	switch {
+	case command.Show != nil:
+		return command.Show.check()
+	case command.Create != nil:
+		return command.Create.check()
+	case command.Alter != nil:
+		return command.Alter.check()
+	case command.Drop != nil:
+		return command.Drop.check(recordKinds...)
+	case command.Drain != nil:
+		return command.Drain.check("endpoint")
+	case command.Undrain != nil:
+		return command.Undrain.check("endpoint")
+	case command.Cancel != nil:
+		return command.Cancel.check("request")
+	case command.Unblock != nil:
+		return command.Unblock.check("request")
+	case command.Explain != nil:
+		return command.Explain.check("request")
+	case command.Add != nil:
+		return command.Add.check("control")
+	}
+	return command.Remove.check("control")
+}
+
+func (command *Command) checkRevision() *fault {
+	if command.Condition == nil {
+		return nil
+	}
+	if command.Show != nil || command.Explain != nil || command.Cancel != nil {
+		return wrong(command.Condition.Pos, "a revision is for changes of the configuration; this command makes none")
+	}
+	// Revision 0 stands for "unconditional" in messages between processes.
+	revision, err := strconv.ParseUint(command.Condition.Text, 10, 64)
+	if err != nil || revision == 0 {
+		return wrong(command.Condition.Pos, "%q is no revision; expected a whole number from 1", command.Condition.Text)
+	}
+	command.IfRevision = &revision
+	return nil
+}
+
+func (target *Target) check(allowed ...string) *fault {
+	if !slices.Contains(allowed, target.What) {
+		return wrong(target.Pos, "%q is unknown here; expected %s", target.What, strings.Join(allowed, ", "))
+	}
+	if target.Name.Text == "" {
+		return wrong(target.Name.Pos, "the name of the %s is empty", target.What)
+	}
+	return nil
+}
+
+func (record *Record) check() *fault {
+	if found := record.Target.check(recordKinds...); found != nil {
+		return found
+	}
+	seen := map[string]bool{}
+	for _, field := range record.Fields {
+		at := slices.IndexFunc(setters[record.What], func(known Setter) bool { return known.Name == field.Name })
+		if at < 0 {
+			return wrong(field.Pos, "a %s has no field %q; fields are %s", record.What, field.Name, setterNames(record.What))
+		}
+		if seen[field.Name] {
+			return wrong(field.Pos, "field %q is set twice", field.Name)
+		}
+		seen[field.Name] = true
+		if found := setters[record.What][at].check(field.Value); found != nil {
+			return found
+		}
+	}
+	return nil
+}
+
+func setterNames(what string) string {
+	var names []string
+	for _, setter := range setters[what] {
+		names = append(names, setter.Name)
+	}
+	return strings.Join(names, ", ")
+}
+
+func (setter Setter) check(value Value) *fault {
+	if len(setter.Choices) > 0 && !slices.Contains(setter.Choices, value.Text) {
+		return wrong(value.Pos, "%s: %q is not %s", setter.Name, value.Text, strings.Join(setter.Choices, " or "))
+	}
+	if setter.Type == wire.ColumnType_COLUMN_TYPE_NUMBER {
+		if _, err := strconv.ParseInt(value.Text, 10, 32); err != nil {
+			return wrong(value.Pos, "%s: %q is not a whole number in range", setter.Name, value.Text)
+		}
+	}
+	return checkValue(setter.Name, setter.Type, value)
+}
+
+// checkValue reports a value that cannot be compared as a column's type.
+func checkValue(name string, kind wire.ColumnType, value Value) *fault {
+	if _, err := measure(kind, value.Text); err != nil {
+		return wrong(value.Pos, "%s: %q is not %s", name, value.Text, expected(kind))
+	}
+	return nil
+}
+
+func expected(kind wire.ColumnType) string {
+	switch kind {
+	case wire.ColumnType_COLUMN_TYPE_NUMBER:
+		return "a number such as 10"
+	case wire.ColumnType_COLUMN_TYPE_DURATION:
+		return "a duration with its unit such as 250ms, 3s or 5m"
+	case wire.ColumnType_COLUMN_TYPE_TIME:
+		return "a time such as 2026-01-31T12:00:00Z"
+	default:
+		return "a word or a quoted text"
+	}
+}
+
+func (show *Show) check() *fault {
+	kind, ok := KindOf(show.What)
+	if !ok || show.What == explained.Name {
+		var names []string
+		for _, known := range kinds {
+			names = append(names, known.Name)
+		}
+		return wrong(show.Pos, "%q cannot be shown; expected one of %s", show.What, strings.Join(names, ", "))
+	}
+	for _, condition := range show.Where {
+		_, column, ok := kind.Column(condition.Field)
+		if !ok {
+			return wrong(condition.Pos, "%s have no field %q; fields are %s", kind.Name, condition.Field, kind.names())
+		}
+		if found := checkValue(column.Name, column.Type, condition.Value); found != nil {
+			return found
+		}
+	}
+	if show.OrderBy != nil {
+		if _, _, ok := kind.Column(show.OrderBy.Field); !ok {
+			return wrong(show.OrderBy.Pos, "%s have no field %q; fields are %s", kind.Name, show.OrderBy.Field, kind.names())
+		}
+	}
+	return show.checkLimit()
+}
+
+func (show *Show) checkLimit() *fault {
+	if show.Limit == nil {
+		return nil
+	}
+	rows, err := strconv.Atoi(show.Limit.Text)
+	if err != nil || rows < 1 {
+		return wrong(show.Limit.Pos, "%q is no limit; expected a whole number from 1", show.Limit.Text)
+	}
+	show.Limit.Rows = rows
+	return nil
+}
--- a/pkg/query/query.go
+++ b/pkg/query/query.go
@@ -1,17 +1,19 @@
-// Package query parses the operators' query and command language.
+// Package query parses the operators' query and command language. Its grammar,
+// records and fields are documented in docs/COMMANDS.md.
 //
 //	show WHAT [where FIELD OP VALUE [and …]] [order by FIELD [desc]] [limit N]
 //	create|alter customer|tier|rule NAME [FIELD VALUE …] [if revision N]
 //	drop customer|tier|rule NAME [if revision N]
 //	drain|undrain endpoint NAME [if revision N]
+//	unblock request ID [if revision N]
 //	cancel request ID
-//	unblock request ID
 //	explain request ID
-//	add|remove control NAME
+//	add|remove control NAME [if revision N]
 package query
 
 import (
 	"strings"
+	"unicode/utf8"
 
 	"github.com/alecthomas/participle/v2"
 	"github.com/alecthomas/participle/v2/lexer"
@@ -20,30 +22,46 @@
 
 // Command is one parsed line; exactly one of its statements is set.
 type Command struct {
-	Show       *Show   `parser:"(  'show' @@"`
-	Create     *Record `parser:" | 'create' @@"`
-	Alter      *Record `parser:" | 'alter' @@"`
-	Drop       *Target `parser:" | 'drop' @@"`
-	Drain      *Target `parser:" | 'drain' @@"`
-	Undrain    *Target `parser:" | 'undrain' @@"`
-	Cancel     *Target `parser:" | 'cancel' @@"`
-	Unblock    *Target `parser:" | 'unblock' @@"`
-	Explain    *Target `parser:" | 'explain' @@"`
-	Add        *Target `parser:" | 'add' @@"`
-	Remove     *Target `parser:" | 'remove' @@ )"`
-	IfRevision *uint64 `parser:"( 'if' 'revision' @Number )?"`
+	Show       *Show     `parser:"(  'show':Word @@"`
+	Create     *Record   `parser:" | 'create':Word @@"`
+	Alter      *Record   `parser:" | 'alter':Word @@"`
+	Drop       *Target   `parser:" | 'drop':Word @@"`
+	Drain      *Target   `parser:" | 'drain':Word @@"`
+	Undrain    *Target   `parser:" | 'undrain':Word @@"`
+	Cancel     *Target   `parser:" | 'cancel':Word @@"`
+	Unblock    *Target   `parser:" | 'unblock':Word @@"`
+	Explain    *Target   `parser:" | 'explain':Word @@"`
+	Add        *Target   `parser:" | 'add':Word @@"`
+	Remove     *Target   `parser:" | 'remove':Word @@ )"`
+	Condition  *Revision `parser:"( 'if':Word 'revision':Word @@ )?"`
+	IfRevision *uint64   `parser:""`
+}
+
+// Revision is the revision that a conditional command was made against.
+type Revision struct {
+	Pos  lexer.Position
+	Text string `parser:"@Word"`
 }
 
 // Show asks for rows.
 type Show struct {
+	Pos     lexer.Position
 	What    string      `parser:"@Word"`
-	Where   []Condition `parser:"( 'where' @@ ( 'and' @@ )* )?"`
-	OrderBy *Order      `parser:"( 'order' 'by' @@ )?"`
-	Limit   *int        `parser:"( 'limit' @Number )?"`
+	Where   []Condition `parser:"( 'where':Word @@ ( 'and':Word @@ )* )?"`
+	OrderBy *Order      `parser:"( 'order':Word 'by':Word @@ )?"`
+	Limit   *Limit      `parser:"( 'limit':Word @@ )?"`
+}
+
+// Limit bounds the number of rows.
+type Limit struct {
+	Pos  lexer.Position
+	Text string `parser:"@Word"`
+	Rows int    `parser:""`
 }
 
 // Condition compares a field with a value.
 type Condition struct {
+	Pos   lexer.Position
 	Field string `parser:"@Word"`
 	Op    string `parser:"@( '=' | '!=' | '<=' | '>=' | '<' | '>' )"`
 	Value Value  `parser:"@@"`
@@ -51,8 +69,9 @@
 
 // Order sorts rows by a field.
 type Order struct {
+	Pos   lexer.Position
 	Field string `parser:"@Word"`
-	Desc  bool   `parser:"@'desc'?"`
+	Desc  bool   `parser:"@'desc':Word?"`
 }
 
 // Record is a named record with fields.
@@ -63,6 +82,7 @@
 
 // Target names a record.
 type Target struct {
+	Pos  lexer.Position
 	What string `parser:"@Word"`
 	Name Value  `parser:"@@"`
 }
@@ -70,30 +90,30 @@
 // Field sets one field of a record.
 type Field struct {
 	Pos   lexer.Position
-	Name  string `parser:"(?! 'if' ) @Word"`
+	Name  string `parser:"(?! 'if':Word ) @Word"`
 	Value Value  `parser:"@@"`
 }
 
-// Value is a word, a number or a quoted text.
+// Value is a word or a quoted text.
 type Value struct {
-	Text string `parser:"@( Word | Number | String )"`
+	Pos  lexer.Position
+	Text string `parser:"@( Word | String )"`
 }
 
 // SyntaxError tells where a command is wrong.
 type SyntaxError struct {
-	// Column counts from 1.
+	// Column counts characters from 1; it is one past the end when the command ends too early.
 	Column  int
 	Message string
 }
 
-// Error returns the reason with the column.
+// Error returns the reason.
 func (syntax *SyntaxError) Error() string { return syntax.Message }
 
 var parser = participle.MustBuild[Command](
 	participle.Lexer(lexer.MustSimple([]lexer.SimpleRule{
 		{Name: "String", Pattern: `"(\\.|[^"\\])*"`},
-		{Name: "Number", Pattern: `[0-9]+\b`},
-		{Name: "Word", Pattern: `[A-Za-z0-9_/][A-Za-z0-9_./:-]*`},
+		{Name: "Word", Pattern: `[\pL\pN_/+*-][\pL\pM\pN_./:@%+*-]*`},
 		{Name: "Op", Pattern: `<=|>=|!=|[=<>]`},
 		{Name: "Space", Pattern: `\s+`},
 	})),
@@ -102,21 +122,43 @@
 	participle.UseLookahead(2),
 )
 
-// Parse reads one command.
+// fault is an error at an offset in the parsed text.
+type fault struct {
+	at      lexer.Position
+	message string
+}
+
+// Parse reads one command and checks it against the catalogue of records.
 func Parse(text string) (*Command, error) {
-	command, err := parser.ParseString("", strings.TrimSuffix(strings.TrimSpace(text), ";"))
-	if err == nil {
-		return command, nil
+	trimmed := strings.TrimRight(text, " \t\r\n;")
+	command, err := parser.ParseString("", trimmed)
+	if err != nil {
+		return nil, syntaxError(trimmed, err)
+	}
+	if wrong := command.check(); wrong != nil {
+		return nil, &SyntaxError{Column: column(trimmed, wrong.at.Offset), Message: wrong.message}
 	}
+	return command, nil
+}
+
+func syntaxError(text string, err error) error {
 	var failure participle.Error
-	if errors.As(err, &failure) {
-		return nil, &SyntaxError{Column: failure.Position().Column, Message: failure.Message()}
+	if !errors.As(err, &failure) {
+		return &SyntaxError{Column: 1, Message: err.Error()}
 	}
-	return nil, &SyntaxError{Column: 1, Message: err.Error()}
+	at := failure.Position().Offset
+	return &SyntaxError{Column: column(text, at), Message: explain(text, at, failure.Message())}
+}
+
+// column turns an offset in bytes into a column in characters.
+func column(text string, offset int) int {
+	return utf8.RuneCountInString(text[:min(max(offset, 0), len(text))]) + 1
 }
 
 // Codes of replies that no control VM decides.
 const (
-	CodeSyntax  = "syntax"
-	CodeInvalid = "invalid"
+	CodeSyntax      = "syntax"
+	CodeInvalid     = "invalid"
+	CodeNotFound    = "notFound"
+	CodeUnavailable = "unavailable"
 )
