Spread queries over all entry VMs; explain and cancel requests

Cause: show knew two kinds and only one entry VM; explain and cancel did nothing; hibctl tried each address once and had one exit code for all. Change: an entry VM gathers requests, engines, endpoints and nodes from every entry VM it knows, names those that do not answer, and finds the one that explains or cancels a request. Cancel ends the router's context, which tells the endpoint process. Control VMs answer show as well. hibctl resends with the same id in rounds, reads standard input, prints typed JSON and has an exit code for each outcome. Tokens are left out of the recorded text.

--- a/cmd/hibctl/main.go
+++ b/cmd/hibctl/main.go
@@ -9,7 +9,7 @@
 )
 
 func main() {
-	code, err := opcli.Run(os.Args[1:], os.Stdout)
+	code, err := opcli.Run(os.Args[1:], os.Stdin, os.Stdout, os.Stderr)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "hibctl:", err)
 	}
--- a/internal/bounds/bounds.go
+++ b/internal/bounds/bounds.go
@@ -3,6 +3,8 @@
 package bounds
 
 import (
+	"net/netip"
+	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -67,3 +69,51 @@
 	}
 	return nil
 }
+
+// Address reports a text that is not IP:port. Port 0 lets the system choose
+// the port to listen on and cannot be connected to.
+func Address(name, value string) error {
+	parsed, err := netip.ParseAddrPort(value)
+	if err != nil || parsed.Port() == 0 {
+		return errors.Newf("setting --%s is %q; allowed is IP:port with a port of 1 to 65535, such as 127.0.0.1:7000", name, value)
+	}
+	return nil
+}
+
+// Listen reports a text that is not IP:port to listen on; port 0 lets the
+// system choose.
+func Listen(name, value string) error {
+	if _, err := netip.ParseAddrPort(value); err != nil {
+		return errors.Newf("setting --%s is %q; allowed is IP:port with a port of 0 to 65535, such as 127.0.0.1:7000", name, value)
+	}
+	return nil
+}
+
+// Addresses reports the first element that is not IP:port.
+func Addresses(name string, values []string) error {
+	for _, value := range values {
+		if err := Address(name, value); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Members reports the first element that is not NAME@IP:port.
+func Members(name string, values []string) error {
+	for _, value := range values {
+		member, address, ok := strings.Cut(value, "@")
+		if _, err := netip.ParseAddrPort(address); !ok || member == "" || err != nil {
+			return errors.Newf("setting --%s is %q; allowed is NAME@IP:port, such as control1@127.0.0.1:7100", name, value)
+		}
+	}
+	return nil
+}
+
+// Optional runs a check only when there is a value.
+func Optional(check func(name, value string) error, name, value string) error {
+	if value == "" {
+		return nil
+	}
+	return check(name, value)
+}
--- a/internal/ctrl/operate.go
+++ b/internal/ctrl/operate.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/hibiscuslug/hibiscuslug/internal/state"
 	"github.com/hibiscuslug/hibiscuslug/pkg/query"
 	"github.com/hibiscuslug/hibiscuslug/pkg/wire"
@@ -12,11 +14,17 @@
 const codeUnavailable = "unavailable"
 
 // Execute runs an operator's command.
-func (control *Control) Execute(_ context.Context, command *wire.Command) (*wire.CommandReply, error) {
+func (control *Control) Execute(ctx context.Context, command *wire.Command) (*wire.CommandReply, error) {
 	parsed, err := query.Parse(command.GetText())
 	if err != nil {
 		return query.Failure(err), nil
 	}
+	if parsed.Show != nil {
+		return control.show(ctx, parsed.Show), nil
+	}
+	if parsed.Explain != nil || parsed.Cancel != nil {
+		return query.Invalid(errors.New("a control VM does not carry requests; send the command to an entry VM")), nil
+	}
 	change, err := control.change(command, parsed)
 	if err != nil {
 		return refusal(err), nil
@@ -33,7 +41,7 @@
 	if err != nil {
 		return nil, err
 	}
-	change.CommandId, change.Text, change.At = command.GetId(), command.GetText(), int64(control.clock.Now())
+	change.CommandId, change.Text, change.At = command.GetId(), query.Redact(command.GetText()), int64(control.clock.Now())
 	if parsed.IfRevision != nil {
 		change.IfRevision = *parsed.IfRevision
 	}
@@ -51,8 +59,3 @@
 	}
 	return reply
 }
-
-// Local answers queries about this process alone.
-func (control *Control) Local(context.Context, *wire.NodeQuery) (*wire.Table, error) {
-	return &wire.Table{}, nil
-}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -52,6 +52,7 @@
 	fleet       *engines
 	ledger      *ledger.Ledger
 	front       *front.Front
+	flights     *flights
 	leaving     atomic.Bool
 	loops       conc.WaitGroup
 	cancel      context.CancelFunc
@@ -75,7 +76,8 @@
 	placer := place.New(settings.Node.Zone, rand.IntN)
 	router := route.New(route.Settings{Node: settings.Node.Name, SilenceLimit: settings.Entry.SilenceLimit},
 		entry.pool, placer, entry.fleet, entry.ledger, ticker, log)
-	entry.front, err = front.New(settings.Entry, entry.view, router, entry.ledger, ticker, entry.newID)
+	entry.flights = newFlights(router)
+	entry.front, err = front.New(settings.Entry, entry.view, entry.flights, entry.ledger, ticker, entry.newID)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/opcli/client.go
+++ b/internal/opcli/client.go
@@ -2,134 +2,156 @@
 package opcli
 
 import (
-	"context"
+	"bufio"
 	"crypto/rand"
-	"encoding/json"
 	"fmt"
 	"io"
+	"strconv"
 	"strings"
-	"text/tabwriter"
-	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/jessevdk/go-flags"
 
-	"github.com/hibiscuslug/hibiscuslug/internal/link"
+	"github.com/hibiscuslug/hibiscuslug/internal/bounds"
 	"github.com/hibiscuslug/hibiscuslug/pkg/clock"
-	"github.com/hibiscuslug/hibiscuslug/pkg/wire"
+	"github.com/hibiscuslug/hibiscuslug/pkg/query"
 )
 
 // Exit codes.
 const (
-	exitOK      = 0
-	exitRefused = 1
-	exitUsage   = 2
+	exitOK          = 0
+	exitRefused     = 1
+	exitUsage       = 2
+	exitUnavailable = 3
+	exitConflict    = 4
 )
 
 type settings struct {
-	Address []string     `long:"address" env:"HIB_ADDRESS" env-delim:"," default:"127.0.0.1:7000" description:"IP:port of an entry or control VM; may be repeated"`
-	JSON    bool         `long:"json" env:"HIB_JSON" description:"Print JSON instead of a table"`
-	ID      string       `long:"id" env:"HIB_COMMAND_ID" description:"Command id; the same id is never done twice. Made at random when empty"`
-	Timeout clock.Millis `long:"timeout" env:"HIB_TIMEOUT" default:"5s" description:"Time for one address"`
+	Address  []string     `long:"address" env:"HIB_ADDRESS" env-delim:"," default:"127.0.0.1:7000" description:"IP:port of an entry or control VM; may be repeated, and the next one is tried when one does not answer"`
+	JSON     bool         `long:"json" env:"HIB_JSON" description:"Print JSON instead of a table"`
+	ID       string       `long:"id" env:"HIB_COMMAND_ID" description:"Command id; the same id is never done twice. Made at random when empty"`
+	Timeout  clock.Millis `long:"timeout" env:"HIB_TIMEOUT" default:"10s" description:"Time for one address (100ms to 10m)"`
+	Rounds   int          `long:"rounds" env:"HIB_ROUNDS" default:"2" description:"How often the addresses are tried, in rounds (1 to 100)"`
+	KeepOn   bool         `long:"keep-going" env:"HIB_KEEP_GOING" description:"Go on after a refused command when reading from standard input"`
+	progress io.Writer
 }
 
-const examples = `hibctl [OPTIONS] COMMAND
+const usage = `[OPTIONS] COMMAND
+  hibctl [OPTIONS] - < FILE
+
+Sends one command of docs/COMMANDS.md, or with "-" every line of standard
+input; empty lines and lines that begin with # are skipped.
 
 Examples:
   hibctl show nodes
-  hibctl show requests where tier = free order by waited desc limit 10
+  hibctl 'show requests where tier = free and waited > 1s order by waited desc limit 10'
+  hibctl --json show config limit 5
   hibctl create customer clinic tier paid token s3cret weight 2
-  hibctl drain endpoint endpoint3`
+  hibctl alter customer clinic weight 3 if revision 12
+  hibctl drain endpoint endpoint3
+  hibctl explain request entry1-5ab3c2d1-17
+  hibctl --address 10.0.0.1:7000 --address 10.0.1.1:7000 --id change-17 drop rule booking
+  hibctl - < rules.txt
+
+Exit codes:
+  0  done
+  1  refused: invalid, notFound or exists
+  2  wrong option, or a syntax error in the command
+  3  no address could do it; send a change again with the same --id
+  4  conflict: "if revision N" was overtaken by another change`
 
-// Run runs one command and returns the exit code.
-func Run(arguments []string, out io.Writer) (int, error) {
-	var set settings
+// Run runs one command, or those read from standard input, and returns the exit code.
+func Run(arguments []string, in io.Reader, out, progress io.Writer) (int, error) {
+	set := settings{progress: progress}
 	parser := flags.NewParser(&set, flags.HelpFlag|flags.PassDoubleDash)
-	parser.Name, parser.Usage = "hibctl", strings.TrimPrefix(examples, "hibctl ")
+	parser.Name, parser.Usage = "hibctl", usage
 	words, err := parser.ParseArgs(arguments)
 	if flags.WroteHelp(err) {
 		fmt.Fprintln(out, err)
 		return exitOK, nil
 	}
-	if err != nil {
+	if err := bounds.First(err, set.check()); err != nil {
 		return exitUsage, err
 	}
 	if len(words) == 0 {
 		return exitUsage, errors.New("no command given; see hibctl --help")
 	}
-	command := &wire.Command{Id: set.ID, Text: strings.Join(words, " ")}
-	if command.Id == "" {
-		command.Id = rand.Text()
+	client := newClient(set)
+	defer client.close()
+	if len(words) == 1 && words[0] == "-" {
+		return runLines(client, in, out)
 	}
-	reply, err := send(set, command)
-	if err != nil {
-		return exitRefused, errors.Wrapf(err, "command id %s", command.Id)
+	id := set.ID
+	if id == "" {
+		id = rand.Text()
 	}
-	return show(set, command, reply, out)
+	return client.run(id, join(words), out)
 }
 
-// send tries one address after the other with the same command id, so that a
-// lost answer is no reason to do the command twice.
-func send(set settings, command *wire.Command) (*wire.CommandReply, error) {
-	pool := link.NewPool()
-	defer func() { _ = pool.Close() }()
-	var failure error
-	for _, address := range set.Address {
-		ctx, cancel := context.WithTimeout(context.Background(), set.Timeout.Duration())
-		reply, err := wire.NewDRPCOperateClient(pool.Conn(ctx, address)).Execute(ctx, command)
-		cancel()
-		if err == nil {
-			return reply, nil
-		}
-		failure = errors.CombineErrors(failure, err)
-	}
-	return nil, failure
+func (set settings) check() error {
+	return bounds.First(
+		bounds.RequiredList("address", set.Address),
+		bounds.Addresses("address", set.Address),
+		bounds.Span("timeout", set.Timeout, "100ms", "10m"),
+		bounds.Int("rounds", set.Rounds, 1, 100, "rounds"),
+	)
 }
 
-func show(set settings, command *wire.Command, reply *wire.CommandReply, out io.Writer) (int, error) {
-	if reply.GetCode() != "" {
-		if set.JSON {
-			if err := json.NewEncoder(out).Encode(map[string]any{"code": reply.GetCode(), "error": reply.GetError(), "column": reply.GetColumn()}); err != nil {
-				return exitRefused, err
-			}
-		}
-		return exitRefused, refusal(command, reply)
-	}
-	if set.JSON {
-		return exitOK, json.NewEncoder(out).Encode(document(reply))
+// join makes one command of the shell's words. A word that the shell took out
+// of quotes gets them back, unless it is the whole command.
+func join(words []string) string {
+	if len(words) == 1 {
+		return words[0]
 	}
-	return exitOK, table(reply, out)
-}
-
-func refusal(command *wire.Command, reply *wire.CommandReply) error {
-	if reply.GetColumn() == 0 {
-		return errors.Newf("%s: %s", reply.GetCode(), reply.GetError())
+	quoted := make([]string, len(words))
+	for at, word := range words {
+		quoted[at] = word
+		if word == "" || strings.ContainsAny(word, " \t\"") {
+			quoted[at] = strconv.Quote(word)
+		}
 	}
-	pointer := strings.Repeat(" ", int(reply.GetColumn())-1) + "^"
-	return errors.Newf("%s: %s\n%s\n%s", reply.GetCode(), reply.GetError(), command.GetText(), pointer)
+	return strings.Join(quoted, " ")
 }
 
-func document(reply *wire.CommandReply) map[string]any {
-	rows := make([]map[string]string, 0, len(reply.GetTable().GetRows()))
-	for _, row := range reply.GetTable().GetRows() {
-		record := map[string]string{}
-		for at, column := range reply.GetTable().GetColumns() {
-			record[column] = row.GetCells()[at]
+// runLines runs the commands of standard input. With --id, line N has the id
+// ID.N, so that the same input can be sent again.
+func runLines(client *client, in io.Reader, out io.Writer) (int, error) {
+	lines := bufio.NewScanner(in)
+	worst := exitOK
+	for number := 1; lines.Scan(); number++ {
+		text := strings.TrimSpace(lines.Text())
+		if text == "" || strings.HasPrefix(text, "#") {
+			continue
+		}
+		id := rand.Text()
+		if client.settings.ID != "" {
+			id = client.settings.ID + "." + strconv.Itoa(number)
 		}
-		rows = append(rows, record)
+		code, err := client.run(id, text, out)
+		if code == exitOK && err == nil {
+			continue
+		}
+		err = errors.Wrapf(err, "line %d", number)
+		if !client.settings.KeepOn {
+			return code, err
+		}
+		fmt.Fprintln(client.settings.progress, "hibctl:", err)
+		worst = max(worst, code)
 	}
-	return map[string]any{"revision": reply.GetRevision(), "rows": rows}
+	return worst, lines.Err()
 }
 
-func table(reply *wire.CommandReply, out io.Writer) error {
-	if reply.GetTable() == nil {
-		_, err := fmt.Fprintf(out, "accepted as revision %d at %s\n", reply.GetRevision(), time.Now().Format(time.TimeOnly))
-		return err
-	}
-	writer := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(writer, strings.Join(reply.GetTable().GetColumns(), "\t"))
-	for _, row := range reply.GetTable().GetRows() {
-		fmt.Fprintln(writer, strings.Join(row.GetCells(), "\t"))
+// exitCode maps the code of a reply.
+func exitCode(code string) int {
+	switch code {
+	case "":
+		return exitOK
+	case query.CodeSyntax:
+		return exitUsage
+	case query.CodeUnavailable:
+		return exitUnavailable
+	case query.CodeConflict:
+		return exitConflict
 	}
-	return writer.Flush()
+	return exitRefused
 }
--- a/pkg/query/query.go
+++ b/pkg/query/query.go
@@ -160,5 +160,6 @@
 	CodeSyntax      = "syntax"
 	CodeInvalid     = "invalid"
 	CodeNotFound    = "notFound"
+	CodeConflict    = "conflict"
 	CodeUnavailable = "unavailable"
 )
--- a/pkg/query/table.go
+++ b/pkg/query/table.go
@@ -126,3 +126,8 @@
 func Redact(text string) string {
 	return tokenField.ReplaceAllString(text, "${1}…")
 }
+
+// Less tells whether a cell of a typed column comes before another.
+func Less(kind wire.ColumnType, left, right string) bool {
+	return compareCells(kind, left, right) < 0
+}
