Check addresses in settings and generate docs/SETTINGS.md

Cause: an address that was not IP:port failed only at the first connection, and the settings were listed nowhere. Change: the schema has types for addresses to listen on, to connect to, and for members of the control group; schema/gen writes their checks and the page. The trace ratio and the embedded fleet's settings are new. Conclusion: every address is checked at start.

--- a/Makefile
+++ b/Makefile
@@ -59,4 +59,4 @@
 	$(GO) run ./schema/gen -in schema/settings.json -out internal/opts/opts.go
 
 check-generated: generate
-	git diff --exit-code -- pkg/wire internal/opts
+	git diff --exit-code -- pkg/wire internal/opts docs/SETTINGS.md
--- a/internal/bounds/bounds.go
+++ b/internal/bounds/bounds.go
@@ -3,6 +3,7 @@
 package bounds
 
 import (
+	"fmt"
 	"net/netip"
 	"strings"
 	"time"
@@ -31,15 +32,15 @@
 // Int reports a number out of range.
 func Int(name string, value, low, high int, unit string) error {
 	if value < low || value > high {
-		return errors.Newf("setting --%s is %d; allowed are %d to %d %s", name, value, low, high, unit)
+		return errors.Newf("setting --%s is %d; allowed are %s", name, value, strings.TrimSpace(fmt.Sprintf("%d to %d %s", low, high, unit)))
 	}
 	return nil
 }
 
 // Float reports a number out of range.
 func Float(name string, value, low, high float64, unit string) error {
-	if value < low || value > high {
-		return errors.Newf("setting --%s is %g; allowed are %g to %g %s", name, value, low, high, unit)
+	if !(value >= low && value <= high) {
+		return errors.Newf("setting --%s is %g; allowed are %s", name, value, strings.TrimSpace(fmt.Sprintf("%g to %g %s", low, high, unit)))
 	}
 	return nil
 }
--- a/internal/opts/opts.go
+++ b/internal/opts/opts.go
@@ -15,9 +15,10 @@
 	Region        string       `long:"region" env:"HIB_REGION" description:"Region of this process" default:"region1"`
 	Listen        string       `long:"listen" env:"HIB_LISTEN" description:"IP:port for messages between processes" default:"127.0.0.1:0"`
 	Advertise     string       `long:"advertise" env:"HIB_ADVERTISE" description:"IP:port that other processes connect to; the listen address when empty"`
-	MetricsListen string       `long:"metrics-listen" env:"HIB_METRICS_LISTEN" description:"IP:port for /debug/vars; off when empty"`
-	TraceAddress  string       `long:"trace-address" env:"HIB_TRACE_ADDRESS" description:"host:port of an OTLP/HTTP collector for traces"`
+	MetricsListen string       `long:"metrics-listen" env:"HIB_METRICS_LISTEN" description:"IP:port for metrics over HTTP, at /debug/vars; off when empty"`
+	TraceAddress  string       `long:"trace-address" env:"HIB_TRACE_ADDRESS" description:"IP:port of an OTLP/HTTP collector for traces; off when empty"`
 	TraceFile     string       `long:"trace-file" env:"HIB_TRACE_FILE" description:"File for traces when no collector is set; off when empty"`
+	TraceRatio    float64      `long:"trace-ratio" env:"HIB_TRACE_RATIO" description:"Share of requests that are traced (0 to 1)" default:"0.01"`
 	ShutdownLimit clock.Millis `long:"shutdown-limit" env:"HIB_SHUTDOWN_LIMIT" description:"Longest wait for requests in flight at shutdown (0s to 1h)" default:"30s"`
 }
 
@@ -26,6 +27,11 @@
 	return bounds.First(
 		bounds.Required("name", set.Name),
 		bounds.Required("zone", set.Zone),
+		bounds.Listen("listen", set.Listen),
+		bounds.Optional(bounds.Address, "advertise", set.Advertise),
+		bounds.Optional(bounds.Listen, "metrics-listen", set.MetricsListen),
+		bounds.Optional(bounds.Address, "trace-address", set.TraceAddress),
+		bounds.Float("trace-ratio", set.TraceRatio, 0, 1, ""),
 		bounds.Span("shutdown-limit", set.ShutdownLimit, "0s", "1h"),
 	)
 }
@@ -45,6 +51,9 @@
 // Check reports the first setting that is missing or out of range.
 func (set *Entry) Check() error {
 	return bounds.First(
+		bounds.Listen("http-listen", set.HTTPListen),
+		bounds.Addresses("control", set.Control),
+		bounds.Addresses("peer", set.Peer),
 		bounds.Int("max-body", set.MaxBody, 1024, 67108864, "bytes"),
 		bounds.Int("max-header", set.MaxHeader, 1024, 1048576, "bytes"),
 		bounds.Int("max-concurrent", set.MaxConcurrent, 1, 1000000, "requests"),
@@ -66,6 +75,7 @@
 func (set *Endpoint) Check() error {
 	return bounds.First(
 		bounds.RequiredList("entry", set.Entry),
+		bounds.Addresses("entry", set.Entry),
 		bounds.RequiredList("engine", set.Engine),
 		bounds.Int("slots", set.Slots, 1, 4096, "requests"),
 		bounds.Span("announce-every", set.AnnounceEvery, "100ms", "1m"),
@@ -84,6 +94,25 @@
 func (set *Control) Check() error {
 	return bounds.First(
 		bounds.Required("data", set.Data),
+		bounds.Members("group", set.Group),
 		bounds.Span("election-timeout", set.ElectionTimeout, "50ms", "1m"),
 	)
 }
+
+// Embedded holds the settings of the embedded fleet.
+type Embedded struct {
+	Demo      bool         `long:"demo" env:"HIB_DEMO" description:"Send a mixed load, make one operator change, print what was seen, and end"`
+	DemoLoad  clock.Millis `long:"demo-load" env:"HIB_DEMO_LOAD" description:"Length of the demo's load (2s to 5m)" default:"12s"`
+	DemoSeed  int          `long:"demo-seed" env:"HIB_DEMO_SEED" description:"Seed of the demo's random choices (0 to 2147483647)" default:"1"`
+	FleetData string       `long:"fleet-data" env:"HIB_FLEET_DATA" description:"Data folder of the fleet's control VMs; a temporary one, removed at the end, when empty"`
+	FleetHTTP string       `long:"fleet-http" env:"HIB_FLEET_HTTP" description:"IP:port for callers of the first entry VM; the others take free ports" default:"127.0.0.1:0"`
+}
+
+// Check reports the first setting that is missing or out of range.
+func (set *Embedded) Check() error {
+	return bounds.First(
+		bounds.Span("demo-load", set.DemoLoad, "2s", "5m"),
+		bounds.Int("demo-seed", set.DemoSeed, 0, 2147483647, ""),
+		bounds.Listen("fleet-http", set.FleetHTTP),
+	)
+}
