--- a/internal/ctrl/local.go
+++ b/internal/ctrl/local.go
@@ -5,6 +5,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/hibiscuslug/hibiscuslug/internal/feed"
 	"github.com/hibiscuslug/hibiscuslug/internal/rows"
 	"github.com/hibiscuslug/hibiscuslug/pkg/query"
 	"github.com/hibiscuslug/hibiscuslug/pkg/wire"
@@ -53,3 +54,6 @@
 		query.Number(control.view.State().Revision()), rows.Age(control.view.Age()))
 	return table
 }
+
+// View returns the configuration that is in force here.
+func (control *Control) View() *feed.View { return control.view }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -6,15 +6,18 @@
 	"io"
 	"os"
 	"os/signal"
+	"regexp"
 	"syscall"
 
 	"github.com/cockroachdb/errors"
 	"github.com/jessevdk/go-flags"
 
+	"github.com/hibiscuslug/hibiscuslug/internal/bounds"
 	"github.com/hibiscuslug/hibiscuslug/internal/ctrl"
 	"github.com/hibiscuslug/hibiscuslug/internal/endpt"
 	"github.com/hibiscuslug/hibiscuslug/internal/entry"
 	"github.com/hibiscuslug/hibiscuslug/internal/event"
+	"github.com/hibiscuslug/hibiscuslug/internal/fleet"
 	"github.com/hibiscuslug/hibiscuslug/internal/opts"
 	"github.com/hibiscuslug/hibiscuslug/pkg/clock"
 )
@@ -43,9 +46,14 @@
 	out io.Writer
 }
 
+type embeddedCommand struct {
+	opts.Embedded
+	out io.Writer
+}
+
 // Execute runs an entry VM's process.
 func (command *entryCommand) Execute([]string) error {
-	if err := errors.CombineErrors(command.Node.Check(), command.Entry.Check()); err != nil {
+	if err := bounds.First(command.Node.Check(), command.Entry.Check()); err != nil {
 		return err
 	}
 	log := event.New(os.Stderr, command.Name, command.Zone)
@@ -59,7 +67,7 @@
 
 // Execute runs an endpoint process.
 func (command *endpointCommand) Execute([]string) error {
-	if err := errors.CombineErrors(command.Node.Check(), command.Endpoint.Check()); err != nil {
+	if err := bounds.First(command.Node.Check(), command.Endpoint.Check(), checkEngines(command.Engine), checkLifetime(command.Endpoint)); err != nil {
 		return err
 	}
 	log := event.New(os.Stderr, command.Name, command.Zone)
@@ -73,7 +81,7 @@
 
 // Execute runs a control VM's process.
 func (command *controlCommand) Execute([]string) error {
-	if err := errors.CombineErrors(command.Node.Check(), command.Control.Check()); err != nil {
+	if err := bounds.First(command.Node.Check(), command.Control.Check()); err != nil {
 		return err
 	}
 	log := event.New(os.Stderr, command.Name, command.Zone)
@@ -85,6 +93,25 @@
 	return wait(running)
 }
 
+// Execute runs the embedded fleet, or its demo.
+func (command *embeddedCommand) Execute([]string) error {
+	if err := command.Check(); err != nil {
+		return err
+	}
+	if command.Demo {
+		return fleet.Demo(command.Embedded, command.out)
+	}
+	running, err := fleet.New(command.Embedded)
+	if err != nil {
+		return err
+	}
+	fmt.Fprintln(command.out, "ready", running.Address(), running.HTTP[0])
+	for at, address := range running.Entries() {
+		fmt.Fprintf(command.out, "entry%d: hibctl --address %s; callers at %s\n", at+1, address, running.HTTP[at])
+	}
+	return wait(running)
+}
+
 func wait(running role) error {
 	stop := make(chan os.Signal, 1)
 	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
@@ -92,26 +119,60 @@
 	return running.Close()
 }
 
+// subcommand is a role on the command line.
+type subcommand struct {
+	name, short, long string
+	data              any
+}
+
+func subcommands(out io.Writer) []subcommand {
+	return []subcommand{
+		{"entry", "Run an entry VM's process", entryHelp, &entryCommand{out: out}},
+		{"endpoint", "Run an endpoint process", endpointHelp, &endpointCommand{out: out}},
+		{"control", "Run a control VM's process", controlHelp, &controlCommand{out: out}},
+		{"embedded", "Run a small fleet of three zones in one process", embeddedHelp, &embeddedCommand{out: out}},
+	}
+}
+
 // Run parses the command line and runs the role until it is told to stop.
 func Run(arguments []string, out io.Writer) error {
 	parser := flags.NewNamedParser("hibiscuslug", flags.HelpFlag|flags.PassDoubleDash)
-	commands := []struct {
-		name, short, long string
-		data              any
-	}{
-		{"entry", "Run an entry VM's process", "Takes callers' requests and places them on engines.\n\nExample:\n  hibiscuslug entry --name entry1 --zone zone1 --control 127.0.0.1:7100 --http-listen 127.0.0.1:8080", &entryCommand{out: out}},
-		{"endpoint", "Run an endpoint process", "Stands before the engines of an endpoint VM.\n\nExample:\n  hibiscuslug endpoint --name endpoint1 --zone zone1 --entry 127.0.0.1:7000 --engine model,engine1,http://127.0.0.1:9000,guide-1", &endpointCommand{out: out}},
-		{"control", "Run a control VM's process", "Holds the configuration on disk.\n\nExample:\n  hibiscuslug control --name control1 --zone zone1 --data /var/lib/hibiscuslug", &controlCommand{out: out}},
-	}
-	for _, command := range commands {
+	parser.LongDescription = help
+	for _, command := range subcommands(out) {
 		if _, err := parser.AddCommand(command.name, command.short, command.long, command.data); err != nil {
 			return err
 		}
 	}
+	parser.CommandHandler = func(command flags.Commander, rest []string) error {
+		if len(rest) > 0 {
+			return errors.Newf("argument %q is not a setting; settings begin with --", rest[0])
+		}
+		return command.Execute(rest)
+	}
 	_, err := parser.ParseArgs(arguments)
 	if flags.WroteHelp(err) {
 		fmt.Fprintln(out, err)
 		return nil
 	}
-	return err
+	return explained(parser, err)
+}
+
+var flagName = regexp.MustCompile("flag `--([a-z-]+)'")
+
+// explained adds the description of a setting, with its range and unit, to the
+// error about a value that could not be read.
+func explained(parser *flags.Parser, err error) error {
+	var failure *flags.Error
+	if !errors.As(err, &failure) || failure.Type != flags.ErrMarshal || parser.Active == nil {
+		return err
+	}
+	match := flagName.FindStringSubmatch(failure.Message)
+	if match == nil {
+		return err
+	}
+	option := parser.Active.FindOptionByLongName(match[1])
+	if option == nil {
+		return err
+	}
+	return errors.Newf("setting --%s: %s; it is: %s", match[1], failure.Message, option.Description)
 }
--- /dev/null
+++ b/internal/daemon/help.go
@@ -0,0 +1,31 @@
+package daemon
+
+const help = `Runs one role of the load balancer. Every setting is a flag and an environment variable.
+
+Examples:
+  hibiscuslug embedded --demo
+  hibiscuslug entry --help`
+
+const entryHelp = `Takes callers' requests and places them on engines.
+
+Examples:
+  hibiscuslug entry --name entry1 --zone zone1 --listen 127.0.0.1:7000 --control 127.0.0.1:7100 --http-listen 127.0.0.1:8080
+  HIB_NAME=entry2 HIB_ZONE=zone2 hibiscuslug entry --control 127.0.0.1:7100 --peer 127.0.0.1:7000 --http-listen 127.0.0.1:8081 --metrics-listen 127.0.0.1:9101`
+
+const endpointHelp = `Stands before the engines of an endpoint VM.
+
+Examples:
+  hibiscuslug endpoint --name endpoint1 --zone zone1 --entry 127.0.0.1:7000 --engine model,engine1,http://127.0.0.1:9000,guide-1
+  hibiscuslug endpoint --name endpoint2 --zone zone1 --entry 127.0.0.1:7000 --engine order,desk1,http://127.0.0.1:9001,desk --slots 2`
+
+const controlHelp = `Holds the configuration on disk.
+
+Example:
+  hibiscuslug control --name control1 --zone zone1 --listen 127.0.0.1:7100 --data /var/lib/hibiscuslug`
+
+const embeddedHelp = `Runs control, entry and endpoint processes of three availability zones with fake engines in one process.
+
+Examples:
+  hibiscuslug embedded
+  hibiscuslug embedded --demo
+  hibiscuslug embedded --demo --demo-load 30s --demo-seed 7`
--- /dev/null
+++ b/internal/fleet/demo.go
@@ -0,0 +1,105 @@
+package fleet
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"text/tabwriter"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sourcegraph/conc"
+
+	"github.com/hibiscuslug/hibiscuslug/internal/opts"
+	"github.com/hibiscuslug/hibiscuslug/pkg/clock"
+)
+
+const (
+	readyLimit  = 20 * time.Second
+	changeLimit = 10 * time.Second
+	demoChange  = "drain endpoint endpoint4"
+)
+
+// records are the customers and rules of the demo.
+var records = []string{
+	"create customer agency tier paid token agency-token weight 2",
+	"create customer walkin tier free token walkin-token",
+	"create rule booking path /services/desk/book kind order repeat never",
+}
+
+// Demo starts a fleet, sends a mixed load while one endpoint is drained, and
+// prints what callers and the operator saw. It returns an error when an answer
+// was wrong or the change did not come into force.
+func Demo(settings opts.Embedded, out io.Writer) (err error) {
+	began := time.Now()
+	fleet, err := New(settings)
+	if err != nil {
+		return err
+	}
+	defer func() { err = errors.CombineErrors(err, fleet.Close()) }()
+	fmt.Fprintf(out, "%d control VM, %d entry VMs, %d endpoint processes, 1 order desk, 1 plain service, in %d zones\n",
+		controlVMs, zones, zones*endpointsPerZone, zones)
+	operator := newOperator(fleet.entries)
+	defer operator.close()
+	if err := fleet.prepare(operator); err != nil {
+		return err
+	}
+	load := newLoad(fleet.HTTP, uint64(settings.DemoSeed))
+	fmt.Fprintf(out, "mixed load over HTTP for %s, seed %d; half-way the operator says %q\n\n", settings.DemoLoad, settings.DemoSeed, demoChange)
+	ctx, cancel := context.WithTimeout(context.Background(), settings.DemoLoad.Duration())
+	defer cancel()
+	var running conc.WaitGroup
+	running.Go(func() { load.run(ctx) })
+	err = fleet.operate(operator, settings.DemoLoad/2, out)
+	running.Wait()
+	if err != nil {
+		return err
+	}
+	if err := load.print(out); err != nil {
+		return err
+	}
+	fmt.Fprintf(out, "\nfinished in %s\n", time.Since(began).Round(100*time.Millisecond))
+	return load.verdict()
+}
+
+// prepare makes the records and waits until every entry VM can serve.
+func (fleet *Fleet) prepare(operator *operator) error {
+	ctx, cancel := context.WithTimeout(context.Background(), readyLimit)
+	defer cancel()
+	for _, text := range records {
+		if _, _, err := operator.change(ctx, fleet.members, text); err != nil {
+			return err
+		}
+	}
+	return fleet.WaitReady(ctx)
+}
+
+// operate makes the operator's change after a while and prints when it was in force.
+func (fleet *Fleet) operate(operator *operator, after clock.Millis, out io.Writer) error {
+	ctx, cancel := context.WithTimeout(context.Background(), after.Duration()+changeLimit)
+	defer cancel()
+	if err := clock.NewSystem().Sleep(ctx, after); err != nil {
+		return err
+	}
+	revision, results, err := operator.change(ctx, fleet.members, demoChange)
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(out, "%q accepted as revision %d; in force, from the accepted answer, on\n", demoChange, revision)
+	writer := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(writer, "  process\trole\tzone\tin force")
+	for _, result := range results {
+		span := "not within " + changeLimit.String()
+		switch {
+		case result.known && result.after <= 0:
+			span = "before the answer"
+		case result.known:
+			span = fmt.Sprintf("%.2f ms", float64(result.after.Microseconds())/1000)
+		default:
+			err = errors.Newf("revision %d is not in force on %s", revision, result.member.name)
+		}
+		fmt.Fprintf(writer, "  %s\t%s\t%s\t%s\n", result.member.name, result.member.role, result.member.zone, span)
+	}
+	fmt.Fprintln(writer)
+	return errors.CombineErrors(err, writer.Flush())
+}
