--- a/internal/link/pool.go
+++ b/internal/link/pool.go
@@ -40,7 +40,8 @@
 
 // Pool holds idle connections by address.
 type Pool struct {
-	idle *drpcpool.Pool[string, drpcpool.Conn]
+	idle  *drpcpool.Pool[string, drpcpool.Conn]
+	bytes traffic
 }
 
 // NewPool returns an empty pool.
@@ -54,13 +55,13 @@
 // Conn returns a connection to an address. It takes an idle one or dials when
 // the first call is made.
 func (pool *Pool) Conn(ctx context.Context, address string) drpc.Conn {
-	return pool.idle.Get(ctx, address, dial)
+	return pool.idle.Get(ctx, address, pool.dial)
 }
 
 // Fresh dials a connection that did not exist before. Use it when existing
 // connections to the address may be silent.
 func (pool *Pool) Fresh(ctx context.Context, address string) (drpc.Conn, error) {
-	return dial(ctx, address)
+	return pool.dial(ctx, address)
 }
 
 // Discard closes the idle connections to an address.
@@ -75,16 +76,19 @@
 	}
 }
 
+// Bytes returns the bytes received and sent on all connections of the pool.
+func (pool *Pool) Bytes() (in, out int64) { return pool.bytes.total() }
+
 // Close closes all idle connections.
 func (pool *Pool) Close() error {
 	return pool.idle.Close()
 }
 
-func dial(ctx context.Context, address string) (drpcpool.Conn, error) {
+func (pool *Pool) dial(ctx context.Context, address string) (drpcpool.Conn, error) {
 	dialer := net.Dialer{Timeout: dialLimit.Duration(), KeepAlive: keepAliveIdle}
 	conn, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, errors.Wrapf(err, "connect to %s", address)
 	}
-	return drpcconn.NewWithOptions(conn, drpcconn.Options{Manager: managerOptions()}), nil
+	return drpcconn.NewWithOptions(&countedConn{Conn: conn, bytes: &pool.bytes}, drpcconn.Options{Manager: managerOptions()}), nil
 }
--- a/internal/link/server.go
+++ b/internal/link/server.go
@@ -16,6 +16,7 @@
 	mux      *drpcmux.Mux
 	cancel   context.CancelFunc
 	running  conc.WaitGroup
+	bytes    traffic
 }
 
 // Listen opens an address. Register services on Mux before Start.
@@ -38,6 +39,9 @@
 	return server.listener.Addr().String()
 }
 
+// Bytes returns the bytes received and sent on all connections to the server.
+func (server *Server) Bytes() (in, out int64) { return server.bytes.total() }
+
 // Start serves until Close.
 func (server *Server) Start() {
 	ctx, cancel := context.WithCancel(context.Background())
@@ -45,7 +49,7 @@
 	handler := drpcserver.NewWithOptions(server.mux, drpcserver.Options{Manager: managerOptions()})
 	server.running.Go(func() {
 		// Serve returns once the listener is closed; there is nothing left to report then.
-		_ = handler.Serve(ctx, server.listener)
+		_ = handler.Serve(ctx, &countedListener{Listener: server.listener, bytes: &server.bytes})
 	})
 }
 
--- /dev/null
+++ b/internal/meter/meter.go
@@ -0,0 +1,185 @@
+// Package meter keeps a process's metrics as expvar variables and serves them
+// over HTTP. Each metric is declared once with its unit; docs/METRICS.md lists
+// the same, and a test compares the two.
+package meter
+
+import (
+	"context"
+	"expvar"
+	"fmt"
+	"net"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/gofiber/fiber/v2"
+	"github.com/sourcegraph/conc"
+
+	"github.com/hibiscuslug/hibiscuslug/internal/feed"
+	"github.com/hibiscuslug/hibiscuslug/internal/opts"
+)
+
+// Metric is a declared metric.
+type Metric struct {
+	Name, Unit, Help string
+}
+
+// Metrics of all roles.
+var (
+	Requests        = Metric{"requests", "requests", "requests that ended since the start, by tier and outcome, as TIER.OUTCOME (entry)"}
+	InFlight        = Metric{"inFlight", "requests", "requests in flight (entry)"}
+	Attempts        = Metric{"attempts", "attempts", "attempts that ended since the start, by outcome (entry)"}
+	QueueLength     = Metric{"queueLength", "attempts", "attempts that wait in the queue, by engine (endpoint)"}
+	Running         = Metric{"running", "attempts", "attempts that run, by engine (endpoint)"}
+	Revision        = Metric{"revision", "revision", "configuration revision in force (all)"}
+	RevisionAge     = Metric{"revisionAge", "ms", "time since control confirmed the revision; -1 when it never did (all)"}
+	Members         = Metric{"members", "processes", "processes known by their announcements, by role (entry)"}
+	ControlBytesIn  = Metric{"controlBytesIn", "bytes", "bytes received since the start on connections for membership, configuration and commands (all)"}
+	ControlBytesOut = Metric{"controlBytesOut", "bytes", "bytes sent since the start on connections for membership, configuration and commands (all)"}
+)
+
+var all = []Metric{Requests, InFlight, Attempts, QueueLength, Running, Revision, RevisionAge, Members, ControlBytesIn, ControlBytesOut}
+
+// never is an age, in milliseconds, that only a revision never confirmed by
+// control can have: its process counts from the Unix epoch.
+const never = int64(10 * 365 * 24 * time.Hour / time.Millisecond)
+
+// waitLimit bounds the wait of one request to /debug/revision.
+const waitLimit = 30 * time.Second
+
+// Meter holds the metrics of one process. They are not published globally, as
+// the embedded fleet has many processes in one.
+type Meter struct {
+	vars     *expvar.Map
+	view     *feed.View
+	app      *fiber.App
+	listener net.Listener
+	running  conc.WaitGroup
+}
+
+// New returns the meter of a process, with the metrics about its configuration.
+func New(node opts.Node, role string, view *feed.View) *Meter {
+	meter := &Meter{vars: new(expvar.Map).Init(), view: view}
+	for name, value := range map[string]string{"node": node.Name, "zone": node.Zone, "role": role} {
+		text := new(expvar.String)
+		text.Set(value)
+		meter.vars.Set(name, text)
+	}
+	meter.Gauge(Revision, func() any { return view.State().Revision() })
+	meter.Gauge(RevisionAge, func() any { return age(int64(view.Age())) })
+	return meter
+}
+
+func age(millis int64) int64 {
+	if millis > never {
+		return -1
+	}
+	return millis
+}
+
+// Gauge reads a metric when it is asked for.
+func (meter *Meter) Gauge(metric Metric, read func() any) {
+	meter.vars.Set(metric.Name, expvar.Func(read))
+}
+
+// Counter is a metric that counts by key.
+type Counter struct {
+	values *expvar.Map
+}
+
+// Counter returns the counter of a metric.
+func (meter *Meter) Counter(metric Metric) *Counter {
+	values := new(expvar.Map).Init()
+	meter.vars.Set(metric.Name, values)
+	return &Counter{values: values}
+}
+
+// Add counts one at a key.
+func (counter *Counter) Add(key string) { counter.values.Add(key, 1) }
+
+// Control counts the bytes on connections that carry control traffic.
+func (meter *Meter) Control(links ...interface{ Bytes() (in, out int64) }) {
+	sum := func(pick func(in, out int64) int64) any {
+		var total int64
+		for _, link := range links {
+			total += pick(link.Bytes())
+		}
+		return total
+	}
+	meter.Gauge(ControlBytesIn, func() any { return sum(func(in, _ int64) int64 { return in }) })
+	meter.Gauge(ControlBytesOut, func() any { return sum(func(_, out int64) int64 { return out }) })
+}
+
+// Serve serves the metrics on an address; an empty one serves nothing.
+func (meter *Meter) Serve(address string) error {
+	if address == "" {
+		return nil
+	}
+	var config net.ListenConfig
+	listener, err := config.Listen(context.Background(), "tcp", address)
+	if err != nil {
+		return errors.Wrapf(err, "setting --metrics-listen is %s", address)
+	}
+	meter.listener = listener
+	meter.app = fiber.New(fiber.Config{DisableStartupMessage: true})
+	meter.app.Get("/", func(ctx *fiber.Ctx) error { return ctx.SendString(meter.page()) })
+	meter.app.Get("/debug/vars", func(ctx *fiber.Ctx) error {
+		ctx.Set(fiber.HeaderContentType, fiber.MIMEApplicationJSON)
+		return ctx.SendString(meter.vars.String())
+	})
+	meter.app.Get("/debug/revision", meter.revision)
+	// The listener's end is reported by Close.
+	meter.running.Go(func() { _ = meter.app.Listener(listener) })
+	return nil
+}
+
+// Address returns the listening address, or nothing when metrics are not served.
+func (meter *Meter) Address() string {
+	if meter.listener == nil {
+		return ""
+	}
+	return meter.listener.Addr().String()
+}
+
+// page lists the metrics of this process for people.
+func (meter *Meter) page() string {
+	var text strings.Builder
+	for _, metric := range all {
+		if value := meter.vars.Get(metric.Name); value != nil {
+			fmt.Fprintf(&text, "%s %s %s: %s\n", metric.Name, value, metric.Unit, metric.Help)
+		}
+	}
+	return text.String()
+}
+
+// revision answers with the revision in force once it is after the one asked
+// for, or with the current one when waitLimit is over.
+func (meter *Meter) revision(ctx *fiber.Ctx) error {
+	after := ctx.QueryInt("after", -1)
+	limit := time.NewTimer(waitLimit)
+	defer limit.Stop()
+	for {
+		changed, revision := meter.view.Changed(), meter.view.State().Revision()
+		if int64(revision) > int64(after) {
+			return ctx.SendString(fmt.Sprint(revision))
+		}
+		select {
+		case <-changed:
+		case <-limit.C:
+			return ctx.SendString(fmt.Sprint(revision))
+		}
+	}
+}
+
+// Close stops serving. A request that waits for a revision is cut off.
+func (meter *Meter) Close() error {
+	if meter.app == nil {
+		return nil
+	}
+	err := meter.app.ShutdownWithTimeout(time.Second)
+	meter.running.Wait()
+	if errors.Is(err, context.DeadlineExceeded) {
+		return nil
+	}
+	return err
+}
