--- a/internal/route/router.go
+++ b/internal/route/router.go
@@ -97,7 +97,7 @@
 	fresh := slices.DeleteFunc(slices.Clone(candidates), func(candidate place.Candidate) bool {
 		return slices.Contains(used, candidate.Engine.GetName())
 	})
-	return router.placer.Choose(request, fresh)
+	return router.placer.Choose(request, fresh, router.clock.Now(), nil)
 }
 
 // again tells whether a call may be tried once more.
