--- a/internal/endpt/endpoint.go
+++ b/internal/endpt/endpoint.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"sync/atomic"
 
 	"github.com/cockroachdb/errors"
@@ -54,7 +53,7 @@
 // New starts an endpoint process.
 func New(settings Settings, ticker *clock.Clock, log *event.Log) (*Endpoint, error) {
 	endpoint := &Endpoint{
-		settings: settings, incarnation: rand.Uint64(), clock: ticker, log: log,
+		settings: settings, incarnation: member.NewIncarnation(ticker.Now()), clock: ticker, log: log,
 		view: feed.NewView(ticker), pool: link.NewPool(), table: newTable(), lanes: map[string]*lane{},
 	}
 	runner := engine.NewRunner()
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -26,10 +26,8 @@
 
 const (
 	// keptRequests bounds the finished requests that can still be explained.
-	keptRequests  = 10_000
-	exchangeEvery = clock.Second
-	peerLifetime  = 5 * clock.Second
-	expireEvery   = 100 * clock.Millis(1)
+	keptRequests = 10_000
+	expireEvery  = 100 * clock.Millis(1)
 )
 
 // Settings of an entry VM.
@@ -60,10 +58,10 @@
 // New starts an entry process.
 func New(settings Settings, ticker *clock.Clock, log *event.Log) (*Entry, error) {
 	entry := &Entry{
-		settings: settings, incarnation: rand.Uint64(), clock: ticker, log: log, view: feed.NewView(ticker),
+		settings: settings, incarnation: member.NewIncarnation(ticker.Now()), clock: ticker, log: log, view: feed.NewView(ticker),
 		pool: link.NewPool(), members: member.NewTable(), ledger: ledger.New(keptRequests),
 	}
-	entry.fleet = newEngines(entry.members, entry.view)
+	entry.fleet = newEngines(entry.members, entry.view, ticker)
 	server, err := link.Listen(settings.Node.Listen)
 	if err != nil {
 		return nil, err
@@ -142,7 +140,7 @@
 	}
 	return &wire.Announcement{
 		Node: node.Name, Role: wire.NodeRole_NODE_ROLE_ENTRY, Incarnation: entry.incarnation, Address: address,
-		Zone: node.Zone, Region: node.Region, State: state, Lifetime: int64(peerLifetime),
+		Zone: node.Zone, Region: node.Region, State: state, Lifetime: int64(member.PeerLifetime(entry.members.Count(wire.NodeRole_NODE_ROLE_ENTRY))),
 		Sequence: uint64(entry.clock.Now()), Revision: entry.view.State().Revision(), RevisionAge: int64(entry.view.Age()),
 	}
 }
