Switch expert maps at one step and rebalance by few copies

Cause: a group whose ranks run different maps in one step gives wrong answers; a static map loses step time as popularity drifts.

--- a/cmd/hibbench/main.go
+++ b/cmd/hibbench/main.go
@@ -10,6 +10,7 @@
 
 	"github.com/jessevdk/go-flags"
 
+	"github.com/hibiscuslug/hibiscuslug/bench/expert"
 	"github.com/hibiscuslug/hibiscuslug/bench/place"
 	"github.com/hibiscuslug/hibiscuslug/internal/figure"
 )
@@ -28,6 +29,7 @@
 
 var suites = []suite{
 	{"place", place.Run},
+	{"expert", expert.Run},
 }
 
 func revision() string {
--- /dev/null
+++ b/internal/expert/map.go
@@ -0,0 +1,128 @@
+// Package expert brings a rank group from one expert map to the next, so that
+// in every step all ranks use one and the same map. Its decisions are pure: a
+// Gate stands before each rank and tells whether the rank may begin a step and
+// with which map; a Coordinator drives the gates of a group to the newest map.
+package expert
+
+import (
+	"encoding/binary"
+	"slices"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Map assigns experts to ranks. A layer has slots; slot s of a layer is on
+// rank s/SlotsPerRank and holds one expert. An expert may have several slots.
+// A Map is never modified.
+type Map struct {
+	ranks        int
+	slotsPerRank int
+	// layers holds the expert of each slot, layer by layer.
+	layers [][]uint16
+}
+
+// NewMap returns a map over layers of slots.
+func NewMap(ranks, slotsPerRank int, layers [][]uint16) (Map, error) {
+	for at, slots := range layers {
+		if len(slots) != ranks*slotsPerRank {
+			return Map{}, errors.Newf("layer %d has %d slots; %d ranks with %d slots each need %d", at, len(slots), ranks, slotsPerRank, ranks*slotsPerRank)
+		}
+	}
+	return Map{ranks: ranks, slotsPerRank: slotsPerRank, layers: layers}, nil
+}
+
+// Ranks returns the number of ranks.
+func (plan Map) Ranks() int { return plan.ranks }
+
+// SlotsPerRank returns the number of experts a rank holds in each layer.
+func (plan Map) SlotsPerRank() int { return plan.slotsPerRank }
+
+// Layers returns the number of layers.
+func (plan Map) Layers() int { return len(plan.layers) }
+
+// Slots returns the expert of each slot of a layer. It must not be modified.
+func (plan Map) Slots(layer int) []uint16 { return plan.layers[layer] }
+
+// RankOf returns the rank that a slot is on.
+func (plan Map) RankOf(slot int) int { return slot / plan.slotsPerRank }
+
+// WithSlot returns a map with another expert in one slot.
+func (plan Map) WithSlot(layer, slot int, expert uint16) Map {
+	plan.layers = slices.Clone(plan.layers)
+	plan.layers[layer] = slices.Clone(plan.layers[layer])
+	plan.layers[layer][slot] = expert
+	return plan
+}
+
+// WithLayer returns a map with other experts in one layer.
+func (plan Map) WithLayer(layer int, slots []uint16) Map {
+	plan.layers = slices.Clone(plan.layers)
+	plan.layers[layer] = slots
+	return plan
+}
+
+// Copies counts the experts that ranks have to load to go from one map to
+// another: those that a rank holds in the new map and not in the old one.
+func (plan Map) Copies(old Map) int {
+	copies := 0
+	for layer := range plan.layers {
+		for rank := range plan.ranks {
+			before := old.rankSlots(layer, rank)
+			for _, expert := range plan.rankSlots(layer, rank) {
+				if !slices.Contains(before, expert) {
+					copies++
+				}
+			}
+		}
+	}
+	return copies
+}
+
+func (plan Map) rankSlots(layer, rank int) []uint16 {
+	return plan.layers[layer][rank*plan.slotsPerRank : (rank+1)*plan.slotsPerRank]
+}
+
+// Encode returns the map's bytes for a group record.
+func (plan Map) Encode() []byte {
+	buf := binary.AppendUvarint(nil, uint64(plan.ranks))
+	buf = binary.AppendUvarint(buf, uint64(plan.slotsPerRank))
+	buf = binary.AppendUvarint(buf, uint64(len(plan.layers)))
+	for _, slots := range plan.layers {
+		for _, expert := range slots {
+			buf = binary.AppendUvarint(buf, uint64(expert))
+		}
+	}
+	return buf
+}
+
+// maxSlots bounds a decoded map; the largest one planned for has 32 ranks with
+// 8 slots in 128 layers.
+const maxSlots = 1 << 20
+
+// Decode reads a map from a group record.
+func Decode(buf []byte) (Map, error) {
+	var head [3]uint64
+	for at := range head {
+		value, size := binary.Uvarint(buf)
+		if size <= 0 || value > maxSlots {
+			return Map{}, errors.New("expert map: header is damaged")
+		}
+		head[at], buf = value, buf[size:]
+	}
+	perLayer := head[0] * head[1]
+	if perLayer*head[2] > maxSlots {
+		return Map{}, errors.Newf("expert map: %d slots in %d layers are too many", perLayer, head[2])
+	}
+	layers := make([][]uint16, head[2])
+	for layer := range layers {
+		layers[layer] = make([]uint16, perLayer)
+		for slot := range layers[layer] {
+			value, size := binary.Uvarint(buf)
+			if size <= 0 || value > 1<<16-1 {
+				return Map{}, errors.Newf("expert map: slot %d of layer %d is damaged", slot, layer)
+			}
+			layers[layer][slot], buf = uint16(value), buf[size:]
+		}
+	}
+	return NewMap(int(head[0]), int(head[1]), layers)
+}
--- /dev/null
+++ b/internal/rebal/planner.go
@@ -0,0 +1,212 @@
+package rebal
+
+import (
+	"math"
+
+	"github.com/hibiscuslug/hibiscuslug/internal/expert"
+)
+
+// Settings of a planner.
+type Settings struct {
+	// Start is the skew of a layer above which it is rebalanced, Stop the one
+	// at which that ends. The distance between them holds back under noise.
+	Start float64
+	Stop  float64
+	// MaxCopies bounds the experts copied for one layer at a time.
+	MaxCopies int
+	// LeastGain is the skew that one copied expert has to save: the time saved
+	// until the next plan against the steps slowed by copying.
+	LeastGain float64
+}
+
+// Default returns the settings that the decision record gives the reasons for.
+func Default() Settings {
+	return Settings{Start: 1.07, Stop: 1.04, MaxCopies: 8, LeastGain: 0.002}
+}
+
+// Planner changes maps by few copies at a time.
+type Planner struct {
+	settings Settings
+}
+
+// New returns a planner.
+func New(settings Settings) *Planner {
+	return &Planner{settings: settings}
+}
+
+// Plan returns the next map and whether it differs from the present one.
+func (planner *Planner) Plan(plan expert.Map, loads Loads) (expert.Map, bool) {
+	next := plan
+	for layer, load := range loads {
+		if Skew(plan, layer, load) < planner.settings.Start {
+			continue
+		}
+		next = next.WithLayer(layer, planner.layer(next, layer, load))
+	}
+	return next, next.Copies(plan) > 0
+}
+
+// layer improves one layer until it is good enough, a copy saves too little,
+// or the copies are used up.
+func (planner *Planner) layer(plan expert.Map, layer int, load []float64) []uint16 {
+	work := newBoard(plan, layer, load)
+	copies := 0
+	for copies < planner.settings.MaxCopies && work.skew() > planner.settings.Stop {
+		best := work.best()
+		if best.copies == 0 || best.gain/float64(best.copies) < planner.settings.LeastGain*work.mean || copies+best.copies > planner.settings.MaxCopies {
+			break
+		}
+		work.do(best)
+		copies += best.copies
+	}
+	return work.slots
+}
+
+// board is one layer with its loads while it is being changed.
+type board struct {
+	slots    []uint16
+	perRank  int
+	load     []float64
+	replicas []int
+	ranks    []float64
+	mean     float64
+}
+
+// move puts experts into slots: one replica in place of another, or an
+// exchange of two.
+type move struct {
+	slot, other int
+	// exchange swaps the experts of the two slots; otherwise the expert of slot
+	// is copied to other.
+	exchange bool
+	copies   int
+	gain     float64
+}
+
+func newBoard(plan expert.Map, layer int, load []float64) *board {
+	work := &board{
+		slots: append([]uint16(nil), plan.Slots(layer)...), perRank: plan.SlotsPerRank(), load: load,
+		replicas: counts(plan, layer, len(load)), ranks: rankLoads(plan, layer, load),
+	}
+	for _, rank := range work.ranks {
+		work.mean += rank / float64(len(work.ranks))
+	}
+	return work
+}
+
+func (work *board) rank(slot int) int { return slot / work.perRank }
+
+func (work *board) share(held uint16) float64 {
+	return work.load[held] / float64(work.replicas[held])
+}
+
+func (work *board) hottest() int {
+	hot := 0
+	for rank, load := range work.ranks {
+		if load > work.ranks[hot] {
+			hot = rank
+		}
+	}
+	return hot
+}
+
+func (work *board) skew() float64 { return work.ranks[work.hottest()] / work.mean }
+
+// best returns the move that takes the most from the busiest rank for each copy
+// without making another rank as busy.
+func (work *board) best() move {
+	hot := work.hottest()
+	found := move{}
+	for slot := hot * work.perRank; slot < (hot+1)*work.perRank; slot++ {
+		for other := range work.slots {
+			if work.rank(other) == hot {
+				continue
+			}
+			for _, candidate := range []move{{slot: slot, other: other, copies: 1}, {slot: slot, other: other, exchange: true, copies: 2}} {
+				candidate.gain = work.gain(hot, candidate)
+				if candidate.gain/float64(candidate.copies) > found.gain/float64(max(found.copies, 1)) {
+					found = candidate
+				}
+			}
+		}
+	}
+	return found
+}
+
+func (work *board) gain(hot int, tried move) float64 {
+	before := work.ranks[hot]
+	from, into := work.slots[tried.slot], work.slots[tried.other]
+	if from == into || work.holds(work.rank(tried.other), from) {
+		return 0
+	}
+	if tried.exchange {
+		return work.exchangeGain(before, tried, from, into)
+	}
+	if work.replicas[into] < 2 {
+		return 0
+	}
+	return work.copyGain(before, tried, from, into)
+}
+
+// holds tells whether a rank has a replica of an expert already.
+func (work *board) holds(rank int, held uint16) bool {
+	for slot := rank * work.perRank; slot < (rank+1)*work.perRank; slot++ {
+		if work.slots[slot] == held {
+			return true
+		}
+	}
+	return false
+}
+
+func (work *board) exchangeGain(before float64, tried move, from, into uint16) float64 {
+	if work.holds(work.rank(tried.slot), into) {
+		return 0
+	}
+	shift := work.share(from) - work.share(into)
+	after := math.Max(before-shift, work.ranks[work.rank(tried.other)]+shift)
+	return before - after
+}
+
+// copyGain is what one more replica of an expert saves; the replica that it
+// replaces sends its tokens to the expert's other slots.
+func (work *board) copyGain(before float64, tried move, from, into uint16) float64 {
+	fewer := work.load[into] / float64(work.replicas[into]-1)
+	more := work.load[from] / float64(work.replicas[from]+1)
+	cold := work.rank(tried.other)
+	after := 0.0
+	for rank, load := range work.ranks {
+		// Replicas on the same rank count each.
+		load += float64(work.count(rank, from)) * (more - work.share(from))
+		load += float64(work.count(rank, into)) * (fewer - work.share(into))
+		if rank == cold {
+			load += more - fewer
+		}
+		after = math.Max(after, load)
+	}
+	return before - after
+}
+
+func (work *board) count(rank int, held uint16) int {
+	found := 0
+	for slot := rank * work.perRank; slot < (rank+1)*work.perRank; slot++ {
+		if work.slots[slot] == held {
+			found++
+		}
+	}
+	return found
+}
+
+func (work *board) do(chosen move) {
+	from, into := work.slots[chosen.slot], work.slots[chosen.other]
+	work.slots[chosen.other] = from
+	if chosen.exchange {
+		work.slots[chosen.slot] = into
+	} else {
+		work.replicas[from]++
+		work.replicas[into]--
+	}
+	clear(work.ranks)
+	for slot, held := range work.slots {
+		work.ranks[work.rank(slot)] += work.share(held)
+	}
+}
