--- a/internal/rebal/planner.go
+++ b/internal/rebal/planner.go
@@ -21,7 +21,7 @@
 
 // Default returns the settings that the decision record gives the reasons for.
 func Default() Settings {
-	return Settings{Start: 1.07, Stop: 1.04, MaxCopies: 8, LeastGain: 0.002}
+	return Settings{Start: 1.05, Stop: 1.03, MaxCopies: 12, LeastGain: 0.001}
 }
 
 // Planner changes maps by few copies at a time.
