models: plan which engines hold which models

Cause: a static placement serves half of a demand that swings. Conclusion: not wired to the control leader yet.

--- a/cmd/hibbench/main.go
+++ b/cmd/hibbench/main.go
@@ -11,6 +11,7 @@
 	"github.com/jessevdk/go-flags"
 
 	"github.com/hibiscuslug/hibiscuslug/bench/expert"
+	"github.com/hibiscuslug/hibiscuslug/bench/models"
 	"github.com/hibiscuslug/hibiscuslug/bench/place"
 	"github.com/hibiscuslug/hibiscuslug/internal/figure"
 )
@@ -30,6 +31,7 @@
 var suites = []suite{
 	{"place", place.Run},
 	{"expert", expert.Run},
+	{"models", models.Run},
 }
 
 func revision() string {
