--- /dev/null
+++ b/internal/quorum/snapshot.go
@@ -0,0 +1,114 @@
+package quorum
+
+import (
+	"github.com/hibiscuslug/hibiscuslug/pkg/wire"
+)
+
+// partialImage is an image of which not all pieces have arrived.
+type partialImage struct {
+	from    Peer
+	index   uint64
+	term    uint64
+	encoded []byte
+}
+
+// compact takes an image of the applied state and forgets the log before it.
+func (core *Core) compact(event Compact) {
+	term, ok := core.log.term(event.Index)
+	if !ok || event.Index <= core.imageIndex || event.Index > core.applied {
+		return
+	}
+	core.image, core.imageIndex, core.imageTerm = event.Encoded, event.Index, term
+	core.save(Save{Image: event.Encoded, ImageIndex: event.Index})
+	if event.Index > core.log.base+core.settings.KeptBehind {
+		base := event.Index - core.settings.KeptBehind
+		core.baseMembers = core.membersAt(base)
+		core.log.compact(base)
+	}
+}
+
+// MembersAt returns the term and the members at an applied index, for an image.
+func (core *Core) MembersAt(index uint64) (uint64, *wire.MemberSet) {
+	term, _ := core.log.term(index)
+	return term, &wire.MemberSet{Members: core.membersAt(index)}
+}
+
+// sendSnapshot sends the piece of the image that a member needs next.
+func (core *Core) sendSnapshot(peer Peer, known *progress) {
+	known.probing = true
+	known.offset = min(known.offset, uint64(len(core.image)))
+	end := min(known.offset+core.settings.PieceBytes, uint64(len(core.image)))
+	core.send(peer, known.address, &wire.PeerMessage{
+		Type: wire.PeerMessage_TYPE_SNAPSHOT, Term: core.hard.Term, Index: core.imageIndex, LogTerm: core.imageTerm,
+		Round: core.round, Snapshot: core.image[known.offset:end], Offset: known.offset, Size: uint64(len(core.image)),
+	}, false)
+}
+
+func (core *Core) onSnapshot(message *wire.PeerMessage, from Peer) {
+	if !core.accept(message, from, wire.PeerMessage_TYPE_SNAPSHOT_REPLY) {
+		return
+	}
+	if message.GetIndex() <= core.commit {
+		core.reply(message, &wire.PeerMessage{
+			Type: wire.PeerMessage_TYPE_APPEND_REPLY, Term: core.hard.Term, Index: core.commit, Round: message.GetRound(),
+		})
+		return
+	}
+	part := &core.partial
+	if part.from != from || part.index != message.GetIndex() || part.term != message.GetLogTerm() {
+		*part = partialImage{from: from, index: message.GetIndex(), term: message.GetLogTerm()}
+	}
+	if message.GetOffset() == uint64(len(part.encoded)) {
+		part.encoded = append(part.encoded, message.GetSnapshot()...)
+	}
+	if uint64(len(part.encoded)) == message.GetSize() && core.install(part.encoded) {
+		core.reply(message, &wire.PeerMessage{
+			Type: wire.PeerMessage_TYPE_APPEND_REPLY, Term: core.hard.Term, Index: core.commit, Round: message.GetRound(),
+		})
+		return
+	}
+	core.reply(message, &wire.PeerMessage{
+		Type: wire.PeerMessage_TYPE_SNAPSHOT_REPLY, Term: core.hard.Term, Index: part.index, LogTerm: part.term,
+		Round: message.GetRound(), Offset: uint64(len(part.encoded)),
+	})
+}
+
+// install replaces log and state by a whole image.
+func (core *Core) install(encoded []byte) bool {
+	core.partial = partialImage{}
+	image := &wire.Image{}
+	if err := image.UnmarshalVT(encoded); err != nil || image.GetIndex() <= core.commit {
+		return false
+	}
+	core.setBase(image)
+	core.image = encoded
+	core.synced = 0
+	for at := range core.unsynced {
+		core.unsynced[at].last = 0
+	}
+	core.save(Save{Image: encoded, ImageIndex: image.GetIndex(), Reset: true})
+	core.findMembers()
+	core.act(Restore{Image: image})
+	core.setRole(core.idleRole())
+	return true
+}
+
+func (core *Core) onSnapshotReply(message *wire.PeerMessage, from Peer) {
+	if message.GetTerm() > core.hard.Term {
+		core.follow(message.GetTerm(), Peer{})
+		return
+	}
+	known := core.progress[from]
+	if core.role != Leader || message.GetTerm() < core.hard.Term || known == nil {
+		return
+	}
+	core.confirmRound(known, message.GetRound())
+	if message.GetIndex() != core.imageIndex || message.GetLogTerm() != core.imageTerm {
+		known.offset = 0
+		return
+	}
+	if message.GetOffset() != known.offset {
+		known.offset = message.GetOffset()
+		core.sendAppend(from, known, true)
+	}
+}
