--- a/internal/ctrl/control.go
+++ b/internal/ctrl/control.go
@@ -1,16 +1,22 @@
-// Package ctrl is the control process: it accepts changes of the configuration
-// and feeds them to the other processes.
+// Package ctrl is the control process: the edge around packages quorum, store,
+// state and claim. One goroutine feeds events to the core and applies what is
+// committed, one writes to the disk, and one for each other control VM sends.
 package ctrl
 
 import (
+	"context"
 	"sync"
+	"sync/atomic"
 
 	"github.com/cockroachdb/errors"
+	"github.com/sourcegraph/conc"
 
+	"github.com/hibiscuslug/hibiscuslug/internal/claim"
 	"github.com/hibiscuslug/hibiscuslug/internal/event"
 	"github.com/hibiscuslug/hibiscuslug/internal/feed"
 	"github.com/hibiscuslug/hibiscuslug/internal/link"
 	"github.com/hibiscuslug/hibiscuslug/internal/opts"
+	"github.com/hibiscuslug/hibiscuslug/internal/quorum"
 	"github.com/hibiscuslug/hibiscuslug/internal/state"
 	"github.com/hibiscuslug/hibiscuslug/internal/store"
 	"github.com/hibiscuslug/hibiscuslug/pkg/clock"
@@ -21,92 +27,161 @@
 type Settings struct {
 	Node    opts.Node
 	Control opts.Control
+	// Disk replaces the machine's file system in tests.
+	Disk store.Disk
 }
 
+const (
+	inboxSize = 8192
+	// handoverLimit bounds the wait for another leader at shutdown.
+	handoverLimit = clock.Second
+	handoverPoll  = 5 * clock.Millis(1)
+)
+
 // Control is a running control process.
 type Control struct {
 	settings Settings
+	disk     uint64
 	clock    *clock.Clock
 	log      *event.Log
 	view     *feed.View
+	pool     *link.Pool
 	server   *link.Server
+	writer   *writer
+	peers    *peers
+	inbox    chan input
+	status   atomic.Pointer[quorum.Status]
+
+	// changing is held while a command is turned into a change and committed,
+	// so that an alter starts from the change before it. It comes before mu.
+	changing sync.Mutex
+	// settledTerm is the term in which this leader's last change was applied;
+	// guarded by changing.
+	settledTerm uint64
 
-	// mu guards the fields below and is held while the journal syncs. It comes
-	// before the view's lock.
+	// core and waiters belong to the loop's goroutine.
+	core    *quorum.Core
+	waiters map[uint64]waiter
+	// asked holds proposals that the core has not accepted or refused yet.
+	asked     map[uint64][]chan<- outcome
+	nextAsk   uint64
+	imageSize int
+	sinceLast int
+
+	// mu guards machine and claims. It comes before the view's lock.
 	mu      sync.Mutex
 	machine *state.Machine
-	journal *store.Journal
-	index   uint64
+	claims  *claim.Table
+
+	cancel context.CancelFunc
+	loops  conc.WaitGroup
 }
 
 // New starts a control process.
 func New(settings Settings, ticker *clock.Clock, log *event.Log) (*Control, error) {
-	journal, entries, err := store.Open(settings.Control.Data)
+	if settings.Disk == nil {
+		settings.Disk = store.System{}
+	}
+	first, err := parseGroup(settings.Control.Group)
+	if err != nil {
+		return nil, err
+	}
+	opened, contents, err := store.Open(settings.Control.Data, settings.Disk)
 	if err != nil {
 		return nil, err
 	}
 	server, err := link.Listen(settings.Node.Listen)
 	if err != nil {
-		return nil, errors.CombineErrors(err, journal.Close())
+		return nil, errors.CombineErrors(err, opened.Close())
 	}
 	control := &Control{
-		settings: settings, clock: ticker, log: log, view: feed.NewView(ticker),
-		server: server, machine: state.NewMachine(), journal: journal,
+		settings: settings, disk: contents.Disk, clock: ticker, log: log, view: feed.NewView(ticker), pool: link.NewPool(), server: server,
+		inbox: make(chan input, inboxSize), waiters: map[uint64]waiter{}, asked: map[uint64][]chan<- outcome{},
+		machine: state.NewMachine(), claims: claim.NewTable(),
 	}
-	for _, entry := range entries {
-		if err := control.apply(entry); err != nil {
-			return nil, err
-		}
+	if contents.Cut > 0 {
+		log.Write(event.TailCut, "bytes", contents.Cut, "damaged", contents.Damaged)
 	}
-	if err := wire.DRPCRegisterFeed(server.Mux(), feed.NewServer(control.view, ticker)); err != nil {
-		return nil, err
+	if contents.Image != nil {
+		control.restore(contents.Image)
 	}
-	if err := wire.DRPCRegisterOperate(server.Mux(), control); err != nil {
-		return nil, err
+	control.core = quorum.New(quorum.Settings{
+		Self: quorum.Peer{Name: settings.Node.Name, Disk: contents.Disk}, Address: control.advertised(), First: first,
+		ElectionTimeout: settings.Control.ElectionTimeout, Seed: contents.Disk,
+		KeptBehind: quorum.DefaultKeptBehind, PieceBytes: quorum.DefaultPieceBytes,
+	}, contents.Stored, ticker.Now())
+	control.publish()
+	control.peers = newPeers(control.pool, settings.Control.ElectionTimeout, first)
+	control.writer = newWriter(opened, ticker, log, control.peers, control.post)
+	if err := control.register(); err != nil {
+		return nil, errors.CombineErrors(err, opened.Close())
 	}
-	server.Start()
-	log.Write(event.Started, "role", "control", "address", server.Address())
+	control.start()
 	return control, nil
 }
 
-// Address returns the address for other processes.
-func (control *Control) Address() string { return control.server.Address() }
-
-func (control *Control) apply(entry *wire.Entry) error {
-	control.index = entry.GetIndex()
-	_, numbered := control.machine.Apply(entry.GetChange())
-	if numbered == nil {
-		return nil
+func (control *Control) register() error {
+	mux := control.server.Mux()
+	if err := wire.DRPCRegisterFeed(mux, feed.NewServer(control.view, control.clock)); err != nil {
+		return err
 	}
-	return control.view.Apply(&wire.FeedItem{Changes: []*wire.Numbered{numbered}, Revision: numbered.GetRevision()})
-}
-
-// propose makes a change durable and applies it.
-func (control *Control) propose(change *wire.Change) (*wire.CommandResult, error) {
-	control.mu.Lock()
-	defer control.mu.Unlock()
-	if result, ok := control.machine.Result(change.GetCommandId()); ok {
-		return result, nil
+	if err := wire.DRPCRegisterOperate(mux, control); err != nil {
+		return err
 	}
-	entry := &wire.Entry{Index: control.index + 1, Body: &wire.Entry_Change{Change: change}}
-	if err := control.journal.Append(entry); err != nil {
-		control.log.Write(event.ProposalFailed, "error", err)
-		return nil, err
+	if err := wire.DRPCRegisterClaims(mux, control); err != nil {
+		return err
 	}
-	control.index = entry.GetIndex()
-	result, numbered := control.machine.Apply(change)
-	if numbered == nil {
-		return result, nil
+	return wire.DRPCRegisterGroup(mux, control)
+}
+
+func (control *Control) start() {
+	ctx, cancel := context.WithCancel(context.Background())
+	control.cancel = cancel
+	control.loops.Go(func() { control.run(ctx) })
+	control.loops.Go(func() { control.tick(ctx) })
+	control.loops.Go(func() { control.writer.run(ctx) })
+	control.peers.start(ctx)
+	control.server.Start()
+	control.log.Write(event.Started, "role", "control", "address", control.server.Address())
+}
+
+// Address returns the address for other processes.
+func (control *Control) Address() string { return control.server.Address() }
+
+func (control *Control) advertised() string {
+	if control.settings.Node.Advertise != "" {
+		return control.settings.Node.Advertise
 	}
-	return result, control.view.Apply(&wire.FeedItem{Changes: []*wire.Numbered{numbered}, Revision: numbered.GetRevision()})
+	return control.server.Address()
 }
 
-// Close stops serving and closes the journal.
+// Close hands leadership over, stops serving and closes the data folder.
 func (control *Control) Close() error {
 	control.log.Write(event.Stopping)
-	if err := control.server.Close(); err != nil {
-		return err
-	}
+	control.handOver()
+	failure := control.server.Close()
+	control.cancel()
+	control.loops.Wait()
+	control.peers.wait()
+	failure = errors.CombineErrors(failure, control.pool.Close())
+	failure = errors.CombineErrors(failure, control.writer.close())
 	control.log.Write(event.Stopped)
-	return control.journal.Close()
+	return failure
+}
+
+// handOver resigns and waits until another control VM leads.
+func (control *Control) handOver() {
+	status := control.status.Load()
+	if status.Role != quorum.Leader || len(status.Match) < 2 {
+		return
+	}
+	control.post(input{event: quorum.Resign{}})
+	ctx, cancel := context.WithTimeout(context.Background(), handoverLimit.Duration())
+	defer cancel()
+	for control.clock.Sleep(ctx, handoverPoll) == nil {
+		leader := control.status.Load().Leader
+		if leader.Name != "" && leader.Name != control.settings.Node.Name {
+			return
+		}
+	}
 }
--- /dev/null
+++ b/internal/ctrl/members.go
@@ -0,0 +1,129 @@
+package ctrl
+
+import (
+	"context"
+	"fmt"
+	"strconv"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sourcegraph/conc"
+
+	"github.com/hibiscuslug/hibiscuslug/internal/quorum"
+	"github.com/hibiscuslug/hibiscuslug/internal/state"
+	"github.com/hibiscuslug/hibiscuslug/pkg/clock"
+	"github.com/hibiscuslug/hibiscuslug/pkg/query"
+	"github.com/hibiscuslug/hibiscuslug/pkg/wire"
+)
+
+const (
+	whatControl = "control"
+	// whatSelf asks a control VM for its own row only.
+	whatSelf = "controlSelf"
+	// gatherLimit bounds the wait for the row of another control VM.
+	gatherLimit = 300 * clock.Millis(1)
+	roleUnknown = "unreachable"
+)
+
+var controlColumns = []string{"name", "address", "disk", "role", "term", "index", "commit", "revision"}
+
+// changeMember lets a control VM join the group, or removes one.
+func (control *Control) changeMember(ctx context.Context, parsed *query.Command) *wire.CommandReply {
+	target, remove := parsed.Add, false
+	if target == nil {
+		target, remove = parsed.Remove, true
+	}
+	name := target.Name.Text
+	if err := checkMember(control.status.Load().Members, target.What, name, remove); err != nil {
+		return refusal(err)
+	}
+	result := control.ask(ctx, input{event: quorum.ChangeMember{Name: name, Remove: remove}})
+	if result.err != nil {
+		return failure(result)
+	}
+	return answer(result.result)
+}
+
+func checkMember(members []*wire.ControlMember, what, name string, remove bool) error {
+	if what != whatControl {
+		return &state.RefusedError{Code: state.CodeInvalid, Message: fmt.Sprintf("%q is not control; only control VMs can be added or removed", what)}
+	}
+	known, voters := false, 0
+	for _, member := range members {
+		known = known || member.GetName() == name
+		if member.GetVoter() && member.GetName() != name {
+			voters++
+		}
+	}
+	switch {
+	case !remove && known:
+		return &state.RefusedError{Code: state.CodeExists, Message: fmt.Sprintf("control VM %q is in the group already", name)}
+	case remove && !known:
+		return &state.RefusedError{Code: state.CodeNotFound, Message: fmt.Sprintf("control VM %q is not in the group; `show control` lists it", name)}
+	case remove && voters == 0:
+		return &state.RefusedError{Code: state.CodeInvalid, Message: fmt.Sprintf("control VM %q is the group's last voter", name)}
+	}
+	return nil
+}
+
+// Local answers queries about the control group.
+func (control *Control) Local(ctx context.Context, asked *wire.NodeQuery) (*wire.Table, error) {
+	switch asked.GetWhat() {
+	case whatControl:
+		return control.gather(ctx), nil
+	case whatSelf:
+		return &wire.Table{Columns: controlColumns, Rows: []*wire.Row{control.row()}}, nil
+	}
+	return nil, errors.Newf("show %s is not known to a control VM; ask an entry VM", asked.GetWhat())
+}
+
+func (control *Control) row() *wire.Row {
+	status := control.status.Load()
+	return &wire.Row{Cells: []string{
+		control.settings.Node.Name, control.advertised(), formatDisk(control.disk), string(status.Role), number(status.Term),
+		number(status.Last), number(status.Commit), number(control.view.State().Revision()),
+	}}
+}
+
+// gather asks every control VM for its row.
+func (control *Control) gather(ctx context.Context) *wire.Table {
+	ctx, cancel := context.WithTimeout(ctx, gatherLimit.Duration())
+	defer cancel()
+	members := control.status.Load().Members
+	rows := make([]*wire.Row, len(members))
+	var asking conc.WaitGroup
+	for at, member := range members {
+		asking.Go(func() { rows[at] = control.rowOf(ctx, member) })
+	}
+	asking.Wait()
+	return &wire.Table{Columns: controlColumns, Rows: rows}
+}
+
+func (control *Control) rowOf(ctx context.Context, member *wire.ControlMember) *wire.Row {
+	if member.GetName() == control.settings.Node.Name && member.GetDisk() == control.disk {
+		return control.row()
+	}
+	address := control.peers.address(member.GetName(), member.GetAddress())
+	table, err := wire.NewDRPCOperateClient(control.pool.Conn(ctx, address)).Local(ctx, &wire.NodeQuery{What: whatSelf})
+	if err == nil && len(table.GetRows()) == 1 && table.GetRows()[0].GetCells()[2] == formatDisk(member.GetDisk()) {
+		return table.GetRows()[0]
+	}
+	return &wire.Row{Cells: []string{member.GetName(), address, formatDisk(member.GetDisk()), roleUnknown, "", "", "", ""}}
+}
+
+func formatDisk(disk uint64) string { return strconv.FormatUint(disk, 16) }
+
+func number(value uint64) string { return strconv.FormatUint(value, 10) }
+
+// describe lists members for the log.
+func describe(members []*wire.ControlMember) string {
+	texts := make([]string, len(members))
+	for at, member := range members {
+		kind := "learner"
+		if member.GetVoter() {
+			kind = "voter"
+		}
+		texts[at] = fmt.Sprintf("%s/%s/%s", member.GetName(), formatDisk(member.GetDisk()), kind)
+	}
+	return strings.Join(texts, ",")
+}
--- a/internal/ctrl/operate.go
+++ b/internal/ctrl/operate.go
@@ -3,6 +3,9 @@
 import (
 	"context"
 
+	"github.com/cockroachdb/errors"
+
+	"github.com/hibiscuslug/hibiscuslug/internal/quorum"
 	"github.com/hibiscuslug/hibiscuslug/internal/state"
 	"github.com/hibiscuslug/hibiscuslug/pkg/query"
 	"github.com/hibiscuslug/hibiscuslug/pkg/wire"
@@ -11,24 +14,108 @@
 // codeUnavailable is answered when a change can not be made durable now.
 const codeUnavailable = "unavailable"
 
-// Execute runs an operator's command.
-func (control *Control) Execute(_ context.Context, command *wire.Command) (*wire.CommandReply, error) {
+// Execute runs an operator's command. A change is answered once a majority has
+// synced it.
+func (control *Control) Execute(ctx context.Context, command *wire.Command) (*wire.CommandReply, error) {
 	parsed, err := query.Parse(command.GetText())
 	if err != nil {
 		return query.Failure(err), nil
 	}
-	change, err := control.change(command, parsed)
+	if parsed.Show != nil {
+		return control.show(ctx, parsed.Show)
+	}
+	if reply := control.firstAnswer(command.GetId()); reply != nil {
+		return reply, nil
+	}
+	reply := unavailable(errNoLeader)
+	control.onLeader(ctx, func(ctx context.Context) bool {
+		answered := control.change(ctx, command, parsed)
+		if answered != nil {
+			reply = answered
+		}
+		return answered == nil
+	}, func(ctx context.Context, address string) bool {
+		// A leader that does not answer in time may be gone; the command id makes another try safe.
+		ctx, cancel := context.WithTimeout(ctx, (forwardTimeouts * control.settings.Control.ElectionTimeout).Duration())
+		defer cancel()
+		answered, err := wire.NewDRPCOperateClient(control.pool.Conn(ctx, address)).Execute(ctx, command)
+		if err != nil {
+			return true
+		}
+		reply = answered
+		return reply.GetCode() == codeUnavailable
+	})
+	return reply, nil
+}
+
+func (control *Control) show(ctx context.Context, asked *query.Show) (*wire.CommandReply, error) {
+	table, err := control.Local(ctx, &wire.NodeQuery{What: asked.What})
 	if err != nil {
-		return refusal(err), nil
+		return query.Invalid(err), nil
+	}
+	return &wire.CommandReply{Table: table, Revision: control.view.State().Revision()}, nil
+}
+
+// firstAnswer returns the answer that the command id got before.
+func (control *Control) firstAnswer(id string) *wire.CommandReply {
+	control.mu.Lock()
+	defer control.mu.Unlock()
+	result, ok := control.machine.Result(id)
+	if !ok {
+		return nil
 	}
-	result, err := control.propose(change)
+	return answer(result)
+}
+
+func answer(result *wire.CommandResult) *wire.CommandReply {
+	return &wire.CommandReply{Revision: result.GetRevision(), Code: result.GetCode(), Error: result.GetError()}
+}
+
+// change proposes a command on the leader. It returns nil when this control VM
+// turns out not to lead.
+func (control *Control) change(ctx context.Context, command *wire.Command, parsed *query.Command) *wire.CommandReply {
+	if parsed.Add != nil || parsed.Remove != nil {
+		return control.changeMember(ctx, parsed)
+	}
+	control.changing.Lock()
+	defer control.changing.Unlock()
+	if reply := control.settle(ctx); reply != nil || control.settledTerm == 0 {
+		return reply
+	}
+	if reply := control.firstAnswer(command.GetId()); reply != nil {
+		return reply
+	}
+	change, err := control.parse(command, parsed)
 	if err != nil {
-		return unavailable(err), nil
+		return refusal(err)
 	}
-	return &wire.CommandReply{Revision: result.GetRevision(), Code: result.GetCode(), Error: result.GetError()}, nil
+	result := control.propose(ctx, input{entry: &wire.Entry{Body: &wire.Entry_Change{Change: change}}, term: control.settledTerm})
+	if result.err != nil {
+		control.settledTerm = 0
+		return failure(result)
+	}
+	return answer(result.result)
 }
 
-func (control *Control) change(command *wire.Command, parsed *query.Command) (*wire.Change, error) {
+// settle brings the applied state up to every change before the next one: an
+// alter starts from the record as the last change left it. Within a term only
+// this leader proposes changes, so one empty entry a term is enough, unless the
+// outcome of a change was not seen.
+func (control *Control) settle(ctx context.Context) *wire.CommandReply {
+	term := control.status.Load().Term
+	if control.settledTerm == term {
+		return nil
+	}
+	control.settledTerm = 0
+	result := control.propose(ctx, input{entry: &wire.Entry{Body: &wire.Entry_Empty{Empty: true}}, term: term})
+	if result.err != nil {
+		return failure(result)
+	}
+	control.settledTerm = term
+	return nil
+}
+
+func (control *Control) parse(command *wire.Command, parsed *query.Command) (*wire.Change, error) {
 	change, err := state.FromCommand(control.view.State(), parsed)
 	if err != nil {
 		return nil, err
@@ -40,6 +127,14 @@
 	return change, nil
 }
 
+// failure is the reply to a proposal without a result, or nil to try elsewhere.
+func failure(result outcome) *wire.CommandReply {
+	if errors.Is(result.err, quorum.ErrNotLeader) {
+		return nil
+	}
+	return unavailable(result.err)
+}
+
 func unavailable(err error) *wire.CommandReply {
 	return &wire.CommandReply{Code: codeUnavailable, Error: err.Error()}
 }
@@ -52,7 +147,27 @@
 	return reply
 }
 
-// Local answers queries about this process alone.
-func (control *Control) Local(context.Context, *wire.NodeQuery) (*wire.Table, error) {
-	return &wire.Table{}, nil
+// Apply takes a step of a claim through the log.
+func (control *Control) Apply(ctx context.Context, op *wire.ClaimOp) (*wire.ClaimReply, error) {
+	reply := &wire.ClaimReply{Unavailable: true}
+	control.onLeader(ctx, func(ctx context.Context) bool {
+		result := control.propose(ctx, input{entry: &wire.Entry{Body: &wire.Entry_Claim{Claim: op}}})
+		if errors.Is(result.err, quorum.ErrNotLeader) {
+			return true
+		}
+		if result.err == nil {
+			reply = result.claim
+		}
+		return false
+	}, func(ctx context.Context, address string) bool {
+		answered, err := wire.NewDRPCClaimsClient(control.pool.Conn(ctx, address)).Apply(ctx, op)
+		if err != nil {
+			// The leader may have taken the step; only the caller can ask again.
+			answered = &wire.ClaimReply{Unavailable: true}
+		}
+		reply = answered
+		reply.Leader = address
+		return false
+	})
+	return reply, nil
 }
--- /dev/null
+++ b/internal/ctrl/writer.go
@@ -0,0 +1,109 @@
+package ctrl
+
+import (
+	"context"
+	"sync"
+
+	"github.com/hibiscuslug/hibiscuslug/internal/event"
+	"github.com/hibiscuslug/hibiscuslug/internal/quorum"
+	"github.com/hibiscuslug/hibiscuslug/internal/store"
+	"github.com/hibiscuslug/hibiscuslug/pkg/clock"
+)
+
+// writeRetry is the pause after a failed write, for example on a full disk.
+const writeRetry = 100 * clock.Millis(1)
+
+// writer makes saves durable in order. What arrives during a sync shares the
+// next one, and messages wait for the saves before them.
+type writer struct {
+	store *store.Store
+	clock *clock.Clock
+	log   *event.Log
+	peers *peers
+	post  func(input)
+	wake  chan struct{}
+
+	// mu guards queue.
+	mu    sync.Mutex
+	queue []quorum.Action
+}
+
+func newWriter(opened *store.Store, ticker *clock.Clock, log *event.Log, others *peers, post func(input)) *writer {
+	return &writer{store: opened, clock: ticker, log: log, peers: others, post: post, wake: make(chan struct{}, 1)}
+}
+
+func (writer *writer) add(action quorum.Action) {
+	writer.mu.Lock()
+	writer.queue = append(writer.queue, action)
+	writer.mu.Unlock()
+	select {
+	case writer.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (writer *writer) run(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-writer.wake:
+			writer.mu.Lock()
+			actions := writer.queue
+			writer.queue = nil
+			writer.mu.Unlock()
+			writer.flush(ctx, actions)
+		}
+	}
+}
+
+func (writer *writer) flush(ctx context.Context, actions []quorum.Action) {
+	var saves []quorum.Save
+	for _, action := range actions {
+		if save, ok := action.(quorum.Save); ok {
+			saves = append(saves, save)
+		}
+	}
+	if !writer.write(ctx, saves) {
+		return
+	}
+	for _, action := range actions {
+		if send, ok := action.(quorum.Send); ok {
+			writer.peers.send(send)
+		}
+	}
+	if len(saves) > 0 {
+		writer.report(ctx, quorum.Synced{Sequence: saves[len(saves)-1].Sequence})
+	}
+}
+
+// write tries until the disk takes the saves; it returns false when the process ends first.
+func (writer *writer) write(ctx context.Context, saves []quorum.Save) bool {
+	failed := false
+	for len(saves) > 0 {
+		done, err := writer.store.Write(saves)
+		saves = saves[done:]
+		if err == nil {
+			break
+		}
+		if !failed {
+			writer.log.Write(event.DiskRefused, "error", err)
+			writer.report(ctx, quorum.DiskState{Failing: true})
+		}
+		failed = true
+		if writer.clock.Sleep(ctx, writeRetry) != nil {
+			return false
+		}
+	}
+	if failed {
+		writer.log.Write(event.DiskRecovered)
+		writer.report(ctx, quorum.DiskState{})
+	}
+	return true
+}
+
+func (writer *writer) report(_ context.Context, happened quorum.Event) {
+	writer.post(input{event: happened})
+}
+
+func (writer *writer) close() error { return writer.store.Close() }
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -32,6 +32,11 @@
 	RevisionRefused    = Event{402, "configuration revision refused"}
 	FeedLost           = Event{403, "configuration feed lost"}
 	ProposalFailed     = Event{404, "change could not be accepted"}
+	RoleChanged        = Event{405, "control VM changed its role"}
+	DiskRefused        = Event{406, "data folder takes no writes"}
+	DiskRecovered      = Event{407, "data folder takes writes again"}
+	TailCut            = Event{408, "damaged end of the log was cut"}
+	MembersChanged     = Event{409, "members of the control group changed"}
 	EngineUnreachable  = Event{501, "engine does not answer"}
 	InstructionRefused = Event{502, "instruction with an old fencing number refused"}
 )
--- a/internal/opts/opts.go
+++ b/internal/opts/opts.go
@@ -77,7 +77,8 @@
 type Control struct {
 	Data            string       `long:"data" env:"HIB_DATA" description:"Data folder on the disk (required)"`
 	Group           []string     `long:"group" env:"HIB_GROUP" description:"Control VM of the first group as name@IP:port, this one included; may be repeated" env-delim:","`
-	ElectionTimeout clock.Millis `long:"election-timeout" env:"HIB_ELECTION_TIMEOUT" description:"Time without a leader after which an election starts (50ms to 1m)" default:"1s"`
+	ElectionTimeout clock.Millis `long:"election-timeout" env:"HIB_ELECTION_TIMEOUT" description:"Time without a leader after which an election starts; the same on all control VMs (50ms to 1m)" default:"600ms"`
+	CommitLimit     clock.Millis `long:"commit-limit" env:"HIB_COMMIT_LIMIT" description:"Longest wait for a change to be synced by a majority (100ms to 1m)" default:"2s"`
 }
 
 // Check reports the first setting that is missing or out of range.
@@ -85,5 +86,6 @@
 	return bounds.First(
 		bounds.Required("data", set.Data),
 		bounds.Span("election-timeout", set.ElectionTimeout, "50ms", "1m"),
+		bounds.Span("commit-limit", set.CommitLimit, "100ms", "1m"),
 	)
 }
--- /dev/null
+++ b/internal/store/whole.go
@@ -0,0 +1,58 @@
+package store
+
+import (
+	"encoding/binary"
+	"hash/crc32"
+	"io"
+	"os"
+	"path/filepath"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Names of the files that are always replaced as a whole.
+const (
+	stateName = "state"
+	imageName = "image"
+)
+
+// replace writes a file so that a crash leaves either the old or the new one.
+func (store *Store) replace(name string, record []byte) error {
+	path := filepath.Join(store.folder, name)
+	temporary := path + ".tmp"
+	file, err := store.disk.Open(temporary, os.O_WRONLY|os.O_CREATE|os.O_TRUNC)
+	if err != nil {
+		return errors.Wrapf(err, "open %s", temporary)
+	}
+	_, err = file.Write(appendRecord(nil, record))
+	if err == nil {
+		err = file.Sync()
+	}
+	if err = errors.CombineErrors(err, file.Close()); err != nil {
+		return errors.Wrapf(err, "write %s", temporary)
+	}
+	if err := store.disk.Rename(temporary, path); err != nil {
+		return errors.Wrapf(err, "rename %s", temporary)
+	}
+	return errors.Wrapf(store.disk.SyncFolder(store.folder), "sync folder %s", store.folder)
+}
+
+// whole reads a file written by replace; it returns nothing if there is none.
+func (store *Store) whole(name string) ([]byte, error) {
+	path := filepath.Join(store.folder, name)
+	file, err := store.disk.Open(path, os.O_RDONLY)
+	if errors.Is(err, os.ErrNotExist) {
+		return nil, nil
+	}
+	if err != nil {
+		return nil, errors.Wrapf(err, "open %s", path)
+	}
+	text, err := io.ReadAll(file)
+	if err = errors.CombineErrors(err, file.Close()); err != nil {
+		return nil, errors.Wrapf(err, "read %s", path)
+	}
+	if len(text) < headerSize || crc32.Checksum(text[headerSize:], checksums) != binary.LittleEndian.Uint32(text[4:]) {
+		return nil, errors.Newf("%s is damaged; empty the data folder so that this control VM joins with a new disk id", path)
+	}
+	return text[headerSize:], nil
+}
