--- a/internal/ctrl/control.go
+++ b/internal/ctrl/control.go
@@ -51,6 +51,8 @@
 	peers    *peers
 	inbox    chan input
 	status   atomic.Pointer[quorum.Status]
+	// moved is closed and replaced when another leader is known.
+	moved atomic.Pointer[chan struct{}]
 
 	// changing is held while a command is turned into a change and committed,
 	// so that an alter starts from the change before it. It comes before mu.
--- a/internal/ctrl/loop.go
+++ b/internal/ctrl/loop.go
@@ -275,7 +275,15 @@
 	}
 }
 
+// publish shows other goroutines the core's state.
 func (control *Control) publish() {
 	status := control.core.Status()
-	control.status.Store(&status)
+	before := control.status.Swap(&status)
+	if before != nil && before.Leader == status.Leader {
+		return
+	}
+	next := make(chan struct{})
+	if old := control.moved.Swap(&next); old != nil {
+		close(*old)
+	}
 }
--- a/internal/ctrl/propose.go
+++ b/internal/ctrl/propose.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"github.com/cockroachdb/errors"
+	"github.com/sourcegraph/conc"
 	"storj.io/drpc/drpcmetadata"
 
 	"github.com/hibiscuslug/hibiscuslug/internal/event"
@@ -62,6 +63,7 @@
 	defer cancel()
 	forwarded := isForwarded(ctx)
 	for {
+		moved := *control.moved.Load()
 		status := control.status.Load()
 		switch {
 		case status.Role == quorum.Leader:
@@ -72,7 +74,7 @@
 			return
 		case status.Leader.Name != "":
 			address := control.peers.address(status.Leader.Name, addressOf(status.Members, status.Leader))
-			if !forward(drpcmetadata.Add(ctx, hopKey, "1"), address) {
+			if !forwardUntil(ctx, moved, address, forward) {
 				return
 			}
 		}
@@ -82,6 +84,23 @@
 	}
 }
 
+// forwardUntil forwards a call and gives it up when another leader is known: a
+// stopped leader never answers.
+func forwardUntil(ctx context.Context, moved <-chan struct{}, address string, forward func(context.Context, string) bool) bool {
+	var watching conc.WaitGroup
+	defer watching.Wait()
+	ctx, cancel := context.WithCancel(drpcmetadata.Add(ctx, hopKey, "1"))
+	defer cancel()
+	watching.Go(func() {
+		select {
+		case <-moved:
+			cancel()
+		case <-ctx.Done():
+		}
+	})
+	return forward(ctx, address)
+}
+
 func isForwarded(ctx context.Context) bool {
 	metadata, _ := drpcmetadata.Get(ctx)
 	return metadata[hopKey] != ""
