--- a/internal/procs/group.go
+++ b/internal/procs/group.go
@@ -133,6 +133,18 @@
 	return rows, nil
 }
 
+// Watch returns the first item of a member's configuration feed.
+func (group *Group) Watch(at int) (*wire.FeedItem, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), callLimit)
+	defer cancel()
+	stream, err := wire.NewDRPCFeedClient(group.Pool.Conn(ctx, group.Address(at))).Watch(ctx, &wire.WatchRequest{Node: "watcher"})
+	if err != nil {
+		return nil, err
+	}
+	item, err := stream.Recv()
+	return item, errors.CombineErrors(err, stream.Close())
+}
+
 // Leader waits until a member that is asked names a leader, and returns it.
 func (group *Group) Leader(limit time.Duration, asked ...int) (int, error) {
 	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(pollEvery) {
