--- a/internal/ctrl/loop.go
+++ b/internal/ctrl/loop.go
@@ -17,9 +17,8 @@
 	ticksPerTimeout = 40
 	// drainAtOnce bounds the events of one batch, so that ticks are not late.
 	drainAtOnce = 2048
-	// imageLeast and imageGrowth set when an image is made: its cost is that of
-	// the whole state, so the log may grow to a multiple of it first.
-	imageLeast  = 8 << 20
+	// imageGrowth sets when an image is made: its cost is that of the whole
+	// state, so the log may grow to a multiple of it first.
 	imageGrowth = 2
 )
 
@@ -245,7 +244,7 @@
 
 // compact makes an image when the log has outgrown the last one.
 func (control *Control) compact(index uint64) {
-	if control.sinceLast < max(imageLeast, imageGrowth*control.imageSize) {
+	if control.sinceLast < max(control.settings.Control.SnapshotBytes, imageGrowth*control.imageSize) {
 		return
 	}
 	term, members := control.core.MembersAt(index)
--- a/internal/opts/opts.go
+++ b/internal/opts/opts.go
@@ -79,6 +79,7 @@
 	Group           []string     `long:"group" env:"HIB_GROUP" description:"Control VM of the first group as name@IP:port, this one included; may be repeated" env-delim:","`
 	ElectionTimeout clock.Millis `long:"election-timeout" env:"HIB_ELECTION_TIMEOUT" description:"Time without a leader after which an election starts; the same on all control VMs (50ms to 1m)" default:"600ms"`
 	CommitLimit     clock.Millis `long:"commit-limit" env:"HIB_COMMIT_LIMIT" description:"Longest wait for a change to be synced by a majority (100ms to 1m)" default:"2s"`
+	SnapshotBytes   int          `long:"snapshot-bytes" env:"HIB_SNAPSHOT_BYTES" description:"Growth of the log after which a snapshot is written, at least twice the last snapshot's size, in bytes (4096 to 1073741824)" default:"8388608"`
 }
 
 // Check reports the first setting that is missing or out of range.
@@ -87,5 +88,6 @@
 		bounds.Required("data", set.Data),
 		bounds.Span("election-timeout", set.ElectionTimeout, "50ms", "1m"),
 		bounds.Span("commit-limit", set.CommitLimit, "100ms", "1m"),
+		bounds.Int("snapshot-bytes", set.SnapshotBytes, 4096, 1073741824, "bytes"),
 	)
 }
--- a/internal/store/segment.go
+++ b/internal/store/segment.go
@@ -62,6 +62,10 @@
 			return entries, false, atEnd(err)
 		}
 		length := binary.LittleEndian.Uint32(header)
+		if binary.LittleEndian.Uint64(header) == 0 {
+			// A file system may extend a file before it writes the data.
+			return entries, false, nil
+		}
 		if length == 0 || length > maxRecord {
 			return entries, true, nil
 		}
--- a/test/control/control_test.go
+++ b/test/control/control_test.go
@@ -36,8 +36,10 @@
 
 // scenario is a list of steps; each is a method of stage by its first word.
 type scenario struct {
-	Name  string   `json:"name"`
-	Steps []string `json:"steps"`
+	Name string `json:"name"`
+	// Arguments are added to every control VM's command line.
+	Arguments []string `json:"arguments"`
+	Steps     []string `json:"steps"`
 }
 
 // stage is a running group with what its operator knows.
@@ -70,7 +72,7 @@
 	all := load()
 	for _, script := range all.Scenarios {
 		It(script.Name, func() {
-			group, err := procs.NewGroup(GinkgoT().TempDir(), 3)
+			group, err := procs.NewGroup(GinkgoT().TempDir(), 3, script.Arguments...)
 			Expect(err).NotTo(HaveOccurred())
 			DeferCleanup(group.Close)
 			Expect(group.StartAll()).To(Succeed())
