--- a/cmd/hibbench/main.go
+++ b/cmd/hibbench/main.go
@@ -11,6 +11,8 @@
 	"github.com/jessevdk/go-flags"
 
 	"github.com/hibiscuslug/hibiscuslug/bench/control"
+	"github.com/hibiscuslug/hibiscuslug/bench/expert"
+	"github.com/hibiscuslug/hibiscuslug/bench/place"
 	"github.com/hibiscuslug/hibiscuslug/internal/figure"
 )
 
@@ -27,7 +29,9 @@
 }
 
 var suites = []suite{
-	{name: "control", run: control.Run},
+	{"control", control.Run},
+	{"place", place.Run},
+	{"expert", expert.Run},
 }
 
 func revision() string {
