Keep a live member when another disk claims its name

Cause: two processes started with one name by mistake would take turns in the group: the new disk replaced the old one although the old one answered. Change: the leader admits a new disk only after an election timeout without an answer of the old one.

--- a/internal/ctrl/loop.go
+++ b/internal/ctrl/loop.go
@@ -155,6 +155,7 @@
 		case quorum.Restore:
 			control.restore(action.Image)
 			control.failAll()
+			control.log.Write(event.SnapshotInstalled, "index", action.Image.GetIndex(), "bytes", control.imageSize)
 		case quorum.Accepted:
 			control.accepted(action)
 		case quorum.Refused:
@@ -259,6 +260,7 @@
 		return
 	}
 	control.sinceLast, control.imageSize = 0, len(encoded)
+	control.log.Write(event.SnapshotWritten, "index", index, "bytes", len(encoded))
 	control.act(control.core.Step(control.clock.Now(), quorum.Compact{Index: index, Encoded: encoded}))
 }
 
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -37,6 +37,8 @@
 	DiskRecovered      = Event{407, "data folder takes writes again"}
 	TailCut            = Event{408, "damaged end of the log was cut"}
 	MembersChanged     = Event{409, "members of the control group changed"}
+	SnapshotWritten    = Event{410, "snapshot made"}
+	SnapshotInstalled  = Event{411, "snapshot from the leader installed"}
 	EngineUnreachable  = Event{501, "engine does not answer"}
 	InstructionRefused = Event{502, "instruction with an old fencing number refused"}
 )
--- a/internal/quorum/core.go
+++ b/internal/quorum/core.go
@@ -99,6 +99,8 @@
 	// offset is the start of the image piece that the peer needs next.
 	offset  uint64
 	address string
+	// heard is the instant of the peer's last reply.
+	heard clock.Millis
 }
 
 // New returns a member with what its disk holds.
--- a/internal/quorum/join.go
+++ b/internal/quorum/join.go
@@ -135,9 +135,23 @@
 	core.setRole(core.idleRole())
 }
 
+// alive tells whether a member of a name has answered within an election timeout.
+func (core *Core) alive(name string) bool {
+	for peer, known := range core.ordered() {
+		if peer.Name == name && known.heard > 0 && core.now-known.heard < core.settings.ElectionTimeout {
+			return true
+		}
+	}
+	return name == core.self.Name
+}
+
 // admit makes a new disk of a known name a learner, in the place of an earlier
-// learner of that name.
+// learner of that name. While the old disk answers, two processes have the same
+// name by mistake, and the one in the group stays.
 func (core *Core) admit(peer Peer, address string) {
+	if core.alive(peer.Name) {
+		return
+	}
 	known := func(member *wire.ControlMember) bool { return member.GetName() == peer.Name }
 	if !core.membersSettled() || find(core.members, peer) != nil || !slices.ContainsFunc(core.members, known) {
 		return
--- a/internal/quorum/lease.go
+++ b/internal/quorum/lease.go
@@ -55,6 +55,7 @@
 }
 
 func (core *Core) confirmRound(known *progress, round uint64) {
+	known.heard = core.now
 	known.round = max(known.round, round)
 	best := uint64(0)
 	for _, other := range core.progress {
--- a/test/control/control_test.go
+++ b/test/control/control_test.go
@@ -112,6 +112,8 @@
 		Expect(run.answers["refused"].GetCode()).To(BeEmpty())
 	case "fresh", "aged":
 		run.age(word)
+	case "logged":
+		Expect(run.group.Process(run.victim).Log()).To(ContainSubstring(rest))
 	case "race":
 		run.race(number(rest))
 	case "alter":
