Make 'if revision 0' a condition

Cause: revision 0 also meant that a change has no condition, so two commands against the empty configuration could both succeed. Conclusion: every revision can be a condition.

--- a/internal/ctrl/operate.go
+++ b/internal/ctrl/operate.go
@@ -122,7 +122,7 @@
 	}
 	change.CommandId, change.Text, change.At = command.GetId(), command.GetText(), int64(control.clock.Now())
 	if parsed.IfRevision != nil {
-		change.IfRevision = *parsed.IfRevision
+		change.IfRevision, change.Conditional = *parsed.IfRevision, true
 	}
 	return change, nil
 }
--- a/internal/state/machine.go
+++ b/internal/state/machine.go
@@ -47,7 +47,7 @@
 
 func (machine *Machine) decide(change *wire.Change) (*wire.CommandResult, *wire.Numbered) {
 	result := &wire.CommandResult{CommandId: change.GetCommandId(), Revision: machine.state.revision}
-	if wanted := change.GetIfRevision(); wanted != 0 && wanted != machine.state.revision {
+	if wanted := change.GetIfRevision(); change.GetConditional() && wanted != machine.state.revision {
 		result.Code, result.Error = CodeConflict, machine.conflict(wanted)
 		return result, nil
 	}
