Test that leadership leaves a full disk

Cause: a group of three must accept changes when one member's disk is full. Change: a test with three control VMs, of which the leader's disk fills up. Conclusion: the other two members go on, and the third catches up.

--- a/internal/ctrl/control_test.go
+++ b/internal/ctrl/control_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
+	"net"
 	"os"
 	"testing"
 	"time"
@@ -102,3 +104,60 @@
 		Expect(control.Close()).To(Succeed())
 	})
 })
+
+// Guards against a group that refuses changes because the disk of one member,
+// the leader, is full.
+var _ = It("a group moves leadership away from a full disk", func() {
+	const count = 3
+	var group []string
+	var addresses []string
+	for at := range count {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		addresses = append(addresses, listener.Addr().String())
+		group = append(group, fmt.Sprintf("control%d@%s", at+1, addresses[at]))
+		Expect(listener.Close()).To(Succeed())
+	}
+	var disks []*fake.Disk
+	var members []*ctrl.Control
+	for at := range count {
+		disks = append(disks, fake.NewDisk())
+		member, err := ctrl.New(ctrl.Settings{
+			Node:    opts.Node{Name: fmt.Sprintf("control%d", at+1), Zone: "zone1", Listen: addresses[at]},
+			Control: opts.Control{Data: GinkgoT().TempDir(), Group: group, ElectionTimeout: 300, CommitLimit: 2000, SnapshotBytes: 4096},
+			Disk:    disks[at],
+		}, clock.NewSystem(), event.Discard())
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(member.Close)
+		members = append(members, member)
+	}
+	accepted := func(member *ctrl.Control, id string) {
+		Eventually(func() string {
+			reply, err := member.Execute(context.Background(), &wire.Command{Id: id, Text: "create customer " + id + " tier paid"})
+			Expect(err).NotTo(HaveOccurred())
+			return reply.GetCode()
+		}).WithTimeout(limit).Should(BeEmpty(), id)
+	}
+	row := func(member *ctrl.Control) []string {
+		table, err := member.Local(context.Background(), &wire.NodeQuery{What: "controlSelf"})
+		Expect(err).NotTo(HaveOccurred())
+		return table.GetRows()[0].GetCells()
+	}
+	accepted(members[0], "before")
+	full := 0
+	for at, member := range members {
+		if row(member)[3] == "leader" {
+			full = at
+		}
+	}
+	disks[full].SetRoom(3)
+	for n := range 10 {
+		accepted(members[(full+n)%count], fmt.Sprintf("during%d", n))
+	}
+	Expect(row(members[full])[3]).NotTo(Equal("leader"))
+	disks[full].SetRoom(-1)
+	accepted(members[full], "after")
+	for _, member := range members {
+		Eventually(func() string { return row(member)[7] }).WithTimeout(limit).Should(Equal("12"))
+	}
+})
