Leave a feed source that control does not confirm

Cause: a control VM that is cut off from its group, or was removed, still sends heartbeats; its watchers would stay with an old revision for as long as it runs. Change: a follower with several sources moves on when the source's age and its own time with it exceed 2 s.

--- a/internal/feed/follow.go
+++ b/internal/feed/follow.go
@@ -16,6 +16,11 @@
 	silenceLimit = 3 * heartbeatEvery
 	retryLeast   = 50 * clock.Millis(1)
 	retrySpread  = 200 * clock.Millis(1)
+	// staleLimit is the age from which another source may know more: a control
+	// VM that is cut off from its group still sends heartbeats. It is also the
+	// least time with a source, so that watchers do not rush from one to the
+	// next while no majority confirms anything.
+	staleLimit = 2 * clock.Second
 )
 
 // Follower keeps a view up to date from the sources it is given.
@@ -59,6 +64,7 @@
 	defer cancel(nil)
 	watchdog := newWatchdog(silenceLimit, func() { cancel(errors.Newf("no heartbeat for %s", silenceLimit)) })
 	defer watchdog.stop()
+	since := follower.clock.Now()
 	client := wire.NewDRPCFeedClient(follower.pool.Conn(ctx, address))
 	stream, err := client.Watch(ctx, &wire.WatchRequest{Revision: follower.view.State().Revision(), Node: follower.node})
 	if err != nil {
@@ -74,5 +80,8 @@
 			follower.log.Write(event.RevisionRefused, "source", address, "error", err)
 			return err
 		}
+		if age := clock.Millis(item.GetAge()); age > staleLimit && follower.clock.Now()-since > staleLimit && len(follower.sources()) > 1 {
+			return errors.Newf("control has not confirmed the source's revision for %s", age)
+		}
 	}
 }
