--- a/cmd/hibbench/main.go
+++ b/cmd/hibbench/main.go
@@ -10,6 +10,7 @@
 
 	"github.com/jessevdk/go-flags"
 
+	"github.com/hibiscuslug/hibiscuslug/bench/control"
 	"github.com/hibiscuslug/hibiscuslug/bench/expert"
 	"github.com/hibiscuslug/hibiscuslug/bench/models"
 	"github.com/hibiscuslug/hibiscuslug/bench/place"
@@ -29,6 +30,7 @@
 }
 
 var suites = []suite{
+	{"control", control.Run},
 	{"place", place.Run},
 	{"expert", expert.Run},
 	{"models", models.Run},
