--- a/cmd/hibbench/main.go
+++ b/cmd/hibbench/main.go
@@ -10,6 +10,10 @@
 
 	"github.com/jessevdk/go-flags"
 
+	"github.com/hibiscuslug/hibiscuslug/bench/control"
+	"github.com/hibiscuslug/hibiscuslug/bench/expert"
+	"github.com/hibiscuslug/hibiscuslug/bench/models"
+	"github.com/hibiscuslug/hibiscuslug/bench/place"
 	"github.com/hibiscuslug/hibiscuslug/internal/figure"
 )
 
@@ -25,7 +29,12 @@
 	run  func(*figure.Report) error
 }
 
-var suites = []suite{}
+var suites = []suite{
+	{"control", control.Run},
+	{"place", place.Run},
+	{"expert", expert.Run},
+	{"models", models.Run},
+}
 
 func revision() string {
 	out, err := exec.CommandContext(context.Background(), "git", "rev-parse", "--short", "HEAD").Output()
--- a/internal/entry/operate.go
+++ b/internal/entry/operate.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -75,7 +76,7 @@
 		tables = append(tables, entry.silent(tables))
 	case "control":
 		tables, reply.Warnings = entry.gather(ctx, asked, entry.controlAddresses())
-		tables = append(tables, entry.silent(tables))
+		tables = []*wire.Table{mostReached(tables)}
 	default:
 		table, _ := rows.Config(show.What, entry.view, entry.clock.Now())
 		tables = append(tables, table)
@@ -149,30 +150,39 @@
 // silent lists the control VMs that did not answer, by their address.
 func (entry *Entry) silent(tables []*wire.Table) *wire.Table {
 	answered := map[string]bool{}
-	what := "control"
 	for _, table := range tables {
-		if len(table.GetColumns()) == len(rows.New("nodes").GetColumns()) {
-			what = "nodes"
-		}
 		for _, row := range table.GetRows() {
 			for _, cell := range row.GetCells() {
 				answered[cell] = true
 			}
 		}
 	}
-	table := rows.New(what)
+	table := rows.New("nodes")
 	for _, address := range entry.settings.Entry.Control {
-		switch {
-		case answered[address]:
-		case what == "nodes":
+		if !answered[address] {
 			rows.Add(table, address, "control", "", address, "silent", "", "", "")
-		default:
-			rows.Add(table, address, address, "silent", "", "")
 		}
 	}
 	return table
 }
 
+// mostReached returns the answer of the control VM that reached most of its group.
+func mostReached(tables []*wire.Table) *wire.Table {
+	best, most := &wire.Table{}, -1
+	for _, table := range tables {
+		reached := 0
+		for _, row := range table.GetRows() {
+			if !slices.Contains(row.GetCells(), "unreachable") {
+				reached++
+			}
+		}
+		if table != nil && reached > most {
+			best, most = table, reached
+		}
+	}
+	return best
+}
+
 // explain shows a request's way from the entry VM that had it.
 func (entry *Entry) explain(ctx context.Context, id string) *wire.CommandReply {
 	tables, warnings := entry.gather(ctx, &wire.NodeQuery{What: "explain", RequestId: id}, entry.entryAddresses())
--- a/internal/fleet/demo.go
+++ b/internal/fleet/demo.go
@@ -37,7 +37,7 @@
 		return err
 	}
 	defer func() { err = errors.CombineErrors(err, fleet.Close()) }()
-	fmt.Fprintf(out, "%d control VM, %d entry VMs, %d endpoint processes, 1 order desk, 1 plain service, in %d zones\n",
+	fmt.Fprintf(out, "%d control VMs, %d entry VMs, %d endpoint processes, 1 order desk, 1 plain service, in %d zones\n",
 		controlVMs, zones, zones*endpointsPerZone, zones)
 	operator := newOperator(fleet.entries)
 	defer operator.close()
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"os"
 	"path/filepath"
 	"time"
@@ -24,10 +25,8 @@
 const (
 	zones            = 3
 	endpointsPerZone = 2
-	// controlVMs is 1 until ctrl.Control forms a group from opts.Control.Group;
-	// then it is 3.
-	controlVMs = 1
-	slots      = 8
+	controlVMs       = 3
+	slots            = 8
 
 	modelName  = "guide-1"
 	firstToken = 20 * time.Millisecond
@@ -39,7 +38,9 @@
 	requestLimit    = clock.Minute
 	announceEvery   = clock.Second
 	lifetime        = 3 * clock.Second
-	electionTimeout = clock.Second
+	electionTimeout = 600 * clock.Millis(1)
+	commitLimit     = 2 * clock.Second
+	snapshotBytes   = 8 << 20
 
 	maxBody, maxHeader, maxConcurrent = 1 << 20, 16 << 10, 10_000
 )
@@ -103,18 +104,45 @@
 	return nil
 }
 
+// startControls starts the control group. Its members must know each other's
+// addresses, so ports are reserved first.
 func (fleet *Fleet) startControls() ([]string, error) {
-	var addresses []string
-	for number := range controlVMs {
+	addresses, err := reserve(controlVMs)
+	if err != nil {
+		return nil, err
+	}
+	var group []string
+	for number, address := range addresses {
+		group = append(group, newNode("control", number, number%zones).Name+"@"+address)
+	}
+	for number, address := range addresses {
 		node := newNode("control", number, number%zones)
+		node.Listen = address
 		running, err := ctrl.New(ctrl.Settings{Node: node, Control: opts.Control{
-			Data: filepath.Join(fleet.data, node.Name), ElectionTimeout: electionTimeout,
+			Data: filepath.Join(fleet.data, node.Name), Group: group, ElectionTimeout: electionTimeout,
+			CommitLimit: commitLimit, SnapshotBytes: snapshotBytes,
 		}}, clock.NewSystem(), event.Discard())
 		if err != nil {
 			return nil, err
 		}
 		fleet.add(node, "control", running)
-		addresses = append(addresses, running.Address())
+	}
+	return addresses, nil
+}
+
+// reserve returns free addresses. Another process can take one before it is
+// used; then the start fails and says so.
+func reserve(count int) ([]string, error) {
+	var addresses []string
+	for range count {
+		var config net.ListenConfig
+		listener, err := config.Listen(context.Background(), "tcp", "127.0.0.1:0")
+		if err != nil {
+			return nil, err
+		}
+		addresses = append(addresses, listener.Addr().String())
+		// All ports are held until the last one is known, so that they differ.
+		defer func() { _ = listener.Close() }()
 	}
 	return addresses, nil
 }
--- a/internal/fleet/operator.go
+++ b/internal/fleet/operator.go
@@ -4,12 +4,12 @@
 	"context"
 	"crypto/rand"
 	"math"
-	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/sourcegraph/conc"
 
+	"github.com/hibiscuslug/hibiscuslug/internal/feed"
 	"github.com/hibiscuslug/hibiscuslug/internal/link"
 	"github.com/hibiscuslug/hibiscuslug/pkg/wire"
 )
@@ -68,25 +68,11 @@
 func (operator *operator) change(ctx context.Context, members []member, text string) (uint64, []inForce, error) {
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
-	var mu sync.Mutex
 	applied := make([]map[uint64]time.Time, len(members))
 	var watching conc.WaitGroup
 	for at, member := range members {
 		applied[at] = map[uint64]time.Time{}
-		watching.Go(func() {
-			for ctx.Err() == nil {
-				changed, revision := member.process.View().Changed(), member.process.View().State().Revision()
-				mu.Lock()
-				if _, seen := applied[at][revision]; !seen {
-					applied[at][revision] = time.Now()
-				}
-				mu.Unlock()
-				select {
-				case <-changed:
-				case <-ctx.Done():
-				}
-			}
-		})
+		watching.Go(func() { watch(ctx, member.process.View(), applied[at]) })
 	}
 	reply, err := operator.run(ctx, text)
 	if err != nil {
@@ -111,6 +97,22 @@
 	return reply.GetRevision(), results, nil
 }
 
+// watch records when each revision was first seen. It looks once more after
+// the context's end, which may come together with a revision.
+func watch(ctx context.Context, view *feed.View, seen map[uint64]time.Time) {
+	for running := true; running; {
+		running = ctx.Err() == nil
+		changed, revision := view.Changed(), view.State().Revision()
+		if _, known := seen[revision]; !known {
+			seen[revision] = time.Now()
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+		}
+	}
+}
+
 func waitInForce(ctx context.Context, members []member, revision uint64) {
 	for _, member := range members {
 		for ctx.Err() == nil {
--- a/internal/opcli/client.go
+++ b/internal/opcli/client.go
@@ -15,6 +15,7 @@
 	"github.com/hibiscuslug/hibiscuslug/internal/bounds"
 	"github.com/hibiscuslug/hibiscuslug/pkg/clock"
 	"github.com/hibiscuslug/hibiscuslug/pkg/query"
+	"github.com/hibiscuslug/hibiscuslug/pkg/wire"
 )
 
 // Exit codes.
@@ -56,7 +57,7 @@
 Exit codes:
   0  done
   1  refused: invalid, notFound or exists
-  2  wrong option, or a syntax error in the command
+  2  wrong option, or an error at a column of the command
   3  no address could do it; send a change again with the same --id
   4  conflict: "if revision N" was overtaken by another change`
 
@@ -141,13 +142,16 @@
 	return worst, lines.Err()
 }
 
-// exitCode maps the code of a reply.
-func exitCode(code string) int {
-	switch code {
-	case "":
+// exitCode maps the code of a reply. An error with a column is one of the
+// command's text alone.
+func exitCode(reply *wire.CommandReply) int {
+	switch {
+	case reply.GetCode() == "":
 		return exitOK
-	case query.CodeSyntax:
+	case reply.GetColumn() > 0:
 		return exitUsage
+	}
+	switch reply.GetCode() {
 	case query.CodeUnavailable:
 		return exitUnavailable
 	case query.CodeConflict:
--- a/internal/opcli/print.go
+++ b/internal/opcli/print.go
@@ -16,7 +16,7 @@
 // print writes an answer and returns the exit code. Warnings go to standard
 // error, or into the JSON document.
 func (client *client) print(command *wire.Command, reply *wire.CommandReply, out io.Writer) (int, error) {
-	code := exitCode(reply.GetCode())
+	code := exitCode(reply)
 	if client.settings.JSON {
 		if err := json.NewEncoder(out).Encode(document(command, reply)); err != nil {
 			return exitRefused, err
--- a/pkg/query/catalogue.go
+++ b/pkg/query/catalogue.go
@@ -141,9 +141,12 @@
 	{"control", "control VMs", []Column{
 		{"name", text, "control VM"},
 		{"address", text, "IP:port"},
-		{"state", text, "leader, follower, learner, or silent when it did not answer"},
+		{"disk", text, "id of its data folder"},
+		{"role", text, "leader, follower, candidate or learner; unreachable when it does not answer"},
+		{"term", number, "term of the leader that it knows"},
+		{"index", number, "last entry of its log"},
+		{"commit", number, "last entry known to be on a majority of disks"},
 		{"revision", number, "configuration revision in force there"},
-		{"age", duration, "time since that revision was confirmed"},
 	}},
 }
 
--- a/pkg/query/check.go
+++ b/pkg/query/check.go
@@ -72,10 +72,9 @@
 	if command.Show != nil || command.Explain != nil || command.Cancel != nil {
 		return wrong(command.Condition.Pos, "a revision is for changes of the configuration; this command makes none")
 	}
-	// Revision 0 stands for "unconditional" in messages between processes.
 	revision, err := strconv.ParseUint(command.Condition.Text, 10, 64)
-	if err != nil || revision == 0 {
-		return wrong(command.Condition.Pos, "%q is no revision; expected a whole number from 1", command.Condition.Text)
+	if err != nil {
+		return wrong(command.Condition.Pos, "%q is no revision; expected a whole number from 0", command.Condition.Text)
 	}
 	command.IfRevision = &revision
 	return nil
--- a/pkg/query/query.go
+++ b/pkg/query/query.go
@@ -105,6 +105,9 @@
 	// Column counts characters from 1; it is one past the end when the command ends too early.
 	Column  int
 	Message string
+	// Code is syntax, or invalid for a well-formed command with an unknown
+	// kind, column or field, or with a value of the wrong type.
+	Code string
 }
 
 // Error returns the reason.
@@ -136,7 +139,7 @@
 		return nil, syntaxError(trimmed, err)
 	}
 	if wrong := command.check(); wrong != nil {
-		return nil, &SyntaxError{Column: column(trimmed, wrong.at.Offset), Message: wrong.message}
+		return nil, &SyntaxError{Column: column(trimmed, wrong.at.Offset), Message: wrong.message, Code: CodeInvalid}
 	}
 	return command, nil
 }
@@ -144,10 +147,10 @@
 func syntaxError(text string, err error) error {
 	var failure participle.Error
 	if !errors.As(err, &failure) {
-		return &SyntaxError{Column: 1, Message: err.Error()}
+		return &SyntaxError{Column: 1, Message: err.Error(), Code: CodeSyntax}
 	}
 	at := failure.Position().Offset
-	return &SyntaxError{Column: column(text, at), Message: explain(text, at, failure.Message())}
+	return &SyntaxError{Column: column(text, at), Message: explain(text, at, failure.Message()), Code: CodeSyntax}
 }
 
 // column turns an offset in bytes into a column in characters.
