Record spans and serve metrics in every role

Cause: where the time of a request went, and what control traffic costs, could not be seen from outside. Entry VMs keep requests and control traffic on separate connection pools, so that control bytes can be counted.

--- a/internal/ctrl/control.go
+++ b/internal/ctrl/control.go
@@ -15,6 +15,7 @@
 	"github.com/hibiscuslug/hibiscuslug/internal/event"
 	"github.com/hibiscuslug/hibiscuslug/internal/feed"
 	"github.com/hibiscuslug/hibiscuslug/internal/link"
+	"github.com/hibiscuslug/hibiscuslug/internal/meter"
 	"github.com/hibiscuslug/hibiscuslug/internal/opts"
 	"github.com/hibiscuslug/hibiscuslug/internal/quorum"
 	"github.com/hibiscuslug/hibiscuslug/internal/state"
@@ -48,6 +49,7 @@
 	pool     *link.Pool
 	server   *link.Server
 	writer   *writer
+	meter    *meter.Meter
 	peers    *peers
 	inbox    chan input
 	status   atomic.Pointer[quorum.Status]
@@ -118,6 +120,11 @@
 	if err := control.register(); err != nil {
 		return nil, errors.CombineErrors(err, opened.Close())
 	}
+	control.meter = meter.New(settings.Node, "control", control.view)
+	control.meter.Control(control.server, control.pool)
+	if err := control.meter.Serve(settings.Node.MetricsListen); err != nil {
+		return nil, errors.CombineErrors(err, opened.Close())
+	}
 	control.start()
 	return control, nil
 }
@@ -167,6 +174,7 @@
 	control.peers.wait()
 	failure = errors.CombineErrors(failure, control.pool.Close())
 	failure = errors.CombineErrors(failure, control.writer.close())
+	failure = errors.CombineErrors(failure, control.meter.Close())
 	control.log.Write(event.Stopped)
 	return failure
 }
--- a/internal/endpt/attempt.go
+++ b/internal/endpt/attempt.go
@@ -5,6 +5,7 @@
 	"sync"
 
 	"github.com/hibiscuslug/hibiscuslug/internal/engine"
+	"github.com/hibiscuslug/hibiscuslug/internal/span"
 	"github.com/hibiscuslug/hibiscuslug/pkg/clock"
 	"github.com/hibiscuslug/hibiscuslug/pkg/wire"
 )
@@ -27,6 +28,8 @@
 	cancel    context.CancelFunc
 	started   clock.Millis
 	produced  uint64
+	tracer    *span.Tracer
+	hop       *span.Hop
 }
 
 func newAttempt(request *wire.Attempt, ticker *clock.Clock) *attempt {
@@ -37,6 +40,12 @@
 	}
 }
 
+// traced lets the attempt record its hops.
+func (run *attempt) traced(tracer *span.Tracer) *attempt {
+	run.tracer = tracer
+	return run
+}
+
 // Head records the status of the engine's answer.
 func (run *attempt) Head(status int, contentType string) {
 	run.add(&wire.Answer{Kind: wire.AnswerKind_ANSWER_KIND_HEAD, Status: uint32(status), ContentType: contentType})
@@ -73,6 +82,10 @@
 	run.state = wire.AttemptState_ATTEMPT_STATE_RUNNING
 	run.cancel = cancel
 	run.started = run.clock.Now()
+	parent := run.request.GetTraceparent()
+	run.tracer.Record(parent, "queue", run.arrived, run.started)
+	run.hop = run.tracer.Start(parent, "run", span.Text("engine", run.request.GetEngine()))
+	run.request.Traceparent = run.hop.Traceparent(parent)
 	return true
 }
 
@@ -107,6 +120,7 @@
 		end.Queued = int64(run.started - run.arrived)
 	}
 	run.idleSince = run.clock.Now()
+	run.hop.End(result.Outcome.String(), result.Err)
 	run.addLocked(end)
 }
 
--- a/internal/endpt/endpoint.go
+++ b/internal/endpt/endpoint.go
@@ -15,7 +15,9 @@
 	"github.com/hibiscuslug/hibiscuslug/internal/feed"
 	"github.com/hibiscuslug/hibiscuslug/internal/link"
 	"github.com/hibiscuslug/hibiscuslug/internal/member"
+	"github.com/hibiscuslug/hibiscuslug/internal/meter"
 	"github.com/hibiscuslug/hibiscuslug/internal/opts"
+	"github.com/hibiscuslug/hibiscuslug/internal/span"
 	"github.com/hibiscuslug/hibiscuslug/pkg/clock"
 	"github.com/hibiscuslug/hibiscuslug/pkg/wire"
 )
@@ -39,6 +41,8 @@
 	log         *event.Log
 	view        *feed.View
 	pool        *link.Pool
+	tracer      *span.Tracer
+	meter       *meter.Meter
 	server      *link.Server
 	announcer   *member.Announcer
 	table       *table
@@ -56,7 +60,12 @@
 		settings: settings, incarnation: member.NewIncarnation(ticker.Now()), clock: ticker, log: log,
 		view: feed.NewView(ticker), pool: link.NewPool(), table: newTable(), lanes: map[string]*lane{},
 	}
-	runner := engine.NewRunner()
+	tracer, err := span.New(settings.Node, "endpoint")
+	if err != nil {
+		return nil, err
+	}
+	endpoint.tracer = tracer
+	runner := engine.NewRunner().WithTracer(tracer)
 	for _, text := range settings.Endpoint.Engine {
 		target, err := engine.Parse(text)
 		if err != nil {
@@ -77,6 +86,9 @@
 		return nil, err
 	}
 	endpoint.announcer = member.NewAnnouncer(endpoint.pool, ticker, log, settings.Endpoint.Entry, endpoint.announcement)
+	if err := endpoint.measure(); err != nil {
+		return nil, err
+	}
 	endpoint.start()
 	return endpoint, nil
 }
@@ -148,7 +160,7 @@
 		return err
 	}
 	endpoint.log.Write(event.Stopped)
-	return endpoint.pool.Close()
+	return errors.Join(endpoint.pool.Close(), endpoint.meter.Close(), endpoint.tracer.Close())
 }
 
 // delivered tells whether nothing waits, runs or is being sent.
--- a/internal/endpt/relay.go
+++ b/internal/endpt/relay.go
@@ -26,7 +26,7 @@
 		endpoint.table.fence(request.GetRequestId(), request.GetAttempt(), endpoint.clock)
 		return stream.Send(notRun(request, err))
 	}
-	run, added := endpoint.table.admit(newAttempt(request, endpoint.clock))
+	run, added := endpoint.table.admit(newAttempt(request, endpoint.clock).traced(endpoint.tracer))
 	if added {
 		endpoint.lanes[request.GetEngine()].submit(run)
 	}
--- a/internal/engine/runner.go
+++ b/internal/engine/runner.go
@@ -12,6 +12,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
 
+	"github.com/hibiscuslug/hibiscuslug/internal/span"
 	"github.com/hibiscuslug/hibiscuslug/pkg/wire"
 )
 
@@ -39,6 +40,7 @@
 // Runner sends attempts to engines over HTTP.
 type Runner struct {
 	client *fasthttp.Client
+	tracer *span.Tracer
 }
 
 // NewRunner returns a runner.
@@ -55,6 +57,12 @@
 	}}
 }
 
+// WithTracer records a span for each call to an engine.
+func (runner *Runner) WithTracer(tracer *span.Tracer) *Runner {
+	runner.tracer = tracer
+	return runner
+}
+
 // ID names an attempt towards engines.
 func ID(requestID string, attempt uint32) string {
 	return requestID + "." + strconv.FormatUint(uint64(attempt), 10)
@@ -62,10 +70,20 @@
 
 // Run runs an attempt and passes its answer to the sink.
 func (runner *Runner) Run(ctx context.Context, target Engine, attempt *wire.Attempt, sink Sink) Result {
+	hop := runner.tracer.Start(attempt.GetTraceparent(), "engine", span.Text("engine", target.Info().GetName()))
+	result := runner.call(ctx, target, attempt, hop.Traceparent(attempt.GetTraceparent()), sink)
+	hop.End(result.Outcome.String(), result.Err)
+	return result
+}
+
+func (runner *Runner) call(ctx context.Context, target Engine, attempt *wire.Attempt, traceparent string, sink Sink) Result {
 	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(request)
 	defer fasthttp.ReleaseResponse(response)
 	runner.fill(request, target, attempt)
+	if traceparent != "" {
+		request.Header.Set("Traceparent", traceparent)
+	}
 	stop := context.AfterFunc(ctx, func() { runner.cancel(target, attempt) })
 	defer stop()
 	if err := runner.client.Do(request, response); err != nil {
@@ -87,9 +105,6 @@
 	request.Header.SetMethod(attempt.GetMethod())
 	request.Header.SetContentType(attempt.GetContentType())
 	request.Header.Set("X-Request-Id", ID(attempt.GetRequestId(), attempt.GetAttempt()))
-	if attempt.GetTraceparent() != "" {
-		request.Header.Set("Traceparent", attempt.GetTraceparent())
-	}
 	if _, ok := target.(Model); ok {
 		request.Header.Set("X-Priority", strconv.Itoa(int(attempt.GetPriority())))
 		request.Header.Set("X-Resume-From", strconv.FormatUint(attempt.GetSkipEvents(), 10))
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -9,6 +9,7 @@
 	"slices"
 	"sync/atomic"
 
+	"github.com/cockroachdb/errors"
 	"github.com/sourcegraph/conc"
 
 	"github.com/hibiscuslug/hibiscuslug/internal/event"
@@ -17,9 +18,11 @@
 	"github.com/hibiscuslug/hibiscuslug/internal/ledger"
 	"github.com/hibiscuslug/hibiscuslug/internal/link"
 	"github.com/hibiscuslug/hibiscuslug/internal/member"
+	"github.com/hibiscuslug/hibiscuslug/internal/meter"
 	"github.com/hibiscuslug/hibiscuslug/internal/opts"
 	"github.com/hibiscuslug/hibiscuslug/internal/place"
 	"github.com/hibiscuslug/hibiscuslug/internal/route"
+	"github.com/hibiscuslug/hibiscuslug/internal/span"
 	"github.com/hibiscuslug/hibiscuslug/pkg/clock"
 	"github.com/hibiscuslug/hibiscuslug/pkg/wire"
 )
@@ -45,22 +48,26 @@
 	log         *event.Log
 	view        *feed.View
 	pool        *link.Pool
-	server      *link.Server
-	members     *member.Table
-	fleet       *engines
-	ledger      *ledger.Ledger
-	front       *front.Front
-	flights     *flights
-	leaving     atomic.Bool
-	loops       conc.WaitGroup
-	cancel      context.CancelFunc
+	// relays carries requests; control traffic keeps to pool, so that it can be counted.
+	relays  *link.Pool
+	tracer  *span.Tracer
+	meter   *meter.Meter
+	server  *link.Server
+	members *member.Table
+	fleet   *engines
+	ledger  *ledger.Ledger
+	front   *front.Front
+	flights *flights
+	leaving atomic.Bool
+	loops   conc.WaitGroup
+	cancel  context.CancelFunc
 }
 
 // New starts an entry process.
 func New(settings Settings, ticker *clock.Clock, log *event.Log) (*Entry, error) {
 	entry := &Entry{
 		settings: settings, incarnation: member.NewIncarnation(ticker.Now()), clock: ticker, log: log, view: feed.NewView(ticker),
-		pool: link.NewPool(), members: member.NewTable(), ledger: ledger.New(keptRequests),
+		pool: link.NewPool(), relays: link.NewPool(), members: member.NewTable(), ledger: ledger.New(keptRequests),
 	}
 	entry.fleet = newEngines(entry.members, entry.view, ticker)
 	server, err := link.Listen(settings.Node.Listen)
@@ -73,8 +80,14 @@
 	}
 	placer := place.New(settings.Node.Zone, rand.IntN)
 	router := route.New(route.Settings{Node: settings.Node.Name, SilenceLimit: settings.Entry.SilenceLimit},
-		entry.pool, placer, entry.fleet, entry.ledger, ticker, log)
-	entry.flights = newFlights(router)
+		entry.relays, placer, entry.fleet, entry.ledger, ticker, log)
+	if entry.tracer, err = span.New(settings.Node, "entry"); err != nil {
+		return nil, err
+	}
+	entry.flights = newFlights(router, entry.ledger, entry.tracer)
+	if err := entry.measure(); err != nil {
+		return nil, err
+	}
 	entry.front, err = front.New(settings.Entry, entry.view, entry.flights, entry.ledger, ticker, entry.newID)
 	if err != nil {
 		return nil, err
@@ -152,6 +165,7 @@
 		for _, gone := range entry.members.Expire(entry.clock.Now()) {
 			entry.log.Write(event.EndpointExpired, "gone", gone.GetNode(), "role", gone.GetRole())
 			entry.pool.Discard(gone.GetAddress())
+			entry.relays.Discard(gone.GetAddress())
 		}
 	}
 }
@@ -169,5 +183,5 @@
 		return err
 	}
 	entry.log.Write(event.Stopped)
-	return entry.pool.Close()
+	return errors.Join(entry.pool.Close(), entry.relays.Close(), entry.meter.Close(), entry.tracer.Close())
 }
--- a/internal/entry/explain.go
+++ b/internal/entry/explain.go
@@ -69,7 +69,7 @@
 	if endpoint, ok := entry.members.Node(attempt.Endpoint); ok {
 		ctx, cancel := context.WithTimeout(ctx, askLimit)
 		defer cancel()
-		reply, err := wire.NewDRPCRelayClient(entry.pool.Conn(ctx, endpoint.GetAddress())).Ask(ctx, &wire.AskRequest{
+		reply, err := wire.NewDRPCRelayClient(entry.relays.Conn(ctx, endpoint.GetAddress())).Ask(ctx, &wire.AskRequest{
 			RequestId: known.Call.ID, Attempt: attempt.Number, Incarnation: endpoint.GetIncarnation(),
 		})
 		if err == nil {
--- a/internal/entry/flights.go
+++ b/internal/entry/flights.go
@@ -8,7 +8,11 @@
 
 	"github.com/hibiscuslug/hibiscuslug/internal/call"
 	"github.com/hibiscuslug/hibiscuslug/internal/front"
+	"github.com/hibiscuslug/hibiscuslug/internal/ledger"
+	"github.com/hibiscuslug/hibiscuslug/internal/meter"
 	"github.com/hibiscuslug/hibiscuslug/internal/route"
+	"github.com/hibiscuslug/hibiscuslug/internal/rows"
+	"github.com/hibiscuslug/hibiscuslug/internal/span"
 )
 
 var errCanceled = errors.New("canceled by an operator")
@@ -17,6 +21,10 @@
 // can cancel them.
 type flights struct {
 	router front.Router
+	ledger *ledger.Ledger
+	tracer *span.Tracer
+	// requests and attempts are set before the first request.
+	requests, attempts *meter.Counter
 
 	// mu guards running. It is a leaf lock.
 	mu      sync.Mutex
@@ -28,8 +36,8 @@
 	done   chan struct{}
 }
 
-func newFlights(router front.Router) *flights {
-	return &flights{router: router, running: map[string]flight{}}
+func newFlights(router front.Router, book *ledger.Ledger, tracer *span.Tracer) *flights {
+	return &flights{router: router, ledger: book, tracer: tracer, running: map[string]flight{}}
 }
 
 // Do runs a call until it ends or is canceled.
@@ -46,7 +54,35 @@
 		flights.mu.Unlock()
 		close(current.done)
 	}()
-	return flights.router.Do(ctx, request, sink)
+	hop := flights.tracer.Root(request.Traceparent, "request", span.Text("request", request.ID),
+		span.Text("customer", request.Customer.GetName()), span.Text("tier", rows.Word(request.Tier)))
+	request.Traceparent = hop.Traceparent(request.Traceparent)
+	result := flights.router.Do(span.Into(ctx, flights.tracer), request, sink)
+	flights.account(request, result)
+	hop.End(front.OutcomeName(result.Outcome), result.Err)
+	return result
+}
+
+// account counts a request that ended, with its attempts, and records its wait.
+func (flights *flights) account(request call.Call, result route.Result) {
+	flights.requests.Add(rows.Word(request.Tier) + "." + front.OutcomeName(result.Outcome))
+	known, ok := flights.ledger.Find(request.ID)
+	if !ok {
+		return
+	}
+	for _, attempt := range known.Attempts {
+		flights.attempts.Add(front.OutcomeName(attempt.Outcome))
+	}
+	if len(known.Attempts) > 0 {
+		flights.tracer.Record(request.Traceparent, "wait", request.Arrived, known.Attempts[0].Started)
+	}
+}
+
+// count returns the number of requests in flight.
+func (flights *flights) count() int {
+	flights.mu.Lock()
+	defer flights.mu.Unlock()
+	return len(flights.running)
 }
 
 // cancel stops a request and returns a channel that is closed at its end, or
--- a/internal/route/router.go
+++ b/internal/route/router.go
@@ -15,6 +15,7 @@
 	"github.com/hibiscuslug/hibiscuslug/internal/ledger"
 	"github.com/hibiscuslug/hibiscuslug/internal/link"
 	"github.com/hibiscuslug/hibiscuslug/internal/place"
+	"github.com/hibiscuslug/hibiscuslug/internal/span"
 	"github.com/hibiscuslug/hibiscuslug/pkg/clock"
 	"github.com/hibiscuslug/hibiscuslug/pkg/wire"
 )
@@ -120,10 +121,14 @@
 		Number: number, Endpoint: candidate.Endpoint, Engine: candidate.Engine.GetName(),
 		Reason: choice.Reason, Started: router.clock.Now(),
 	})
+	hop := span.From(ctx).Start(request.Traceparent, "attempt", span.Number("attempt", number),
+		span.Text("endpoint", candidate.Endpoint), span.Text("engine", candidate.Engine.GetName()))
+	request.Traceparent = hop.Traceparent(request.Traceparent)
 	router.source.Begin(candidate)
 	exchange := &exchange{router: router, candidate: candidate, message: router.message(request, number, candidate, delivery), delivery: delivery}
 	result := exchange.run(ctx)
 	router.source.End(candidate, exchange.load)
+	hop.End(result.Outcome.String(), result.Err)
 	reason := ""
 	if result.Err != nil {
 		reason = result.Err.Error()
--- a/internal/span/span.go
+++ b/internal/span/span.go
@@ -20,6 +20,7 @@
 	api "go.opentelemetry.io/otel/trace"
 
 	"github.com/hibiscuslug/hibiscuslug/internal/opts"
+	"github.com/hibiscuslug/hibiscuslug/pkg/clock"
 )
 
 const (
@@ -94,7 +95,7 @@
 		sampled := decided.Decision == trace.RecordAndSample
 		ctx = api.ContextWithRemoteSpanContext(ctx, parent.WithTraceFlags(parent.TraceFlags().WithSampled(sampled)))
 	}
-	_, begun := tracer.tracer.Start(ctx, name, api.WithAttributes(attributes...), api.WithSpanKind(api.SpanKindServer))
+	_, begun := tracer.tracer.Start(ctx, name, copied(attributes), api.WithSpanKind(api.SpanKindServer))
 	return &Hop{span: begun}
 }
 
@@ -103,10 +104,15 @@
 	if tracer == nil || traceparent == "" {
 		return nil
 	}
-	_, begun := tracer.tracer.Start(extract(traceparent), name, api.WithAttributes(attributes...))
+	_, begun := tracer.tracer.Start(extract(traceparent), name, copied(attributes))
 	return &Hop{span: begun}
 }
 
+// copied keeps the callers' attributes off the heap when tracing is off.
+func copied(attributes []attribute.KeyValue) api.SpanStartEventOption {
+	return api.WithAttributes(append([]attribute.KeyValue(nil), attributes...)...)
+}
+
 func extract(traceparent string) context.Context {
 	carrier := propagation.MapCarrier{header: traceparent}
 	return propagation.TraceContext{}.Extract(context.Background(), carrier)
@@ -156,3 +162,28 @@
 	}
 	return err
 }
+
+type tracerKey struct{}
+
+// Into returns a context that carries a tracer; without one it is unchanged.
+func Into(ctx context.Context, tracer *Tracer) context.Context {
+	if tracer == nil {
+		return ctx
+	}
+	return context.WithValue(ctx, tracerKey{}, tracer)
+}
+
+// From returns the tracer that a context carries, or nil.
+func From(ctx context.Context) *Tracer {
+	tracer, _ := ctx.Value(tracerKey{}).(*Tracer)
+	return tracer
+}
+
+// Record records a hop that has already ended.
+func (tracer *Tracer) Record(traceparent, name string, start, end clock.Millis) {
+	if tracer == nil || traceparent == "" {
+		return
+	}
+	_, begun := tracer.tracer.Start(extract(traceparent), name, api.WithTimestamp(time.UnixMilli(int64(start))))
+	begun.End(api.WithTimestamp(time.UnixMilli(int64(end))))
+}
