Measure changes in force, drains and the cost of control

Cause: config.*, drain.lastNewWork and control.* had no suite. Change: bench/operate starts three control VMs, 18 entry VMs and 15 endpoint processes, waits for revisions at /debug/revision, and reads CPU, memory and control bytes of the entry VMs.

--- a/cmd/hibbench/main.go
+++ b/cmd/hibbench/main.go
@@ -13,6 +13,7 @@
 	"github.com/hibiscuslug/hibiscuslug/bench/control"
 	"github.com/hibiscuslug/hibiscuslug/bench/expert"
 	"github.com/hibiscuslug/hibiscuslug/bench/models"
+	"github.com/hibiscuslug/hibiscuslug/bench/operate"
 	"github.com/hibiscuslug/hibiscuslug/bench/place"
 	"github.com/hibiscuslug/hibiscuslug/internal/figure"
 )
@@ -34,6 +35,7 @@
 	{"place", place.Run},
 	{"expert", expert.Run},
 	{"models", models.Run},
+	{"operate", operate.Run},
 }
 
 func revision() string {
