--- a/cmd/hibbench/main.go
+++ b/cmd/hibbench/main.go
@@ -14,6 +14,7 @@
 	"github.com/hibiscuslug/hibiscuslug/bench/expert"
 	"github.com/hibiscuslug/hibiscuslug/bench/models"
 	"github.com/hibiscuslug/hibiscuslug/bench/place"
+	"github.com/hibiscuslug/hibiscuslug/bench/scale"
 	"github.com/hibiscuslug/hibiscuslug/internal/figure"
 )
 
@@ -34,6 +35,7 @@
 	{"place", place.Run},
 	{"expert", expert.Run},
 	{"models", models.Run},
+	{"scale", scale.Run},
 }
 
 func revision() string {
--- a/internal/procs/fleet.go
+++ b/internal/procs/fleet.go
@@ -128,3 +128,6 @@
 	process.done <- <-process.done
 	return nil
 }
+
+// PID returns the process id.
+func (process *Process) PID() int { return process.command.Process.Pid }
