bench: restart all entry VMs at once under load

Cause: after a storm of restarts entry VMs know no endpoint and no configuration; nothing measured what callers get.

--- a/cmd/hibbench/main.go
+++ b/cmd/hibbench/main.go
@@ -15,6 +15,7 @@
 	"github.com/hibiscuslug/hibiscuslug/bench/models"
 	"github.com/hibiscuslug/hibiscuslug/bench/place"
 	"github.com/hibiscuslug/hibiscuslug/bench/scale"
+	"github.com/hibiscuslug/hibiscuslug/bench/storm"
 	"github.com/hibiscuslug/hibiscuslug/internal/figure"
 )
 
@@ -36,6 +37,7 @@
 	{"expert", expert.Run},
 	{"models", models.Run},
 	{"scale", scale.Run},
+	{"storm", storm.Run},
 }
 
 func revision() string {
