--- a/cmd/hibbench/main.go
+++ b/cmd/hibbench/main.go
@@ -14,6 +14,8 @@
 	"github.com/hibiscuslug/hibiscuslug/bench/expert"
 	"github.com/hibiscuslug/hibiscuslug/bench/models"
 	"github.com/hibiscuslug/hibiscuslug/bench/place"
+	"github.com/hibiscuslug/hibiscuslug/bench/scale"
+	"github.com/hibiscuslug/hibiscuslug/bench/storm"
 	"github.com/hibiscuslug/hibiscuslug/internal/figure"
 )
 
@@ -34,6 +36,8 @@
 	{"place", place.Run},
 	{"expert", expert.Run},
 	{"models", models.Run},
+	{"scale", scale.Run},
+	{"storm", storm.Run},
 }
 
 func revision() string {
