--- /dev/null
+++ b/internal/claim/table_test.go
@@ -0,0 +1,186 @@
+package claim_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"strings"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/hibiscuslug/hibiscuslug/internal/claim"
+	"github.com/hibiscuslug/hibiscuslug/pkg/wire"
+)
+
+func TestClaim(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "Claim")
+}
+
+// step is one line of a script with what its sender must see.
+type step struct {
+	Op          string `json:"op"`
+	By          string `json:"by"`
+	Customer    string `json:"customer"`
+	Key         string `json:"key"`
+	Hash        string `json:"hash"`
+	Replaces    string `json:"replaces"`
+	Incarnation uint64 `json:"incarnation"`
+	Outcome     string `json:"outcome"`
+	Body        string `json:"body"`
+	Size        int    `json:"size"`
+	At          int64  `json:"at"`
+	Want        string `json:"want"`
+	Holder      string `json:"holder"`
+	Answer      string `json:"answer"`
+	Omitted     bool   `json:"omitted"`
+}
+
+type script struct {
+	Name  string `json:"name"`
+	Steps []step `json:"steps"`
+}
+
+func or(text, standard string) string {
+	if text == "" {
+		return standard
+	}
+	return text
+}
+
+// attempt reads "r1.2" as attempt 2 of request r1.
+func attempt(text string) (string, uint32) {
+	id, digits, _ := strings.Cut(text, ".")
+	var number uint32
+	_, _ = fmt.Sscan(digits, &number)
+	return id, number
+}
+
+func (step step) message() *wire.ClaimOp {
+	op := &wire.ClaimOp{
+		Customer: or(step.Customer, "agency"), Key: or(step.Key, "k"), BodyHash: []byte(or(step.Hash, "hash")),
+		Incarnation: max(step.Incarnation, 1), Endpoint: "endpoint1", EndpointAddress: "127.0.0.1:1", At: step.At,
+		Lookup: step.Op == "lookup", Release: step.Op == "release",
+	}
+	op.RequestId, op.Attempt = attempt(step.By)
+	op.ReplacesRequestId, op.ReplacesAttempt = attempt(step.Replaces)
+	if step.Op == "settle" {
+		body := []byte(step.Body)
+		if step.Size > 0 {
+			body = make([]byte, step.Size)
+		}
+		op.Answer = &wire.ClaimAnswer{Outcome: wire.Outcome(wire.Outcome_value["OUTCOME_"+step.Outcome]), Status: 200, Body: body}
+	}
+	return op
+}
+
+func id(op *wire.ClaimOp) string { return fmt.Sprintf("%s.%d", op.GetRequestId(), op.GetAttempt()) }
+
+// Guards against a second run of finished, running, lost or released work.
+var _ = Describe("claim table", func() {
+	text, err := os.ReadFile("testdata/claims.json")
+	if err != nil {
+		panic(err)
+	}
+	var scripts []script
+	if err := json.Unmarshal(text, &scripts); err != nil {
+		panic(err)
+	}
+	for _, script := range scripts {
+		It(script.Name, func() {
+			table := claim.NewTable()
+			for number, step := range script.Steps {
+				reply := table.Apply(step.message())
+				line := fmt.Sprintf("step %d: %+v", number+1, step)
+				Expect(reply.GetState().String()).To(Equal("CLAIM_STATE_"+step.Want), line)
+				if step.Holder != "" {
+					Expect(id(reply.GetHolder())).To(Equal(step.Holder), line)
+				}
+				if step.Answer != "" {
+					Expect(string(reply.GetAnswer().GetBody())).To(Equal(step.Answer), line)
+				}
+				Expect(reply.GetAnswer().GetBodyOmitted()).To(Equal(step.Omitted), line)
+				table = claim.Restore(table.Snapshot())
+			}
+		})
+	}
+})
+
+// Guards against replicas that differ after a snapshot, and against two
+// outcomes or two unfenced holders for one key, under duplicated, late and
+// reordered steps.
+var _ = It("agrees with a replica and keeps its promises under random steps", func() {
+	for seed := range uint64(200) {
+		random := rand.New(rand.NewPCG(seed, 1))
+		table, replica := claim.NewTable(), claim.NewTable()
+		model := history{fenced: map[string]bool{}, holders: map[string]string{}, outcomes: map[string]string{}}
+		var sent []*wire.ClaimOp
+		for number := range 300 {
+			op := model.draw(random, int64(number))
+			if len(sent) > 0 && random.IntN(3) == 0 {
+				op = sent[random.IntN(len(sent))]
+			}
+			sent = append(sent, op)
+			line := fmt.Sprintf("seed %d step %d: %v", seed, number, op)
+			reply := table.Apply(op)
+			Expect(replica.Apply(op).String()).To(Equal(reply.String()), line)
+			Expect(model.check(op, reply)).To(Succeed(), line)
+			if random.IntN(20) == 0 {
+				replica = claim.Restore(table.Snapshot())
+			}
+		}
+	}
+})
+
+// history is the plain model: who holds each key, what was fenced, how it ended.
+type history struct {
+	fenced   map[string]bool
+	holders  map[string]string
+	outcomes map[string]string
+}
+
+func (model *history) draw(random *rand.Rand, at int64) *wire.ClaimOp {
+	op := step{
+		Op: []string{"claim", "claim", "settle", "release", "lookup"}[random.IntN(5)], Key: fmt.Sprint(random.IntN(3)),
+		By: fmt.Sprintf("r%d.%d", random.IntN(4), 1+random.IntN(3)), Outcome: []string{"OK", "UNKNOWN"}[random.IntN(2)],
+		Body: fmt.Sprint(at), At: at,
+	}
+	// Only a fenced holder is replaced or released, as entry VMs do.
+	if holder, ok := model.holders[op.Key]; ok && random.IntN(2) == 0 {
+		model.fenced[op.Key+holder] = true
+		op.Replaces = holder
+	}
+	if op.Op == "release" {
+		model.fenced[op.Key+op.By] = true
+	}
+	return op.message()
+}
+
+func (model *history) check(op *wire.ClaimOp, reply *wire.ClaimReply) error {
+	held, running := model.holders[op.GetKey()]
+	switch reply.GetState() {
+	case wire.ClaimState_CLAIM_STATE_GRANTED:
+		if _, ended := model.outcomes[op.GetKey()]; ended {
+			return fmt.Errorf("granted after an outcome")
+		}
+		if running && held != id(op) && !model.fenced[op.GetKey()+held] {
+			return fmt.Errorf("granted while %s may run", held)
+		}
+		model.holders[op.GetKey()] = id(op)
+	case wire.ClaimState_CLAIM_STATE_DONE, wire.ClaimState_CLAIM_STATE_UNKNOWN:
+		outcome := reply.GetAnswer().String()
+		if first, ended := model.outcomes[op.GetKey()]; ended && first != outcome {
+			return fmt.Errorf("outcome changed from %s", first)
+		}
+		model.outcomes[op.GetKey()] = outcome
+		if !bytes.Equal(op.GetBodyHash(), reply.GetHolder().GetBodyHash()) {
+			return fmt.Errorf("answer of another body")
+		}
+	default:
+	}
+	return nil
+}
