Remember non-idempotent attempts for the life of an endpoint process

Change: swept ids that must not start again are kept as 64-bit hashes, a refused copy attaches to what an earlier copy started, running non-idempotent work is never cancelled, and its answer is kept 10 min when no entry VM took it. Ask names the answering node. Conclusion: an attempt id starts work at most once for each incarnation.

--- a/internal/endpt/attempt.go
+++ b/internal/endpt/attempt.go
@@ -27,6 +27,8 @@
 	cancel    context.CancelFunc
 	started   clock.Millis
 	produced  uint64
+	// delivered is set once the last answer went out on a stream.
+	delivered bool
 }
 
 func newAttempt(request *wire.Attempt, ticker *clock.Clock) *attempt {
@@ -138,15 +140,30 @@
 	run.idleSince = run.clock.Now()
 }
 
-// abandoned tells whether nobody has been attached since an instant.
-func (run *attempt) abandoned(since clock.Millis) bool {
+// due returns the state, and whether nobody has been attached for so long
+// that the attempt may be swept.
+func (run *attempt) due(now clock.Millis) (wire.AttemptState, bool) {
 	run.mu.Lock()
 	defer run.mu.Unlock()
-	return run.attached == 0 && run.idleSince < since
+	kept := keepAnswers
+	if run.state == wire.AttemptState_ATTEMPT_STATE_FINISHED && !run.request.GetIdempotent() && !run.delivered {
+		kept = keepUndelivered
+	}
+	return run.state, run.attached == 0 && run.idleSince+kept < now
 }
 
-// stop cancels a running attempt.
+func (run *attempt) deliver() {
+	run.mu.Lock()
+	defer run.mu.Unlock()
+	run.delivered = true
+}
+
+// stop cancels a running attempt. Non-idempotent work goes on: its outcome is
+// wanted by whoever sends the request again.
 func (run *attempt) stop() {
+	if !run.request.GetIdempotent() {
+		return
+	}
 	run.mu.Lock()
 	cancel := run.cancel
 	run.mu.Unlock()
--- a/internal/endpt/relay.go
+++ b/internal/endpt/relay.go
@@ -22,9 +22,7 @@
 // to the attempt that is there.
 func (endpoint *Endpoint) Run(request *wire.Attempt, stream wire.DRPCRelay_RunStream) error {
 	if err := endpoint.accepts(request); err != nil {
-		// The fence keeps a delayed copy of the message from starting the attempt.
-		endpoint.table.fence(request.GetRequestId(), request.GetAttempt(), endpoint.clock)
-		return stream.Send(notRun(request, err))
+		return endpoint.refuse(request, err, stream)
 	}
 	run, added := endpoint.table.admit(newAttempt(request, endpoint.clock))
 	if added {
@@ -33,6 +31,16 @@
 	return endpoint.stream(stream.Context(), run, 0, stream.Send)
 }
 
+// refuse fences the attempt, so that a delayed copy of the message does not
+// start it. An attempt that an earlier copy started is not refused any more.
+func (endpoint *Endpoint) refuse(request *wire.Attempt, reason error, stream wire.DRPCRelay_RunStream) error {
+	run := endpoint.table.fence(request.GetRequestId(), request.GetAttempt(), endpoint.clock)
+	if state, _ := run.known(); state != wire.AttemptState_ATTEMPT_STATE_FENCED {
+		return endpoint.stream(stream.Context(), run, 0, stream.Send)
+	}
+	return stream.Send(notRun(request, reason))
+}
+
 func (endpoint *Endpoint) accepts(request *wire.Attempt) error {
 	if request.GetIncarnation() != endpoint.incarnation {
 		return errIncarnation
@@ -56,7 +64,7 @@
 
 // Resume streams an attempt's answers again, from a sequence number on.
 func (endpoint *Endpoint) Resume(request *wire.ResumeRequest, stream wire.DRPCRelay_ResumeStream) error {
-	run, ok := endpoint.table.find(request.GetRequestId(), request.GetAttempt())
+	run, ok := endpoint.table.find(request.GetRequestId(), request.GetAttempt(), endpoint.clock)
 	if !ok || request.GetIncarnation() != endpoint.incarnation {
 		return errors.Newf("attempt %d of request %s is not known", request.GetAttempt(), request.GetRequestId())
 	}
@@ -73,6 +81,7 @@
 				return err
 			}
 			if answer.GetKind() == wire.AnswerKind_ANSWER_KIND_END {
+				run.deliver()
 				return nil
 			}
 		}
@@ -111,11 +120,11 @@
 // Ask tells what is known of an attempt and fences it on request.
 func (endpoint *Endpoint) Ask(_ context.Context, request *wire.AskRequest) (*wire.AskReply, error) {
 	if request.GetIncarnation() != endpoint.incarnation {
-		return &wire.AskReply{State: wire.AttemptState_ATTEMPT_STATE_OTHER_INCARNATION}, nil
+		return &wire.AskReply{State: wire.AttemptState_ATTEMPT_STATE_OTHER_INCARNATION, Node: endpoint.settings.Node.Name}, nil
 	}
-	run, ok := endpoint.table.find(request.GetRequestId(), request.GetAttempt())
+	run, ok := endpoint.table.find(request.GetRequestId(), request.GetAttempt(), endpoint.clock)
 	if !ok && !request.GetFence() {
-		return &wire.AskReply{State: wire.AttemptState_ATTEMPT_STATE_NEVER_SEEN}, nil
+		return &wire.AskReply{State: wire.AttemptState_ATTEMPT_STATE_NEVER_SEEN, Node: endpoint.settings.Node.Name}, nil
 	}
 	if !ok {
 		run = endpoint.table.fence(request.GetRequestId(), request.GetAttempt(), endpoint.clock)
@@ -124,12 +133,13 @@
 		endpoint.withdraw(run)
 	}
 	state, next := run.known()
-	return &wire.AskReply{State: state, NextSequence: next}, nil
+	return &wire.AskReply{State: state, NextSequence: next, Node: endpoint.settings.Node.Name}, nil
 }
 
-// Cancel fences a queued attempt and stops a running one.
+// Cancel fences a queued attempt and stops a running one, unless its work may
+// not be repeated.
 func (endpoint *Endpoint) Cancel(_ context.Context, request *wire.CancelRequest) (*wire.CancelReply, error) {
-	run, ok := endpoint.table.find(request.GetRequestId(), request.GetAttempt())
+	run, ok := endpoint.table.find(request.GetRequestId(), request.GetAttempt(), endpoint.clock)
 	if !ok {
 		return &wire.CancelReply{State: wire.AttemptState_ATTEMPT_STATE_NEVER_SEEN}, nil
 	}
--- a/internal/endpt/table.go
+++ b/internal/endpt/table.go
@@ -3,6 +3,7 @@
 import (
 	"sync"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 
 	"github.com/hibiscuslug/hibiscuslug/internal/engine"
@@ -10,20 +11,34 @@
 	"github.com/hibiscuslug/hibiscuslug/pkg/wire"
 )
 
-// keepAnswers is how long a finished or abandoned attempt can be attached to again.
-const keepAnswers = 30 * clock.Second
+const (
+	// keepAnswers is how long a finished or abandoned attempt can be attached to again.
+	keepAnswers = 30 * clock.Second
+	// keepUndelivered is how long the answer of non-idempotent work is kept
+	// when no entry VM has taken it yet: a resend is its only way to the caller.
+	keepUndelivered = 10 * clock.Minute
+)
 
-var errFenced = errors.New("attempt was fenced before it started")
+var (
+	errFenced = errors.New("attempt was fenced before it started")
+	errSwept  = errors.New("attempt has run earlier and its answer is no longer kept")
+)
 
-// table holds every attempt id that this incarnation has seen or fenced.
+// table holds the attempts that this incarnation has seen or fenced. Of those
+// that must never start again it remembers the hash of the id for as long as
+// the process lives, about 20 bytes each. Two ids with the same 64-bit hash
+// would cost the second one its run, never run one twice.
 type table struct {
-	// mu guards attempts. Lock order: table before lane before attempt.
+	// mu guards the fields below. Lock order: table before lane before attempt.
 	mu       sync.Mutex
 	attempts map[string]*attempt
+	// ran and fenced hold hashes of ids whose attempts were swept.
+	ran    map[uint64]struct{}
+	fenced map[uint64]struct{}
 }
 
 func newTable() *table {
-	return &table{attempts: map[string]*attempt{}}
+	return &table{attempts: map[string]*attempt{}, ran: map[uint64]struct{}{}, fenced: map[uint64]struct{}{}}
 }
 
 // admit adds an attempt, or returns the one with the same id and false.
@@ -31,21 +46,39 @@
 	id := engine.ID(run.request.GetRequestId(), run.request.GetAttempt())
 	table.mu.Lock()
 	defer table.mu.Unlock()
-	if old, ok := table.attempts[id]; ok {
+	if old, ok := table.findLocked(id, run); ok {
 		return old, false
 	}
 	table.attempts[id] = run
 	return run, true
 }
 
-func (table *table) find(requestID string, number uint32) (*attempt, bool) {
+func (table *table) find(requestID string, number uint32, ticker *clock.Clock) (*attempt, bool) {
+	run := newAttempt(&wire.Attempt{RequestId: requestID, Attempt: number}, ticker)
 	table.mu.Lock()
 	defer table.mu.Unlock()
-	run, ok := table.attempts[engine.ID(requestID, number)]
-	return run, ok
+	return table.findLocked(engine.ID(requestID, number), run)
 }
 
-// fence refuses an attempt that was never seen.
+// findLocked returns an attempt. One that was swept is made again from what
+// is remembered of it, in the value given.
+func (table *table) findLocked(id string, blank *attempt) (*attempt, bool) {
+	if run, ok := table.attempts[id]; ok {
+		return run, true
+	}
+	hash := xxhash.Sum64String(id)
+	if _, ok := table.ran[hash]; ok {
+		blank.finish(engine.Result{Outcome: wire.Outcome_OUTCOME_UNKNOWN, Err: errSwept}, nil)
+		return blank, true
+	}
+	if _, ok := table.fenced[hash]; ok {
+		blank.fence()
+		return blank, true
+	}
+	return nil, false
+}
+
+// fence refuses an attempt that was never seen, and returns the one that was.
 func (table *table) fence(requestID string, number uint32, ticker *clock.Clock) *attempt {
 	run := newAttempt(&wire.Attempt{RequestId: requestID, Attempt: number}, ticker)
 	run.fence()
@@ -60,16 +93,21 @@
 	defer table.mu.Unlock()
 	var abandoned []*attempt
 	for id, run := range table.attempts {
-		if !run.abandoned(now - keepAnswers) {
+		state, due := run.due(now)
+		if !due {
 			continue
 		}
-		switch state, _ := run.known(); state {
+		switch state {
 		case wire.AttemptState_ATTEMPT_STATE_FINISHED:
+			if !run.request.GetIdempotent() {
+				table.ran[xxhash.Sum64String(id)] = struct{}{}
+			}
+			delete(table.attempts, id)
+		case wire.AttemptState_ATTEMPT_STATE_FENCED:
+			table.fenced[xxhash.Sum64String(id)] = struct{}{}
 			delete(table.attempts, id)
-		case wire.AttemptState_ATTEMPT_STATE_QUEUED, wire.AttemptState_ATTEMPT_STATE_RUNNING:
-			abandoned = append(abandoned, run)
 		default:
-			// A fence stays for the life of the incarnation.
+			abandoned = append(abandoned, run)
 		}
 	}
 	return abandoned
--- a/internal/fake/desk.go
+++ b/internal/fake/desk.go
@@ -18,9 +18,10 @@
 	app      *fiber.App
 	running  conc.WaitGroup
 
-	// mu guards booked.
+	// mu guards the fields below.
 	mu     sync.Mutex
 	booked map[string]int
+	hold   <-chan struct{}
 }
 
 // NewDesk starts a fake order desk that takes a while for each booking.
@@ -52,6 +53,13 @@
 	return booked
 }
 
+// Hold keeps bookings running until a channel is closed.
+func (desk *Desk) Hold(gate <-chan struct{}) {
+	desk.mu.Lock()
+	defer desk.mu.Unlock()
+	desk.hold = gate
+}
+
 // Close stops the desk.
 func (desk *Desk) Close() error {
 	err := desk.app.ShutdownWithTimeout(time.Second)
@@ -63,8 +71,11 @@
 	body := string(ctx.Body())
 	desk.mu.Lock()
 	desk.booked[body]++
-	count := desk.booked[body]
+	count, hold := desk.booked[body], desk.hold
 	desk.mu.Unlock()
 	time.Sleep(desk.delay)
+	if hold != nil {
+		<-hold
+	}
 	return ctx.JSON(fiber.Map{"booked": body, "count": count})
 }
