Answer claim steps that change nothing without a log record

Cause: every poll and resend of a held key would cost a synced record. Change: Table.Peek returns the result of a step that would change nothing. Conclusion: a leader may answer such steps under its lease.

--- a/internal/claim/table.go
+++ b/internal/claim/table.go
@@ -85,6 +85,23 @@
 	return reply(held)
 }
 
+// Peek returns the result of a step that would change nothing, so that a
+// leader can answer it without a record in the log.
+func (table *Table) Peek(op *wire.ClaimOp) (*wire.ClaimReply, bool) {
+	held, ok := table.claims[keyOf(op)]
+	switch {
+	case op.GetLookup():
+		return table.Lookup(op), true
+	case !ok || held.GetRelease():
+		return nil, false
+	case held.GetAnswer() != nil:
+		return table.Lookup(op), true
+	case op.GetAnswer() != nil || op.GetRelease() || replaces(held, op):
+		return nil, false
+	}
+	return table.Lookup(op), !same(held, op)
+}
+
 // grant makes the step's attempt the holder. A repeated step is granted again
 // with the holder's first endpoint, so that one attempt never runs at two.
 func (table *Table) grant(op *wire.ClaimOp) *wire.ClaimReply {
--- a/internal/claim/table_test.go
+++ b/internal/claim/table_test.go
@@ -126,7 +126,11 @@
 			}
 			sent = append(sent, op)
 			line := fmt.Sprintf("seed %d step %d: %v", seed, number, op)
+			peeked, unchanged := table.Peek(op)
 			reply := table.Apply(op)
+			if unchanged {
+				Expect(peeked.GetState()).To(Equal(reply.GetState()), line)
+			}
 			Expect(replica.Apply(op).String()).To(Equal(reply.String()), line)
 			Expect(model.check(op, reply)).To(Succeed(), line)
 			if random.IntN(20) == 0 {
