Run non-idempotent work at most once

Cause: an entry VM sent bookings without a claim, so a resend ran them again. Change: package once claims each attempt before it is sent and records its outcome before the caller hears it; a resend attaches to the running attempt, gets the recorded answer, takes over from a fenced attempt, or hears unknown when the endpoint incarnation is gone.

Measurement: make build; go test -count=1 ./test/once, 11 scripts with kill -9 and SIGSTOP of each role at each step against the desk's counts: pass in 16 s. With the claim switched off, 9 of the 11 fail. go test ./internal/once: pass. Conclusion: a key is booked at most once, and notRun bookings have count 0.

--- a/internal/ctrl/control.go
+++ b/internal/ctrl/control.go
@@ -7,6 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/hibiscuslug/hibiscuslug/internal/claim"
 	"github.com/hibiscuslug/hibiscuslug/internal/event"
 	"github.com/hibiscuslug/hibiscuslug/internal/feed"
 	"github.com/hibiscuslug/hibiscuslug/internal/link"
@@ -35,6 +36,7 @@
 	// before the view's lock.
 	mu      sync.Mutex
 	machine *state.Machine
+	claims  *claim.Table
 	journal *store.Journal
 	index   uint64
 }
@@ -51,7 +53,7 @@
 	}
 	control := &Control{
 		settings: settings, clock: ticker, log: log, view: feed.NewView(ticker),
-		server: server, machine: state.NewMachine(), journal: journal,
+		server: server, machine: state.NewMachine(), claims: claim.NewTable(), journal: journal,
 	}
 	for _, entry := range entries {
 		if err := control.apply(entry); err != nil {
@@ -64,6 +66,9 @@
 	if err := wire.DRPCRegisterOperate(server.Mux(), control); err != nil {
 		return nil, err
 	}
+	if err := wire.DRPCRegisterClaims(server.Mux(), control); err != nil {
+		return nil, err
+	}
 	server.Start()
 	log.Write(event.Started, "role", "control", "address", server.Address())
 	return control, nil
@@ -74,6 +79,10 @@
 
 func (control *Control) apply(entry *wire.Entry) error {
 	control.index = entry.GetIndex()
+	if op := entry.GetClaim(); op != nil {
+		control.claims.Apply(op)
+		return nil
+	}
 	_, numbered := control.machine.Apply(entry.GetChange())
 	if numbered == nil {
 		return nil
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -17,6 +17,7 @@
 	"github.com/hibiscuslug/hibiscuslug/internal/ledger"
 	"github.com/hibiscuslug/hibiscuslug/internal/link"
 	"github.com/hibiscuslug/hibiscuslug/internal/member"
+	"github.com/hibiscuslug/hibiscuslug/internal/once"
 	"github.com/hibiscuslug/hibiscuslug/internal/opts"
 	"github.com/hibiscuslug/hibiscuslug/internal/place"
 	"github.com/hibiscuslug/hibiscuslug/internal/route"
@@ -52,6 +53,7 @@
 	fleet       *engines
 	ledger      *ledger.Ledger
 	front       *front.Front
+	once        *once.Once
 	leaving     atomic.Bool
 	loops       conc.WaitGroup
 	cancel      context.CancelFunc
@@ -75,7 +77,11 @@
 	placer := place.New(settings.Node.Zone, rand.IntN)
 	router := route.New(route.Settings{Node: settings.Node.Name, SilenceLimit: settings.Entry.SilenceLimit},
 		entry.pool, placer, entry.fleet, entry.ledger, ticker, log)
-	entry.front, err = front.New(settings.Entry, entry.view, router, entry.ledger, ticker, entry.newID)
+	entry.once = once.New(once.Settings{
+		Router: router, Claims: once.NewClaims(entry.pool, ticker, settings.Entry.Control), Pool: entry.pool,
+		Endpoints: entry.members.Node, Clock: ticker, Log: log, SilenceLimit: settings.Entry.SilenceLimit,
+	})
+	entry.front, err = front.New(settings.Entry, entry.view, entry.once, entry.ledger, ticker, entry.newID)
 	if err != nil {
 		return nil, err
 	}
@@ -163,6 +169,9 @@
 	if err := entry.front.Close(entry.settings.Node.ShutdownLimit.Duration()); err != nil {
 		entry.log.Write(event.ShutdownLimit, "error", err)
 	}
+	if err := entry.once.Close(); err != nil {
+		return err
+	}
 	entry.cancel()
 	entry.loops.Wait()
 	if err := entry.server.Close(); err != nil {
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -24,6 +24,8 @@
 	ServeFailed        = Event{105, "listener failed"}
 	AttemptFailed      = Event{201, "attempt failed"}
 	AttemptSilent      = Event{202, "connection made no progress"}
+	AnswerNotRecorded  = Event{210, "answer of non-idempotent work could not be recorded in time"}
+	WorkLost           = Event{211, "outcome of non-idempotent work is not known"}
 	EndpointJoined     = Event{301, "endpoint announced itself"}
 	EndpointExpired    = Event{302, "endpoint's announcement expired"}
 	EndpointLeaving    = Event{303, "endpoint is leaving"}
--- a/internal/fake/desk.go
+++ b/internal/fake/desk.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"net"
 	"sync"
 	"time"
@@ -21,6 +22,7 @@
 	// mu guards the fields below.
 	mu     sync.Mutex
 	booked map[string]int
+	served map[string]int
 	hold   <-chan struct{}
 }
 
@@ -31,7 +33,7 @@
 	if err != nil {
 		return nil, err
 	}
-	desk := &Desk{delay: delay, listener: listener, booked: map[string]int{}}
+	desk := &Desk{delay: delay, listener: listener, booked: map[string]int{}, served: map[string]int{}}
 	desk.app = fiber.New(fiber.Config{DisableStartupMessage: true})
 	desk.app.Get("/engine/runs", func(ctx *fiber.Ctx) error { return ctx.JSON(desk.Booked()) })
 	desk.app.All("/*", desk.book)
@@ -46,11 +48,14 @@
 func (desk *Desk) Booked() map[string]int {
 	desk.mu.Lock()
 	defer desk.mu.Unlock()
-	booked := make(map[string]int, len(desk.booked))
-	for body, count := range desk.booked {
-		booked[body] = count
-	}
-	return booked
+	return maps.Clone(desk.booked)
+}
+
+// Served returns how often the answer to each body was given.
+func (desk *Desk) Served() map[string]int {
+	desk.mu.Lock()
+	defer desk.mu.Unlock()
+	return maps.Clone(desk.served)
 }
 
 // Hold keeps bookings running until a channel is closed.
@@ -77,5 +82,8 @@
 	if hold != nil {
 		<-hold
 	}
+	desk.mu.Lock()
+	desk.served[body]++
+	desk.mu.Unlock()
 	return ctx.JSON(fiber.Map{"booked": body, "count": count})
 }
--- a/internal/front/answer.go
+++ b/internal/front/answer.go
@@ -10,6 +10,7 @@
 	"github.com/gofiber/fiber/v2"
 	"github.com/valyala/fasthttp"
 
+	"github.com/hibiscuslug/hibiscuslug/internal/call"
 	"github.com/hibiscuslug/hibiscuslug/internal/route"
 	"github.com/hibiscuslug/hibiscuslug/pkg/wire"
 )
@@ -131,6 +132,10 @@
 }
 
 func statusOf(result route.Result) int {
+	var refusal *call.StatusError
+	if errors.As(result.Err, &refusal) {
+		return refusal.Status
+	}
 	switch result.Outcome {
 	case wire.Outcome_OUTCOME_NOT_RUN:
 		return fasthttp.StatusServiceUnavailable
