Measure the request path and the price of a claim

Cause: the path.* and claim.* figures had no suite. Change: bench/path and bench/claim run separate processes on loopback; the client sends at a steady rate to both targets of a comparison side by side.

--- /dev/null
+++ b/bench/claim/suite.go
@@ -0,0 +1,45 @@
+// Package claim measures what a booking pays for its claim and the record of
+// its answer.
+package claim
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/hibiscuslug/hibiscuslug/bench/small"
+	"github.com/hibiscuslug/hibiscuslug/internal/figure"
+)
+
+const (
+	rate       = 100
+	length     = 10 * time.Second
+	warmLength = 2 * time.Second
+)
+
+// Run measures the suite's figures: bookings and idempotent calls to the same
+// desk, side by side.
+func Run(report *figure.Report) (err error) {
+	fleet, err := small.Start(small.Settings{Kind: "order", Engines: 1})
+	if err != nil {
+		return err
+	}
+	defer func() { err = errors.CombineErrors(err, fleet.Close()) }()
+	booking := small.Target{URL: fleet.Entry.HTTP + "/services/desk/book", Body: "kit ", Keyed: true, Prefix: fmt.Sprintf("warm-%d-", report.Seed)}
+	lookup := small.Target{URL: fleet.Entry.HTTP + "/services/desk/look", Body: "kit"}
+	client := small.NewClient()
+	small.Open(client, rate, warmLength, booking, lookup)
+	booking.Prefix = fmt.Sprintf("run-%d-", report.Seed)
+	times := small.Open(client, rate, length, booking, lookup)
+	if failed := times[0].Failed + times[1].Failed; failed > 0 {
+		return errors.Newf("%d requests failed, the first by: %v", failed, errors.CombineErrors(times[0].Err, times[1].Err))
+	}
+	added := func(percent float64) float64 {
+		return float64((times[0].Percentile(percent) - times[1].Percentile(percent)).Microseconds()) / 1e3
+	}
+	report.Note("claim: a look-up takes p50 %s, p99 %s", times[1].Percentile(50), times[1].Percentile(99))
+	report.Add("claim.addedP50", added(50), "ms")
+	report.Add("claim.addedP99", added(99), "ms")
+	return nil
+}
--- /dev/null
+++ b/bench/small/fleet.go
@@ -0,0 +1,171 @@
+// Package small starts a fleet of one control VM, one entry VM and endpoint
+// processes before fake engines, as separate processes on loopback, and
+// measures latencies through it.
+package small
+
+import (
+	"context"
+	"os"
+	"os/exec"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/valyala/fasthttp"
+
+	"github.com/hibiscuslug/hibiscuslug/internal/procs"
+)
+
+const (
+	readyLimit = 20 * time.Second
+	readyPoll  = 50 * time.Millisecond
+	clientIdle = 4096
+)
+
+// Fleet is a running fleet.
+type Fleet struct {
+	Entry *procs.Process
+	// Engines are the fake engines behind the endpoint processes, one each.
+	Engines []*procs.Process
+	// Control lists the control VMs' addresses.
+	Control []string
+	started []*procs.Process
+	folder  string
+}
+
+// Settings of a fleet.
+type Settings struct {
+	// Kind is model or order.
+	Kind string
+	// Fake are further arguments of each fake engine.
+	Fake    []string
+	Engines int
+	// OneCore gives the entry VM's process one core.
+	OneCore bool
+}
+
+// Start starts a fleet and waits until it serves.
+func Start(settings Settings) (*Fleet, error) {
+	folder, err := os.MkdirTemp("", "hibbench")
+	if err != nil {
+		return nil, err
+	}
+	fleet := &Fleet{folder: folder}
+	if err := fleet.start(settings); err != nil {
+		return nil, errors.CombineErrors(err, fleet.Close())
+	}
+	return fleet, nil
+}
+
+func (fleet *Fleet) start(settings Settings) error {
+	control, err := fleet.run("control1", "hibiscuslug", "control", "--name", "control1", "--zone", "zone1", "--data", fleet.folder)
+	if err != nil {
+		return err
+	}
+	fleet.Control = []string{control.Address}
+	if fleet.Entry, err = fleet.entry(settings.OneCore); err != nil {
+		return err
+	}
+	for at := range settings.Engines {
+		if err := fleet.endpoint(settings, string(rune('1'+at))); err != nil {
+			return err
+		}
+	}
+	for _, command := range []string{
+		"create customer bench tier paid token benchtoken",
+		"create rule booking path /services/desk/book kind order repeat never",
+		"create rule lookup path /services/desk/look kind order",
+	} {
+		if err := fleet.command(command); err != nil {
+			return err
+		}
+	}
+	return fleet.ready(settings.Kind)
+}
+
+func (fleet *Fleet) entry(oneCore bool) (*procs.Process, error) {
+	if oneCore {
+		if err := os.Setenv("GOMAXPROCS", "1"); err != nil {
+			return nil, err
+		}
+		defer func() { _ = os.Unsetenv("GOMAXPROCS") }()
+	}
+	return fleet.run("entry1", "hibiscuslug", "entry", "--name", "entry1", "--zone", "zone1",
+		"--http-listen", "127.0.0.1:0", "--control", fleet.Control[0])
+}
+
+func (fleet *Fleet) endpoint(settings Settings, number string) error {
+	kind, held := "model", "guide-1"
+	if settings.Kind == "order" {
+		kind, held = "desk", "desk"
+	}
+	engine, err := fleet.run("engine"+number, "hibfake", append([]string{"--kind", kind}, settings.Fake...)...)
+	if err != nil {
+		return err
+	}
+	fleet.Engines = append(fleet.Engines, engine)
+	_, err = fleet.run("endpoint"+number, "hibiscuslug", "endpoint", "--name", "endpoint"+number, "--zone", "zone1",
+		"--entry", fleet.Entry.Address, "--slots", "1024",
+		"--engine", settings.Kind+",engine"+number+","+engine.Address+","+held)
+	return err
+}
+
+func (fleet *Fleet) run(name, program string, arguments ...string) (*procs.Process, error) {
+	process, err := procs.Start(name, program, arguments...)
+	if err != nil {
+		return nil, err
+	}
+	fleet.started = append(fleet.started, process)
+	return process, nil
+}
+
+func (fleet *Fleet) command(text string) error {
+	arguments := append([]string{"--address", fleet.Control[0]}, strings.Fields(text)...)
+	deadline := time.Now().Add(readyLimit)
+	for {
+		out, err := exec.CommandContext(context.Background(), procs.Binary("hibctl"), arguments...).CombinedOutput()
+		if err == nil {
+			return nil
+		}
+		if time.Now().After(deadline) {
+			return errors.Newf("hibctl %s: %s", text, out)
+		}
+		time.Sleep(readyPoll)
+	}
+}
+
+// ready waits until the entry VM answers a request of the kind.
+func (fleet *Fleet) ready(kind string) error {
+	target := Target{URL: fleet.Entry.HTTP + "/v1/completions", Body: `{"model":"guide-1","prompt":"x","max_tokens":1}`}
+	if kind == "order" {
+		target = Target{URL: fleet.Entry.HTTP + "/services/desk/look", Body: "warm"}
+	}
+	client := NewClient()
+	deadline := time.Now().Add(readyLimit)
+	for {
+		_, err := client.Once(target, 0)
+		if err == nil {
+			return nil
+		}
+		if time.Now().After(deadline) {
+			return errors.Wrap(err, "fleet does not serve")
+		}
+		time.Sleep(readyPoll)
+	}
+}
+
+// Close ends all processes.
+func (fleet *Fleet) Close() error {
+	var failure error
+	for at := len(fleet.started) - 1; at >= 0; at-- {
+		failure = errors.CombineErrors(failure, fleet.started[at].Kill())
+	}
+	return errors.CombineErrors(failure, os.RemoveAll(fleet.folder))
+}
+
+// NewClient returns a client that keeps its connections.
+func NewClient() *Client {
+	return &Client{http: &fasthttp.Client{
+		MaxConnsPerHost: clientIdle, StreamResponseBody: true, MaxIdemponentCallAttempts: 1, ReadBufferSize: 64 << 10,
+	}}
+}
--- a/cmd/hibbench/main.go
+++ b/cmd/hibbench/main.go
@@ -10,6 +10,8 @@
 
 	"github.com/jessevdk/go-flags"
 
+	"github.com/hibiscuslug/hibiscuslug/bench/claim"
+	"github.com/hibiscuslug/hibiscuslug/bench/path"
 	"github.com/hibiscuslug/hibiscuslug/bench/place"
 	"github.com/hibiscuslug/hibiscuslug/internal/figure"
 )
@@ -28,6 +30,8 @@
 
 var suites = []suite{
 	{"place", place.Run},
+	{"path", path.Run},
+	{"claim", claim.Run},
 }
 
 func revision() string {
