Bound and explain the callers' interface

Cause: slow callers held connections, a customer's max_concurrent had no effect, oversized and malformed requests got the library's errors, a plain service's answer was collected and its headers were lost, and a caller that had gone was served on. Conclusion: each limit has an effect that a caller sees.

--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -35,7 +35,9 @@
 	// PrefixHash identifies the start of the prompt, for prefix-cache affinity.
 	PrefixHash  uint64
 	Traceparent string
-	Rule        string
+	// Headers are those that a plain service gets.
+	Headers []*wire.Header
+	Rule    string
 }
 
 // WithPriority returns the call at another priority.
--- a/internal/class/class.go
+++ b/internal/class/class.go
@@ -33,6 +33,7 @@
 	MaxTokens     uint32
 	Stream        bool
 	Body          []byte
+	Headers       []*wire.Header
 	Arrived       clock.Millis
 }
 
@@ -53,7 +54,8 @@
 		ID: input.ID, Customer: customer, Method: input.Method, Path: input.Path,
 		ContentType: input.ContentType, Body: input.Body, Stream: input.Stream,
 		Key: input.Key, Model: input.Model, Arrived: input.Arrived, Traceparent: input.Traceparent,
-		Tier: tier.GetLevel(), Priority: tier.GetPriority() + customer.GetPriority(),
+		Headers: input.Headers,
+		Tier:    tier.GetLevel(), Priority: tier.GetPriority() + customer.GetPriority(),
 		Deadline: input.Arrived + clock.Millis(tier.GetPatience()),
 		Kind:     kindOf(input.Path), Service: serviceOf(input.Path), Idempotent: true,
 		PredictedSize: predict(input),
@@ -93,9 +95,12 @@
 		(rule.GetMethod() == "" || rule.GetMethod() == result.Method)
 }
 
+// lower applies the request's own wishes where they ask for less.
 func lower(config *state.State, input Input, result *call.Call) {
-	if tier, ok := config.Tier(input.LowerTier); ok && tier.GetLevel() > result.Tier {
+	own, _ := config.Tier(result.Customer.GetTier())
+	if tier, ok := config.Tier(input.LowerTier); ok && tier.GetLevel() >= own.GetLevel() {
 		result.Tier = tier.GetLevel()
+		result.Priority = min(result.Priority, result.Priority-own.GetPriority()+tier.GetPriority())
 	}
 	if input.LowerPriority != nil && *input.LowerPriority < result.Priority {
 		result.Priority = *input.LowerPriority
--- a/internal/endpt/attempt.go
+++ b/internal/endpt/attempt.go
@@ -40,8 +40,8 @@
 }
 
 // Head records the status of the engine's answer.
-func (run *attempt) Head(status int, contentType string) {
-	run.add(&wire.Answer{Kind: wire.AnswerKind_ANSWER_KIND_HEAD, Status: uint32(status), ContentType: contentType})
+func (run *attempt) Head(status int, contentType string, headers []*wire.Header) {
+	run.add(&wire.Answer{Kind: wire.AnswerKind_ANSWER_KIND_HEAD, Status: uint32(status), ContentType: contentType, Headers: headers})
 }
 
 // Data records a part of the engine's answer.
--- a/internal/engine/runner.go
+++ b/internal/engine/runner.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -26,7 +27,7 @@
 
 // Sink takes the parts of an engine's answer in order.
 type Sink interface {
-	Head(status int, contentType string)
+	Head(status int, contentType string, headers []*wire.Header)
 	Data(events [][]byte)
 }
 
@@ -72,7 +73,7 @@
 		return failure(err)
 	}
 	defer func() { _ = response.CloseBodyStream() }()
-	sink.Head(response.StatusCode(), string(response.Header.ContentType()))
+	sink.Head(response.StatusCode(), string(response.Header.ContentType()), kept(target, &response.Header))
 	if err := copyBody(response, sink); err != nil {
 		return Result{Outcome: wire.Outcome_OUTCOME_UNKNOWN, Err: errors.Wrap(err, "answer broke off")}
 	}
@@ -83,7 +84,13 @@
 }
 
 func (runner *Runner) fill(request *fasthttp.Request, target Engine, attempt *wire.Attempt) {
-	request.SetRequestURI(URL(target) + attempt.GetPath())
+	request.SetRequestURI(URL(target) + path(target, attempt.GetPath()))
+	for _, header := range attempt.GetHeaders() {
+		if !encoded(target, attempt) && strings.EqualFold(header.GetName(), "Accept-Encoding") {
+			continue
+		}
+		request.Header.Add(header.GetName(), header.GetValue())
+	}
 	request.Header.SetMethod(attempt.GetMethod())
 	request.Header.SetContentType(attempt.GetContentType())
 	request.Header.Set("X-Request-Id", ID(attempt.GetRequestId(), attempt.GetAttempt()))
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -4,12 +4,10 @@
 
 import (
 	"context"
-	"encoding/json"
+	"fmt"
 	"io"
 	"log"
 	"net"
-	"strconv"
-	"strings"
 	"sync/atomic"
 	"time"
 
@@ -18,7 +16,6 @@
 	"github.com/sourcegraph/conc"
 
 	"github.com/hibiscuslug/hibiscuslug/internal/call"
-	"github.com/hibiscuslug/hibiscuslug/internal/class"
 	"github.com/hibiscuslug/hibiscuslug/internal/feed"
 	"github.com/hibiscuslug/hibiscuslug/internal/ledger"
 	"github.com/hibiscuslug/hibiscuslug/internal/opts"
@@ -27,6 +24,10 @@
 	"github.com/hibiscuslug/hibiscuslug/pkg/wire"
 )
 
+// idleLimit is how long a connection may wait for its next request. It is above
+// the 60 s after which common load balancers close theirs.
+const idleLimit = 75 * time.Second
+
 // Router runs calls.
 type Router interface {
 	Do(ctx context.Context, request call.Call, sink route.Sink) route.Result
@@ -34,18 +35,19 @@
 
 // Front serves callers.
 type Front struct {
-	settings opts.Entry
-	app      *fiber.App
-	listener net.Listener
-	view     *feed.View
-	router   Router
-	ledger   *ledger.Ledger
-	clock    *clock.Clock
-	newID    func() string
-	inFlight atomic.Int64
-	leaving  atomic.Bool
-	running  conc.WaitGroup
-	work     conc.WaitGroup
+	settings  opts.Entry
+	app       *fiber.App
+	listener  net.Listener
+	view      *feed.View
+	router    Router
+	ledger    *ledger.Ledger
+	clock     *clock.Clock
+	newID     func() string
+	inFlight  atomic.Int64
+	customers customers
+	leaving   atomic.Bool
+	running   conc.WaitGroup
+	work      conc.WaitGroup
 }
 
 // New listens for callers.
@@ -61,6 +63,7 @@
 	}
 	front.app = fiber.New(fiber.Config{
 		BodyLimit: settings.MaxBody, ReadBufferSize: settings.MaxHeader,
+		ReadTimeout: settings.ReadLimit.Duration(), IdleTimeout: idleLimit,
 		DisableStartupMessage: true, ErrorHandler: front.onError,
 	})
 	front.app.Server().Logger = log.New(io.Discard, "", 0)
@@ -85,81 +88,49 @@
 	return err
 }
 
-// body is what the front needs to know of a model call.
-type body struct {
-	Model     string          `json:"model"`
-	Prompt    json.RawMessage `json:"prompt"`
-	Messages  json.RawMessage `json:"messages"`
-	MaxTokens uint32          `json:"max_tokens"`
-	Stream    bool            `json:"stream"`
-}
-
 func (front *Front) serve(ctx *fiber.Ctx) error {
 	id := front.newID()
 	ctx.Set("X-Request-Id", id)
 	if front.leaving.Load() {
-		ctx.Set("Retry-After", "1")
+		ctx.Set(fiber.HeaderRetryAfter, "1")
 		return refuse(ctx, fiber.StatusServiceUnavailable, "this entry VM is shutting down")
 	}
 	if front.inFlight.Add(1) > int64(front.settings.MaxConcurrent) {
 		front.inFlight.Add(-1)
-		ctx.Set("Retry-After", "1")
-		return refuse(ctx, fiber.StatusTooManyRequests, "too many requests in flight at this entry VM")
+		return tooMany(ctx, "too many requests in flight at this entry VM, at most %d", front.settings.MaxConcurrent)
 	}
 	request, refusal := front.classify(ctx, id)
 	if refusal != nil {
 		front.inFlight.Add(-1)
 		return refuse(ctx, refusal.Code, refusal.Message)
 	}
-	return front.run(ctx, request)
-}
-
-func (front *Front) classify(ctx *fiber.Ctx, id string) (call.Call, *fiber.Error) {
-	input := class.Input{
-		ID: id, Token: bearer(ctx), Method: strings.Clone(ctx.Method()), Path: strings.Clone(ctx.OriginalURL()),
-		ContentType: strings.Clone(ctx.Get(fiber.HeaderContentType)), Key: strings.Clone(ctx.Get("Idempotency-Key")),
-		Traceparent: strings.Clone(ctx.Get("Traceparent")), LowerTier: strings.Clone(ctx.Get("X-Tier")),
-		Body: append([]byte(nil), ctx.Body()...), Arrived: front.clock.Now(),
-	}
-	if text := ctx.Get("X-Priority"); text != "" {
-		priority, err := strconv.ParseInt(text, 10, 32)
-		if err != nil {
-			return call.Call{}, fiber.NewError(fiber.StatusBadRequest, "X-Priority is not a whole number: "+text)
-		}
-		wanted := int32(priority)
-		input.LowerPriority = &wanted
-	}
-	if strings.HasPrefix(input.Path, "/v1/") {
-		var parsed body
-		if err := json.Unmarshal(input.Body, &parsed); err != nil {
-			return call.Call{}, fiber.NewError(fiber.StatusBadRequest, "body is not valid JSON: "+err.Error())
-		}
-		input.Model, input.MaxTokens, input.Stream = parsed.Model, parsed.MaxTokens, parsed.Stream
-		input.Prompt = string(parsed.Prompt) + string(parsed.Messages)
+	limit, refusal := timeLimit(ctx, front.settings.RequestLimit)
+	if refusal != nil {
+		front.inFlight.Add(-1)
+		return refuse(ctx, refusal.Code, refusal.Message)
 	}
-	request, ok := class.Classify(front.view.State(), input)
+	leave, ok := front.customers.enter(request.Customer)
 	if !ok {
-		return call.Call{}, fiber.NewError(fiber.StatusUnauthorized, "bearer token is missing or belongs to no customer")
-	}
-	if !request.Idempotent && request.Key == "" && !request.KeyOptional {
-		return call.Call{}, fiber.NewError(fiber.StatusBadRequest, "this request may not be repeated and needs an Idempotency-Key header")
+		front.inFlight.Add(-1)
+		return tooMany(ctx, "too many requests of this customer in flight at this entry VM, at most %d", request.Customer.GetMaxConcurrent())
 	}
-	return request, nil
+	return front.run(ctx, request, limit, leave)
 }
 
-func bearer(ctx *fiber.Ctx) string {
-	token, _ := strings.CutPrefix(ctx.Get(fiber.HeaderAuthorization), "Bearer ")
-	return token
+func tooMany(ctx *fiber.Ctx, text string, values ...any) error {
+	ctx.Set(fiber.HeaderRetryAfter, "1")
+	return refuse(ctx, fiber.StatusTooManyRequests, fmt.Sprintf(text, values...))
 }
 
 // run starts the call and answers with its head; a stream goes on behind it.
-func (front *Front) run(ctx *fiber.Ctx, request call.Call) error {
+func (front *Front) run(ctx *fiber.Ctx, request call.Call, limit clock.Millis, leave func()) error {
 	front.ledger.Begin(request)
-	limited, cancel := context.WithTimeout(context.Background(), front.settings.RequestLimit.Duration())
-	answer := newAnswer()
+	limited, cancel := context.WithTimeout(context.Background(), limit.Duration())
+	answer := newAnswer(request, cancel)
 	front.work.Go(func() {
 		defer cancel()
 		defer front.inFlight.Add(-1)
+		defer leave()
 		result := front.router.Do(limited, request, answer)
 		front.ledger.End(request.ID, front.clock.Now(), result.Outcome, message(result.Err), answer.count)
 		answer.end(result)
@@ -167,20 +138,33 @@
 	return answer.reply(ctx)
 }
 
-func message(err error) string {
-	if err == nil {
-		return ""
-	}
-	return err.Error()
-}
-
+// onError answers requests that were refused before they reached serve.
 func (front *Front) onError(ctx *fiber.Ctx, err error) error {
+	if len(ctx.Response().Header.Peek("X-Request-Id")) == 0 {
+		ctx.Set("X-Request-Id", front.newID())
+	}
 	status := fiber.StatusInternalServerError
 	var known *fiber.Error
 	if errors.As(err, &known) {
 		status = known.Code
 	}
-	return refuse(ctx, status, err.Error())
+	return refuse(ctx, status, front.explain(status, err))
+}
+
+func (front *Front) explain(status int, err error) string {
+	switch status {
+	case fiber.StatusRequestEntityTooLarge:
+		return fmt.Sprintf("request body is larger than %d bytes", front.settings.MaxBody)
+	case fiber.StatusRequestHeaderFieldsTooLarge:
+		return fmt.Sprintf("request header is larger than %d bytes", front.settings.MaxHeader)
+	case fiber.StatusRequestTimeout:
+		return fmt.Sprintf("request was not received within %s", front.settings.ReadLimit)
+	case fiber.StatusBadRequest:
+		return "malformed HTTP request: " + err.Error()
+	case fiber.StatusNotFound:
+		return "no such path; use /v1/chat/completions, /v1/completions or /services/NAME/"
+	}
+	return err.Error()
 }
 
 // problem is the JSON form of an error answer.
--- a/internal/opts/opts.go
+++ b/internal/opts/opts.go
@@ -38,6 +38,7 @@
 	MaxBody       int          `long:"max-body" env:"HIB_MAX_BODY" description:"Largest request body, in bytes (1024 to 67108864)" default:"1048576"`
 	MaxHeader     int          `long:"max-header" env:"HIB_MAX_HEADER" description:"Largest request header, in bytes (1024 to 1048576)" default:"16384"`
 	MaxConcurrent int          `long:"max-concurrent" env:"HIB_MAX_CONCURRENT" description:"Most requests in flight, in requests (1 to 1000000)" default:"10000"`
+	ReadLimit     clock.Millis `long:"read-limit" env:"HIB_READ_LIMIT" description:"Longest time in which a caller must send a whole request (100ms to 10m)" default:"10s"`
 	RequestLimit  clock.Millis `long:"request-limit" env:"HIB_REQUEST_LIMIT" description:"Longest time of one request (1s to 24h)" default:"10m"`
 	SilenceLimit  clock.Millis `long:"silence-limit" env:"HIB_SILENCE_LIMIT" description:"Time without an answer or progress after which a connection counts as silent (100ms to 1m)" default:"1500ms"`
 }
@@ -48,6 +49,7 @@
 		bounds.Int("max-body", set.MaxBody, 1024, 67108864, "bytes"),
 		bounds.Int("max-header", set.MaxHeader, 1024, 1048576, "bytes"),
 		bounds.Int("max-concurrent", set.MaxConcurrent, 1, 1000000, "requests"),
+		bounds.Span("read-limit", set.ReadLimit, "100ms", "10m"),
 		bounds.Span("request-limit", set.RequestLimit, "1s", "24h"),
 		bounds.Span("silence-limit", set.SilenceLimit, "100ms", "1m"),
 	)
--- a/internal/route/exchange.go
+++ b/internal/route/exchange.go
@@ -66,6 +66,8 @@
 			return err
 		}
 	}
+	// A stream that is cancelled before its end costs its connection.
+	_, _ = stream.Recv()
 	return nil
 }
 
@@ -90,7 +92,7 @@
 	exchange.next++
 	switch answer.GetKind() {
 	case wire.AnswerKind_ANSWER_KIND_HEAD:
-		exchange.delivery.head(int(answer.GetStatus()), answer.GetContentType())
+		exchange.delivery.head(int(answer.GetStatus()), answer.GetContentType(), answer.GetHeaders())
 	case wire.AnswerKind_ANSWER_KIND_DATA:
 		return exchange.delivery.data(answer.GetEvents())
 	case wire.AnswerKind_ANSWER_KIND_END:
--- a/internal/route/router.go
+++ b/internal/route/router.go
@@ -140,7 +140,7 @@
 		Kind: request.Kind, Idempotent: request.Idempotent, Model: request.Model, Method: request.Method, Path: request.Path,
 		ContentType: request.ContentType, Body: request.Body, Stream: request.Stream, SkipEvents: delivery.events,
 		PredictedSize: request.PredictedSize, Patience: int64(request.Deadline - router.clock.Now()),
-		Traceparent: request.Traceparent, Entry: router.settings.Node, PrefixHash: request.PrefixHash,
+		Traceparent: request.Traceparent, Entry: router.settings.Node, PrefixHash: request.PrefixHash, Headers: request.Headers,
 	}
 }
 
@@ -151,9 +151,17 @@
 	events  uint64
 }
 
-func (delivery *delivery) head(status int, contentType string) {
+// HeaderSink is a Sink that also takes the headers of a plain service's answer.
+type HeaderSink interface {
+	Headers(headers []*wire.Header)
+}
+
+func (delivery *delivery) head(status int, contentType string, headers []*wire.Header) {
 	if !delivery.started {
 		delivery.started = true
+		if sink, ok := delivery.sink.(HeaderSink); ok {
+			sink.Headers(headers)
+		}
 		delivery.sink.Head(status, contentType)
 	}
 }
