--- a/internal/fake/desk.go
+++ b/internal/fake/desk.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"net"
 	"sync"
 	"time"
@@ -18,9 +19,11 @@
 	app      *fiber.App
 	running  conc.WaitGroup
 
-	// mu guards booked.
+	// mu guards the fields below.
 	mu     sync.Mutex
 	booked map[string]int
+	served map[string]int
+	hold   <-chan struct{}
 }
 
 // NewDesk starts a fake order desk that takes a while for each booking.
@@ -30,7 +33,7 @@
 	if err != nil {
 		return nil, err
 	}
-	desk := &Desk{delay: delay, listener: listener, booked: map[string]int{}}
+	desk := &Desk{delay: delay, listener: listener, booked: map[string]int{}, served: map[string]int{}}
 	desk.app = fiber.New(fiber.Config{DisableStartupMessage: true})
 	desk.app.Get("/engine/runs", func(ctx *fiber.Ctx) error { return ctx.JSON(desk.Booked()) })
 	desk.app.All("/*", desk.book)
@@ -45,11 +48,21 @@
 func (desk *Desk) Booked() map[string]int {
 	desk.mu.Lock()
 	defer desk.mu.Unlock()
-	booked := make(map[string]int, len(desk.booked))
-	for body, count := range desk.booked {
-		booked[body] = count
-	}
-	return booked
+	return maps.Clone(desk.booked)
+}
+
+// Served returns how often the answer to each body was given.
+func (desk *Desk) Served() map[string]int {
+	desk.mu.Lock()
+	defer desk.mu.Unlock()
+	return maps.Clone(desk.served)
+}
+
+// Hold keeps bookings running until a channel is closed.
+func (desk *Desk) Hold(gate <-chan struct{}) {
+	desk.mu.Lock()
+	defer desk.mu.Unlock()
+	desk.hold = gate
 }
 
 // Close stops the desk.
@@ -63,8 +76,14 @@
 	body := string(ctx.Body())
 	desk.mu.Lock()
 	desk.booked[body]++
-	count := desk.booked[body]
+	count, hold := desk.booked[body], desk.hold
 	desk.mu.Unlock()
 	time.Sleep(desk.delay)
+	if hold != nil {
+		<-hold
+	}
+	desk.mu.Lock()
+	desk.served[body]++
+	desk.mu.Unlock()
 	return ctx.JSON(fiber.Map{"booked": body, "count": count})
 }
