--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -19,6 +19,7 @@
 	"github.com/hibiscuslug/hibiscuslug/internal/link"
 	"github.com/hibiscuslug/hibiscuslug/internal/member"
 	"github.com/hibiscuslug/hibiscuslug/internal/meter"
+	"github.com/hibiscuslug/hibiscuslug/internal/once"
 	"github.com/hibiscuslug/hibiscuslug/internal/opts"
 	"github.com/hibiscuslug/hibiscuslug/internal/place"
 	"github.com/hibiscuslug/hibiscuslug/internal/route"
@@ -57,6 +58,7 @@
 	fleet   *engines
 	ledger  *ledger.Ledger
 	front   *front.Front
+	once    *once.Once
 	flights *flights
 	leaving atomic.Bool
 	loops   conc.WaitGroup
@@ -81,10 +83,14 @@
 	placer := place.New(settings.Node.Zone, rand.IntN)
 	router := route.New(route.Settings{Node: settings.Node.Name, SilenceLimit: settings.Entry.SilenceLimit},
 		entry.relays, placer, entry.fleet, entry.ledger, ticker, log)
+	entry.once = once.New(once.Settings{
+		Router: router, Claims: once.NewClaims(entry.pool, ticker, settings.Entry.Control), Pool: entry.relays,
+		Endpoints: entry.members.Node, Clock: ticker, Log: log, SilenceLimit: settings.Entry.SilenceLimit,
+	})
 	if entry.tracer, err = span.New(settings.Node, "entry"); err != nil {
 		return nil, err
 	}
-	entry.flights = newFlights(router, entry.ledger, entry.tracer)
+	entry.flights = newFlights(entry.once, entry.ledger, entry.tracer)
 	if err := entry.measure(); err != nil {
 		return nil, err
 	}
@@ -177,6 +183,9 @@
 	if err := entry.front.Close(entry.settings.Node.ShutdownLimit.Duration()); err != nil {
 		entry.log.Write(event.ShutdownLimit, "error", err)
 	}
+	if err := entry.once.Close(); err != nil {
+		return err
+	}
 	entry.cancel()
 	entry.loops.Wait()
 	if err := entry.server.Close(); err != nil {
