--- a/pkg/query/query_test.go
+++ b/pkg/query/query_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"os"
 	"regexp"
 	"strings"
@@ -57,8 +58,8 @@
 		for _, script := range load().Refused {
 			_, err := query.Parse(script.Command)
 			var syntax *query.SyntaxError
-			Expect(err).To(BeAssignableToTypeOf(syntax), script.Command)
-			Expect(err.(*query.SyntaxError).Column).To(Equal(strings.Index(script.Pointer, "^")+1), script.Command+": "+err.Error())
+			Expect(errors.As(err, &syntax)).To(BeTrue(), script.Command)
+			Expect(syntax.Column).To(Equal(strings.Index(script.Pointer, "^")+1), script.Command+": "+err.Error())
 			Expect(err.Error()).To(ContainSubstring(script.Says), script.Command)
 		}
 	})
@@ -145,8 +146,8 @@
 		if err == nil {
 			return
 		}
-		failure, ok := err.(*query.SyntaxError)
-		if !ok {
+		var failure *query.SyntaxError
+		if !errors.As(err, &failure) {
 			t.Fatalf("error is %T", err)
 		}
 		if failure.Column < 1 || failure.Column > utf8.RuneCountInString(command)+1 || failure.Message == "" {
