--- a/internal/span/span_test.go
+++ b/internal/span/span_test.go
@@ -3,10 +3,14 @@
 import (
 	"context"
 	"errors"
+	"net"
+	"net/http"
+	"sync/atomic"
 	"testing"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"github.com/sourcegraph/conc"
 
 	"github.com/hibiscuslug/hibiscuslug/internal/opts"
 	"github.com/hibiscuslug/hibiscuslug/internal/span"
@@ -36,3 +40,37 @@
 	})).To(BeZero())
 	Expect(tracer.Close()).To(Succeed())
 })
+
+// collector counts exports and stands in for an OTLP collector.
+func collector() (string, *atomic.Int64) {
+	var received atomic.Int64
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	server := &http.Server{Handler: http.HandlerFunc(func(_ http.ResponseWriter, request *http.Request) {
+		if request.URL.Path == "/v1/traces" && request.ContentLength != 0 {
+			received.Add(1)
+		}
+	})}
+	var serving conc.WaitGroup
+	serving.Go(func() { _ = server.Serve(listener) })
+	DeferCleanup(func() { Expect(server.Close()).To(Succeed()); serving.Wait() })
+	return listener.Addr().String(), &received
+}
+
+// Guards against spans that never reach the collector, and against a caller
+// who makes its requests traced against the operator's ratio.
+var _ = It("exports to the collector by the operator's ratio alone", func() {
+	for ratio, exports := range map[float64]int64{0: 0, 1: 1} {
+		address, received := collector()
+		tracer, err := span.New(opts.Node{Name: "entry1", TraceAddress: address, TraceRatio: ratio}, "entry")
+		Expect(err).NotTo(HaveOccurred())
+		root := tracer.Root(caller, "request")
+		context := root.Traceparent(caller)
+		Expect(context).To(HavePrefix(caller[:36]), "the caller's trace id is kept")
+		Expect(context).NotTo(Equal(caller))
+		tracer.Start(context, "attempt").End("ok", nil)
+		root.End("ok", nil)
+		Expect(tracer.Close()).To(Succeed())
+		Expect(received.Load()).To(Equal(exports))
+	}
+})
