Keep engine connections and stream buffers

Cause: a stream's end behind [DONE] was not read, so every model call dialled its engine anew, and each took a new 64 KiB buffer. Change: read to the end, take buffers from a pool.

--- a/internal/engine/runner.go
+++ b/internal/engine/runner.go
@@ -8,6 +8,7 @@
 	"net"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -21,10 +22,15 @@
 	readBuffer  = 64 << 10
 	pieceSize   = 32 << 10
 	cancelLimit = 2 * time.Second
+	// maxRest bounds what is read behind a stream's closing event.
+	maxRest = 4 << 10
 	// maxEventsPerAnswer bounds one message to an entry VM.
 	maxEventsPerAnswer = 256
 )
 
+// readers are kept because each is as large as readBuffer.
+var readers = sync.Pool{New: func() any { return bufio.NewReaderSize(nil, readBuffer) }}
+
 // Sink takes the parts of an engine's answer in order.
 type Sink interface {
 	Head(status int, contentType string, headers []*wire.Header)
@@ -137,7 +143,18 @@
 		return nil
 	}
 	if bytes.HasPrefix(response.Header.ContentType(), []byte("text/event-stream")) {
-		return copyEvents(bufio.NewReaderSize(body, readBuffer), sink)
+		reader, _ := readers.Get().(*bufio.Reader)
+		reader.Reset(body)
+		defer func() {
+			reader.Reset(nil)
+			readers.Put(reader)
+		}()
+		if err := copyEvents(reader, sink); err != nil {
+			return err
+		}
+		// A connection is used again only when its answer was read to the end.
+		_, _ = io.CopyN(io.Discard, reader, maxRest)
+		return nil
 	}
 	return copyPieces(body, sink)
 }
