Send answers that are ready together in one write

Cause: head, events and end of an answer were flushed one by one, and the stream's end once more. Change: the endpoint process holds back all but the last ready answer, and sends the end with the stream's own end.

--- a/internal/endpt/relay.go
+++ b/internal/endpt/relay.go
@@ -28,7 +28,7 @@
 	if added {
 		endpoint.lanes[request.GetEngine()].submit(run)
 	}
-	return endpoint.stream(stream.Context(), run, 0, stream.Send)
+	return endpoint.stream(stream.Context(), run, 0, stream)
 }
 
 // refuse fences the attempt, so that a delayed copy of the message does not
@@ -36,7 +36,7 @@
 func (endpoint *Endpoint) refuse(request *wire.Attempt, reason error, stream wire.DRPCRelay_RunStream) error {
 	run := endpoint.table.fence(request.GetRequestId(), request.GetAttempt(), endpoint.clock)
 	if state, _ := run.known(); state != wire.AttemptState_ATTEMPT_STATE_FENCED {
-		return endpoint.stream(stream.Context(), run, 0, stream.Send)
+		return endpoint.stream(stream.Context(), run, 0, stream)
 	}
 	return stream.Send(notRun(request, reason))
 }
@@ -68,22 +68,20 @@
 	if !ok || request.GetIncarnation() != endpoint.incarnation {
 		return errors.Newf("attempt %d of request %s is not known", request.GetAttempt(), request.GetRequestId())
 	}
-	return endpoint.stream(stream.Context(), run, request.GetFromSequence(), stream.Send)
+	return endpoint.stream(stream.Context(), run, request.GetFromSequence(), stream)
 }
 
-func (endpoint *Endpoint) stream(ctx context.Context, run *attempt, from uint64, send func(*wire.Answer) error) error {
+func (endpoint *Endpoint) stream(ctx context.Context, run *attempt, from uint64, stream sender) error {
 	run.attach()
 	defer run.detach()
 	for {
 		answers, changed := run.next(from)
-		for _, answer := range answers {
-			if err := send(answer); err != nil {
-				return err
-			}
-			if answer.GetKind() == wire.AnswerKind_ANSWER_KIND_END {
-				run.deliver()
-				return nil
-			}
+		if err := sendAll(stream, answers); err != nil {
+			return err
+		}
+		if count := len(answers); count > 0 && answers[count-1].GetKind() == wire.AnswerKind_ANSWER_KIND_END {
+			run.deliver()
+			return nil
 		}
 		from += uint64(len(answers))
 		quiet, err := waitChange(ctx, changed)
@@ -91,7 +89,7 @@
 			return err
 		}
 		if quiet {
-			if err := send(progress(run, from)); err != nil {
+			if err := stream.Send(progress(run, from)); err != nil {
 				return err
 			}
 		}
