--- a/cmd/hibbench/main.go
+++ b/cmd/hibbench/main.go
@@ -16,6 +16,8 @@
 	"github.com/hibiscuslug/hibiscuslug/bench/models"
 	"github.com/hibiscuslug/hibiscuslug/bench/path"
 	"github.com/hibiscuslug/hibiscuslug/bench/place"
+	"github.com/hibiscuslug/hibiscuslug/bench/scale"
+	"github.com/hibiscuslug/hibiscuslug/bench/storm"
 	"github.com/hibiscuslug/hibiscuslug/internal/figure"
 )
 
@@ -38,6 +40,8 @@
 	{"claim", claim.Run},
 	{"expert", expert.Run},
 	{"models", models.Run},
+	{"scale", scale.Run},
+	{"storm", storm.Run},
 }
 
 func revision() string {
