--- a/internal/state/change.go
+++ b/internal/state/change.go
@@ -1,6 +1,7 @@
 package state
 
 import (
+	"cmp"
 	"fmt"
 	"maps"
 	"slices"
@@ -119,7 +120,7 @@
 		if first.GetOrder() != second.GetOrder() {
 			return int(first.GetOrder()) - int(second.GetOrder())
 		}
-		return compare(first.GetName(), second.GetName())
+		return cmp.Compare(first.GetName(), second.GetName())
 	})
 	state.rules = rules
 	return nil
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -3,6 +3,7 @@
 package state
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 
@@ -108,28 +109,14 @@
 	return group, ok
 }
 
-func sorted[K comparable, V any](records map[K]V) []V {
-	type named interface{ GetName() string }
-	list := slices.Collect(maps.Values(records))
-	slices.SortFunc(list, func(first, second V) int {
-		left, ok := any(first).(named)
-		right, _ := any(second).(named)
-		if !ok {
-			return 0
-		}
-		return compare(left.GetName(), right.GetName())
-	})
-	return list
-}
-
-func compare(left, right string) int {
-	switch {
-	case left < right:
-		return -1
-	case left > right:
-		return 1
+// sorted returns the records in the order of their keys, so that copies of a
+// configuration can be compared.
+func sorted[K cmp.Ordered, V any](records map[K]V) []V {
+	list := make([]V, 0, len(records))
+	for _, key := range slices.Sorted(maps.Keys(records)) {
+		list = append(list, records[key])
 	}
-	return 0
+	return list
 }
 
 // ErrOldRevision is returned for a change whose revision is not the next one.
