queue: decide starts, pauses, resumes, cancels and refusals

Cause: the queue ordered waiting work by tier, priority and arrival only; it knew nothing of running work, sizes, shares or bounds, and paid work waited for free streams to end. Change: work of a tier and priority is ordered by weighted fair queueing over its predicted size, with long work bounded in slots and aged; the queue also holds the running work and returns decisions. The lane carries them out on model engines in their order, refuses with notRun, and reports backlog and rate. Pausing on a real engine is not measured yet.

--- a/internal/endpt/endpoint.go
+++ b/internal/endpt/endpoint.go
@@ -67,7 +67,7 @@
 		if _, ok := endpoint.lanes[name]; ok {
 			return nil, errors.Newf("setting --engine names engine %s twice", name)
 		}
-		endpoint.lanes[name] = newLane(target, runner, settings.Endpoint.Slots, ticker, &endpoint.runs)
+		endpoint.lanes[name] = newLane(target, runner, settings.Endpoint.Slots, ticker, log, &endpoint.runs)
 	}
 	server, err := link.Listen(settings.Node.Listen)
 	if err != nil {
@@ -90,6 +90,7 @@
 	endpoint.loops.Go(func() { follower.Run(ctx) })
 	endpoint.loops.Go(func() { endpoint.announcer.Run(ctx) })
 	endpoint.loops.Go(func() { endpoint.sweep(ctx) })
+	endpoint.loops.Go(func() { endpoint.tick(ctx) })
 	endpoint.log.Write(event.Started, "role", "endpoint", "address", endpoint.server.Address())
 }
 
@@ -129,6 +130,14 @@
 	}
 }
 
+func (endpoint *Endpoint) tick(ctx context.Context) {
+	for endpoint.clock.Sleep(ctx, tickEvery) == nil {
+		for _, lane := range endpoint.lanes {
+			lane.tick()
+		}
+	}
+}
+
 // Close announces that the endpoint is leaving, waits for the attempts in
 // flight up to the shutdown limit, and stops.
 func (endpoint *Endpoint) Close() error {
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -24,6 +24,9 @@
 	ServeFailed        = Event{105, "listener failed"}
 	AttemptFailed      = Event{201, "attempt failed"}
 	AttemptSilent      = Event{202, "connection made no progress"}
+	AttemptRefused     = Event{230, "attempt refused by the queue"}
+	OrderFailed        = Event{231, "order to an engine failed"}
+	RequestRefused     = Event{232, "request refused at admission"}
 	EndpointJoined     = Event{301, "endpoint announced itself"}
 	EndpointExpired    = Event{302, "endpoint's announcement expired"}
 	EndpointLeaving    = Event{303, "endpoint is leaving"}
--- /dev/null
+++ b/internal/queue/yield.go
@@ -0,0 +1,116 @@
+package queue
+
+import (
+	"github.com/hibiscuslug/hibiscuslug/pkg/clock"
+	"github.com/hibiscuslug/hibiscuslug/pkg/wire"
+)
+
+// restartEvents is what a cancelled stream loses beside its events: the
+// prompt's processing, in events' time.
+const restartEvents = 4
+
+// victim returns the running entry that gives its slot to a chosen one, or nil.
+func (queue *Queue) victim(chosen *entry, now clock.Millis) *entry {
+	if !queue.settings.Pausable {
+		return nil
+	}
+	var best *entry
+	for _, run := range queue.order {
+		if !run.Fixed && queue.yields(run, chosen, now) && (best == nil || queue.rather(run, best)) {
+			best = run
+		}
+	}
+	return best
+}
+
+// yields tells whether a running entry may be stopped for a chosen one.
+func (queue *Queue) yields(run, chosen *entry, now clock.Millis) bool {
+	if run.Tier != chosen.Tier {
+		return run.Tier == wire.Tier_TIER_FREE
+	}
+	if queue.held >= queue.settings.Held && (run.Tier == wire.Tier_TIER_FREE || queue.cheapestHeld() == nil) {
+		return false
+	}
+	if float64(run.delay()) >= queue.settings.Stretch*float64(run.ran(now)) {
+		return false
+	}
+	if run.Priority != chosen.Priority {
+		return run.Priority < chosen.Priority && run.long
+	}
+	over, under := queue.shares(run, chosen)
+	if run.long && !chosen.long {
+		return run.Customer == chosen.Customer || over || under
+	}
+	return over && under
+}
+
+// shares tells whether the customer of a running entry keeps at least its share
+// without it, and whether the chosen one's customer stays within its share with it.
+func (queue *Queue) shares(run, chosen *entry) (over, under bool) {
+	if run.Customer == chosen.Customer {
+		return false, false
+	}
+	band := queue.line.band(run.Tier, run.Priority)
+	loser, winner := band.accounts[run.Customer], band.accounts[chosen.Customer]
+	if loser == nil || winner == nil {
+		return false, false
+	}
+	slots := queue.settings.Slots
+	return float64(loser.running-1) >= band.share(loser, slots), float64(winner.running+1) <= band.share(winner, slots)
+}
+
+// rather tells whether one victim costs less than another: free work before
+// paid, long before short, and then the one that ran least.
+func (queue *Queue) rather(first, second *entry) bool {
+	if first.Tier != second.Tier {
+		return first.Tier == wire.Tier_TIER_FREE
+	}
+	if first.long != second.long {
+		return first.long
+	}
+	if first.Tier == wire.Tier_TIER_FREE {
+		return first.produced < second.produced
+	}
+	// Among paid streams, the one with the most budget left.
+	return first.delay()-first.started < second.delay()-second.started
+}
+
+// yield stops a running entry. It is paused while the engine can hold one more
+// stream; otherwise the free stream that loses least is cancelled.
+func (queue *Queue) yield(victim *entry, now clock.Millis) []Decision {
+	if queue.held < queue.settings.Held {
+		return []Decision{queue.pause(victim, now)}
+	}
+	held := queue.cheapestHeld()
+	if victim.Tier == wire.Tier_TIER_FREE && (held == nil || loss(victim) <= loss(held)) {
+		queue.stop(victim)
+		return []Decision{Cancel{ID: victim.ID}}
+	}
+	queue.line.remove(held)
+	queue.held--
+	return []Decision{Cancel{ID: held.ID}, queue.pause(victim, now)}
+}
+
+func (queue *Queue) pause(victim *entry, now clock.Millis) Decision {
+	queue.stop(victim)
+	victim.pausedAt = now
+	queue.held++
+	queue.add(victim, now)
+	return Pause{ID: victim.ID}
+}
+
+func loss(entry *entry) uint32 { return entry.produced + restartEvents }
+
+// cheapestHeld returns the paused free stream that loses least, or nil.
+func (queue *Queue) cheapestHeld() *entry {
+	var best *entry
+	for _, waiting := range queue.line.byID {
+		if !waiting.begun || waiting.Tier != wire.Tier_TIER_FREE {
+			continue
+		}
+		if best == nil || loss(waiting) < loss(best) || (loss(waiting) == loss(best) && waiting.sequence < best.sequence) {
+			best = waiting
+		}
+	}
+	return best
+}
