--- a/cmd/hibbench/main.go
+++ b/cmd/hibbench/main.go
@@ -10,6 +10,7 @@
 
 	"github.com/jessevdk/go-flags"
 
+	"github.com/hibiscuslug/hibiscuslug/bench/queue"
 	"github.com/hibiscuslug/hibiscuslug/internal/figure"
 )
 
@@ -25,7 +26,9 @@
 	run  func(*figure.Report) error
 }
 
-var suites = []suite{}
+var suites = []suite{
+	{name: "queue", run: queue.Run},
+}
 
 func revision() string {
 	out, err := exec.CommandContext(context.Background(), "git", "rev-parse", "--short", "HEAD").Output()
--- a/internal/endpt/lane.go
+++ b/internal/endpt/lane.go
@@ -233,7 +233,7 @@
 	return &wire.EngineLoad{
 		Engine: lane.target.Info().GetName(), Slots: uint32(lane.slots),
 		Running: uint32(load.Running), Waiting: uint32(load.Waiting), WaitingPaid: uint32(load.WaitingPaid),
-		Backlog: load.Backlog, Rate: lane.rate.perSecond(now),
+		Backlog: load.Backlog, PaidAhead: load.PaidAhead, RunningPaid: uint32(load.RunningPaid), Rate: lane.rate.perSecond(now),
 	}
 }
 
--- a/internal/queue/line.go
+++ b/internal/queue/line.go
@@ -18,8 +18,9 @@
 	typicalStep = 0.01
 )
 
-// line is the waiting work in its order.
-type line struct {
+// Line is the waiting work in its order. Queue uses it, and admission does for
+// the requests that it holds.
+type Line struct {
 	bands    []*band
 	byID     map[string]*entry
 	sequence uint64
@@ -31,11 +32,14 @@
 	events  [3]uint64
 	// perCustomer counts the waiting work that has not started.
 	perCustomer map[string]int
+	// taken holds the items between Take and Release.
+	taken map[string]*entry
 }
 
-func newLine() *line {
-	return &line{
-		byID: map[string]*entry{}, typical: math.Log(leastTypical), perCustomer: map[string]int{},
+// NewLine returns an empty line.
+func NewLine() *Line {
+	return &Line{
+		byID: map[string]*entry{}, typical: math.Log(leastTypical), perCustomer: map[string]int{}, taken: map[string]*entry{},
 		expiry: pile[*entry]{
 			less:  func(first, second *entry) bool { return first.Deadline < second.Deadline },
 			index: func(entry *entry) *int { return &entry.expiryIndex },
@@ -44,17 +48,17 @@
 }
 
 // learn takes a size into the typical size.
-func (line *line) learn(size uint32) {
+func (line *Line) learn(size uint32) {
 	line.typical += typicalStep * (math.Log(float64(max(size, leastTypical))) - line.typical)
 }
 
 // long tells whether a size is that of long work.
-func (line *line) long(size uint32) bool {
+func (line *Line) long(size uint32) bool {
 	return float64(size) > longFactor*math.Exp(line.typical)
 }
 
 // band returns the band of a tier and priority, made if need be.
-func (line *line) band(tier wire.Tier, priority int32) *band {
+func (line *Line) band(tier wire.Tier, priority int32) *band {
 	at, found := line.locate(tier, priority)
 	if !found {
 		line.bands = slices.Insert(line.bands, at, newBand(tier, priority))
@@ -62,7 +66,7 @@
 	return line.bands[at]
 }
 
-func (line *line) locate(tier wire.Tier, priority int32) (int, bool) {
+func (line *Line) locate(tier wire.Tier, priority int32) (int, bool) {
 	type rank struct {
 		tier     wire.Tier
 		priority int32
@@ -78,7 +82,7 @@
 	})
 }
 
-func (line *line) push(entry *entry) {
+func (line *Line) push(entry *entry) {
 	line.sequence++
 	entry.sequence = line.sequence
 	entry.flowIndex, entry.dueIndex, entry.expiryIndex = none, none, none
@@ -96,7 +100,7 @@
 }
 
 // forget takes an entry out of everything but its band.
-func (line *line) forget(entry *entry) {
+func (line *Line) forget(entry *entry) {
 	delete(line.byID, entry.ID)
 	line.expiry.remove(entry)
 	line.counts[tierIndex(entry.Tier)]--
@@ -110,7 +114,7 @@
 	}
 }
 
-func (line *line) remove(entry *entry) {
+func (line *Line) remove(entry *entry) {
 	line.forget(entry)
 	band := line.band(entry.Tier, entry.Priority)
 	band.remove(entry)
@@ -118,20 +122,20 @@
 }
 
 // take removes an entry that will run.
-func (line *line) take(entry *entry) {
+func (line *Line) take(entry *entry) {
 	line.forget(entry)
 	line.band(entry.Tier, entry.Priority).take(entry)
 }
 
 // leave takes a running entry off its customer's account.
-func (line *line) leave(entry *entry, unused float64) {
+func (line *Line) leave(entry *entry, unused float64) {
 	band := line.band(entry.Tier, entry.Priority)
 	band.leave(entry, unused)
 	line.drop(band)
 }
 
 // drop forgets a band without work.
-func (line *line) drop(band *band) {
+func (line *Line) drop(band *band) {
 	if band.active > 0 {
 		return
 	}
@@ -141,7 +145,7 @@
 }
 
 // next returns the entry of a tier that runs next, or nil.
-func (line *line) next(tier wire.Tier, now clock.Millis, long bool) *entry {
+func (line *Line) next(tier wire.Tier, now clock.Millis, long bool) *entry {
 	for _, band := range line.bands {
 		if band.tier != tier || band.waiting == 0 {
 			continue
@@ -154,7 +158,7 @@
 }
 
 // worst returns an entry behind a tier and priority that may be displaced, or nil.
-func (line *line) worst(tier wire.Tier, priority int32) *entry {
+func (line *Line) worst(tier wire.Tier, priority int32) *entry {
 	for at := len(line.bands) - 1; at >= 0; at-- {
 		band := line.bands[at]
 		if band.before(tier, priority) || (band.tier == tier && band.priority == priority) {
@@ -167,7 +171,7 @@
 	return nil
 }
 
-func (line *line) len() int { return len(line.byID) }
+func (line *Line) len() int { return len(line.byID) }
 
 // tierIndex counts work of an unknown tier as free.
 func tierIndex(tier wire.Tier) int {
--- a/internal/queue/queue.go
+++ b/internal/queue/queue.go
@@ -48,15 +48,17 @@
 
 // Load is what a queue reports.
 type Load struct {
-	Running, Waiting, WaitingPaid int
+	Running, RunningPaid, Waiting, WaitingPaid int
 	// Backlog is the predicted number of events not yet produced.
 	Backlog uint64
+	// PaidAhead is the predicted number of events of the paid work that waits.
+	PaidAhead uint64
 }
 
 // Queue is the only queue in front of an engine, with the work that runs.
 type Queue struct {
 	settings Settings
-	line     *line
+	line     *Line
 	running  map[string]*entry
 	order    []*entry
 	held     int
@@ -67,7 +69,7 @@
 
 // New returns an empty queue.
 func New(settings Settings) *Queue {
-	return &Queue{settings: settings, line: newLine(), running: map[string]*entry{}, pace: defaultPace}
+	return &Queue{settings: settings, line: NewLine(), running: map[string]*entry{}, pace: defaultPace}
 }
 
 // SetPace tells the measured time between the events of one stream, in milliseconds.
@@ -86,8 +88,9 @@
 // Load returns the load.
 func (queue *Queue) Load() Load {
 	load := Load{
-		Running: len(queue.order), Waiting: queue.line.len(), WaitingPaid: queue.line.counts[wire.Tier_TIER_PAID],
-		Backlog: queue.line.events[wire.Tier_TIER_PAID] + queue.line.events[wire.Tier_TIER_FREE],
+		Running: len(queue.order), RunningPaid: len(queue.order) - queue.freeRuns, Waiting: queue.line.len(), WaitingPaid: queue.line.counts[wire.Tier_TIER_PAID],
+		Backlog:   queue.line.events[wire.Tier_TIER_PAID] + queue.line.events[wire.Tier_TIER_FREE],
+		PaidAhead: queue.line.events[wire.Tier_TIER_PAID],
 	}
 	for _, run := range queue.order {
 		load.Backlog += uint64(run.remaining())
