queue: share slots between customers by what they hold

Cause: a small customer waited behind a large one. Pauses refunded the large customer into precedence, its waiting time used up the bound on its pauses, and its overdue work went first. Change: the customer with the fewest slots for its weight goes next and may take a slot from one that keeps at least as many; refunds lead no further back than the current virtual time; only time paused counts against such pauses; overdue work goes first within its customer's share only; a stream is not paused again before it produced an event. The entry VM lets a customer within its share pass one that used up the paid limit.

--- a/bench/queue/entry.go
+++ b/bench/queue/entry.go
@@ -10,9 +10,9 @@
 
 // entryVM holds a gate and what its entry VM knows of the engines.
 type entryVM struct {
-	world  *world
-	gate   *admit.Gate
-	sizes  *sizes.Predictor
+	world *world
+	gate  *admit.Gate
+	sizes *sizes.Predictor
 	// own and others count the requests at each engine; index 1 counts the
 	// paid ones alone.
 	own    [engines][2]int
@@ -26,6 +26,7 @@
 	now := entry.world.millis()
 	job.item = queue.Item{
 		ID: job.id, Customer: job.customer, Tier: job.tier, Weight: 1, Size: entry.sizes.Predict(job.traits),
+		Counted: true,
 		Arrived: now, Deadline: now + clock.Millis(job.patience),
 	}
 	if entry.world.plain {
--- a/internal/admit/gate.go
+++ b/internal/admit/gate.go
@@ -23,6 +23,9 @@
 	sliceLength = 250 * clock.Millis(1)
 	// memory is the time over which the service of free work is averaged.
 	memory = 5 * clock.Second
+	// caution is added to the estimate, in per cent of it: reports lag, and
+	// work that came after may go first.
+	caution = 130
 	// leastRetry is the least time that a refused caller is told to wait.
 	leastRetry = clock.Second
 )
@@ -103,6 +106,8 @@
 	// sent holds the admitted requests that have not ended.
 	sent map[string]queue.Item
 	own  [2]int
+	// sentBy counts them by customer.
+	sentBy map[string]int
 	// pending sums, by tier and customer, the requests without a first event.
 	pending [2]map[string]*share
 	// grant is how many free requests may still go in this slice.
@@ -124,7 +129,7 @@
 // New returns a gate without capacity.
 func New(settings Settings) *Gate {
 	return &Gate{
-		settings: settings, line: queue.NewLine(), sent: map[string]queue.Item{},
+		settings: settings, line: queue.NewLine(), sent: map[string]queue.Item{}, sentBy: map[string]int{},
 		pending: [2]map[string]*share{{}, {}},
 	}
 }
@@ -144,7 +149,7 @@
 		item.Tier = wire.Tier_TIER_FREE
 	}
 	item.Size = max(item.Size, 1)
-	wait := gate.estimate(now, item)
+	wait := gate.estimate(now, item) * caution / 100
 	if item.Deadline != 0 && now+wait > item.Deadline {
 		return []Decision{refuse(item.ID, Late, now+wait-item.Deadline)}
 	}
@@ -182,6 +187,9 @@
 		delete(gate.sent, id)
 		gate.line.Release(id)
 		gate.own[side(item.Tier)]--
+		if gate.sentBy[item.Customer]--; gate.sentBy[item.Customer] == 0 {
+			delete(gate.sentBy, item.Customer)
+		}
 		gate.forget(item)
 		if item.Tier == wire.Tier_TIER_FREE {
 			// Its room is this entry VM's own; the others did not see it free.
@@ -207,11 +215,12 @@
 		gate.forget(item)
 		decisions = append(decisions, refuse(item.ID, Expired, 0))
 	}
-	for gate.roomForPaid() {
-		item, ok := gate.line.Take(now, wire.Tier_TIER_PAID)
-		if !ok {
+	for {
+		next, ok := gate.line.Peek(now, wire.Tier_TIER_PAID)
+		if !ok || !(gate.roomForPaid() || gate.withinShare(next)) {
 			break
 		}
+		item, _ := gate.line.Take(now, wire.Tier_TIER_PAID)
 		decisions = append(decisions, gate.admit(item))
 	}
 	gate.slice(now)
@@ -231,6 +240,7 @@
 func (gate *Gate) admit(item queue.Item) Decision {
 	gate.sent[item.ID] = item
 	gate.own[side(item.Tier)]++
+	gate.sentBy[item.Customer]++
 	return Admit{ID: item.ID}
 }
 
@@ -238,8 +248,18 @@
 // while few wait there, the engines' own queues decide.
 func (gate *Gate) roomForPaid() bool {
 	capacity := gate.capacity
-	return capacity.Slots == 0 || capacity.WaitingPaid < capacity.Slots ||
-		gate.own[0] < max(1, paidDepth*capacity.Slots/max(capacity.Entries, 1))
+	return capacity.Slots == 0 || capacity.WaitingPaid < capacity.Slots || gate.own[0] < gate.paidLimit()
+}
+
+// paidLimit is this entry VM's part of the paid requests at the engines.
+func (gate *Gate) paidLimit() int {
+	return max(1, paidDepth*gate.capacity.Slots/max(gate.capacity.Entries, 1))
+}
+
+// withinShare tells whether a customer has less than an even part of the paid
+// limit in use, so that another customer that uses it up does not hold it back.
+func (gate *Gate) withinShare(item queue.Item) bool {
+	return (gate.sentBy[item.Customer]+1)*(len(gate.sentBy)+1) <= gate.paidLimit()
 }
 
 // room returns how many free requests the engines could take now.
--- a/internal/endpt/lane.go
+++ b/internal/endpt/lane.go
@@ -56,6 +56,7 @@
 	item := queue.Item{
 		ID: id, Customer: request.GetCustomer(), Tier: request.GetTier(), Priority: request.GetPriority(),
 		Weight: request.GetWeight(), Size: remaining(request), Arrived: run.arrived, Fixed: !request.GetIdempotent(),
+		Counted: request.GetStream(),
 	}
 	if request.GetPatience() > 0 {
 		item.Deadline = run.arrived + clock.Millis(request.GetPatience())
--- a/internal/queue/band.go
+++ b/internal/queue/band.go
@@ -5,10 +5,11 @@
 	"github.com/hibiscuslug/hibiscuslug/pkg/wire"
 )
 
-// band holds the work of one tier and priority. Customers share it by weighted
-// fair queueing: the flow with the least virtual finish goes next. The finish
-// grows with the size of the work, so short work is preferred, and virtual
-// time grows with the work done, so long work ages.
+// band holds the work of one tier and priority. The customer with the fewest
+// slots for its weight goes next, and among equal ones the one with the least
+// virtual time, which grows with the work done for it. Between short and long
+// work the least virtual finish decides, which grows with the size, so long
+// work ages.
 type band struct {
 	tier     wire.Tier
 	priority int32
@@ -46,7 +47,7 @@
 func newBand(tier wire.Tier, priority int32) *band {
 	flows := func() pile[*flow] {
 		return pile[*flow]{
-			less:  func(first, second *flow) bool { return first.finish() < second.finish() },
+			less:  func(first, second *flow) bool { return first.account.before(second.account) },
 			index: func(flow *flow) *int { return &flow.index },
 		}
 	}
@@ -71,6 +72,20 @@
 	}}
 }
 
+// before tells whether a customer goes before another: the one with fewer slots
+// for its weight, or else the one that used less.
+func (account *account) before(other *account) bool {
+	left, right := float64(account.running)*other.weight, float64(other.running)*account.weight
+	if left != right {
+		return left < right
+	}
+	if account.virtual != other.virtual {
+		return account.virtual < other.virtual
+	}
+	return account.name < other.name
+}
+
+// finish is the virtual time at which a flow's next work would be done.
 func (flow *flow) finish() float64 {
 	head, ok := flow.entries.top()
 	if !ok {
@@ -167,9 +182,11 @@
 	band.charge(account, float64(entry.charged))
 }
 
-// charge changes what a customer has used; a refund is negative.
+// charge changes what a customer has used; a refund is negative and leads no
+// further back than the current virtual time, so that it gives no precedence
+// over customers that used less.
 func (band *band) charge(account *account, events float64) {
-	account.virtual += events / account.weight
+	account.virtual = max(account.virtual+events/account.weight, min(account.virtual, band.virtual))
 	band.short.fix(&account.short)
 	band.long.fix(&account.long)
 }
@@ -180,8 +197,8 @@
 	if !ok {
 		return
 	}
-	band.charge(account, -unused)
 	account.running--
+	band.charge(account, -unused)
 	band.settle(account)
 }
 
@@ -191,8 +208,8 @@
 }
 
 // next returns the entry that runs next, or nil. Without long, long work is left out.
-func (band *band) next(now clock.Millis, long bool) *entry {
-	if overdue, ok := band.due.top(); ok && overdue.due <= now && (long || !overdue.long) {
+func (band *band) next(now clock.Millis, slots int, long bool) *entry {
+	if overdue := band.overdue(now, slots); overdue != nil && (long || !overdue.long) {
 		return overdue
 	}
 	short, hasShort := band.short.top()
@@ -209,6 +226,20 @@
 	return nil
 }
 
+// overdue returns an entry whose time to go first has come, or nil. A customer
+// beyond its share has no such claim: its work waits for its own.
+func (band *band) overdue(now clock.Millis, slots int) *entry {
+	first, ok := band.due.top()
+	if !ok || first.due > now {
+		return nil
+	}
+	account := band.accounts[first.Customer]
+	if float64(account.running+1) > band.share(account, slots) {
+		return nil
+	}
+	return first
+}
+
 // last returns a waiting entry that has not started and may be displaced, from
 // the customer that has most waiting, or nil.
 func (band *band) last() *entry {
--- a/internal/queue/item.go
+++ b/internal/queue/item.go
@@ -19,6 +19,8 @@
 	Arrived clock.Millis
 	// Deadline is when the caller gives up waiting for the first event; 0 for none.
 	Deadline clock.Millis
+	// Counted tells whether the answer is a stream whose events tell its size.
+	Counted bool
 	// Fixed work is never paused or cancelled once it runs.
 	Fixed bool
 }
@@ -77,6 +79,8 @@
 	started  clock.Millis
 	pausedAt clock.Millis
 	paused   clock.Millis
+	// resumed is when it last got a slot.
+	resumed clock.Millis
 	// key orders the entries of a flow: the instant at which it arrived, put
 	// back by its expected duration, so that short work goes first and long
 	// work ages past later arrivals.
--- a/internal/queue/line.go
+++ b/internal/queue/line.go
@@ -145,12 +145,12 @@
 }
 
 // next returns the entry of a tier that runs next, or nil.
-func (line *Line) next(tier wire.Tier, now clock.Millis, long bool) *entry {
+func (line *Line) next(tier wire.Tier, now clock.Millis, slots int, long bool) *entry {
 	for _, band := range line.bands {
 		if band.tier != tier || band.waiting == 0 {
 			continue
 		}
-		if found := band.next(now, long); found != nil {
+		if found := band.next(now, slots, long); found != nil {
 			return found
 		}
 	}
--- a/internal/queue/lineup.go
+++ b/internal/queue/lineup.go
@@ -1,6 +1,8 @@
 package queue
 
 import (
+	"math"
+
 	"github.com/hibiscuslug/hibiscuslug/pkg/clock"
 	"github.com/hibiscuslug/hibiscuslug/pkg/wire"
 )
@@ -18,9 +20,17 @@
 	line.push(added)
 }
 
+// Peek returns the item of a tier that goes next.
+func (line *Line) Peek(now clock.Millis, tier wire.Tier) (Item, bool) {
+	if first := line.next(tier, now, math.MaxInt32, true); first != nil {
+		return first.Item, true
+	}
+	return Item{}, false
+}
+
 // Take removes the item of a tier that goes next; Release must follow.
 func (line *Line) Take(now clock.Millis, tier wire.Tier) (Item, bool) {
-	first := line.next(tier, now, true)
+	first := line.next(tier, now, math.MaxInt32, true)
 	if first == nil {
 		return Item{}, false
 	}
--- a/internal/queue/queue.go
+++ b/internal/queue/queue.go
@@ -142,8 +142,11 @@
 	entry.key = entry.Arrived + expected
 	entry.due = entry.Arrived + clock.Millis(queue.settings.Stretch*float64(expected))
 	if entry.begun {
-		budget := clock.Millis(queue.settings.Stretch*float64(entry.ran(now))) - entry.delay()
-		entry.due = now + max(budget, 0)
+		used := entry.paused
+		if entry.long {
+			used = entry.delay()
+		}
+		entry.due = now + max(clock.Millis(queue.settings.Stretch*float64(entry.ran(now)))-used, 0)
 	}
 	queue.line.push(entry)
 }
@@ -152,7 +155,7 @@
 // that outgrew its prediction is predicted anew, and its customer charged.
 func (queue *Queue) Progress(id string, produced uint32) {
 	run, ok := queue.running[id]
-	if !ok {
+	if !ok || !run.Counted {
 		return
 	}
 	run.produced = produced
@@ -179,7 +182,9 @@
 // End records that a started attempt ended.
 func (queue *Queue) End(now clock.Millis, id string) []Decision {
 	if run, ok := queue.running[id]; ok {
-		queue.line.learn(run.produced)
+		if run.Counted {
+			queue.line.learn(run.produced)
+		}
 		queue.stop(run)
 	} else if waiting, ok := queue.line.byID[id]; ok && waiting.begun {
 		queue.line.remove(waiting)
@@ -208,7 +213,11 @@
 	if run.Tier == wire.Tier_TIER_FREE {
 		queue.freeRuns--
 	}
-	queue.line.leave(run, float64(run.remaining()))
+	unused := 0.0
+	if run.Counted {
+		unused = float64(run.remaining())
+	}
+	queue.line.leave(run, unused)
 }
 
 // Tick refuses what waited too long and gives the slots to the work that goes first.
@@ -246,18 +255,18 @@
 // next returns the entry that should have a slot, or nil.
 func (queue *Queue) next(now clock.Millis) *entry {
 	roomForLong := queue.longRuns < queue.settings.LongSlots
-	if found := queue.line.next(wire.Tier_TIER_PAID, now, roomForLong); found != nil {
+	if found := queue.line.next(wire.Tier_TIER_PAID, now, queue.settings.Slots, roomForLong); found != nil {
 		return found
 	}
 	if queue.settings.Pausable {
 		// Long work may use what nobody else wants, since it can be paused again.
-		if found := queue.line.next(wire.Tier_TIER_PAID, now, true); found != nil {
+		if found := queue.line.next(wire.Tier_TIER_PAID, now, queue.settings.Slots, true); found != nil {
 			return found
 		}
 	} else if queue.freeRuns >= queue.settings.FreeSlots {
 		return nil
 	}
-	return queue.line.next(wire.Tier_TIER_FREE, now, queue.settings.Pausable || 2*queue.longRuns < queue.settings.LongSlots)
+	return queue.line.next(wire.Tier_TIER_FREE, now, queue.settings.Slots, queue.settings.Pausable || 2*queue.longRuns < queue.settings.LongSlots)
 }
 
 // displace returns the entry that gets the slot of a running one, and that one.
@@ -267,7 +276,7 @@
 	if victim != nil || !chosen.long {
 		return chosen, victim
 	}
-	short := queue.line.next(wire.Tier_TIER_PAID, now, false)
+	short := queue.line.next(wire.Tier_TIER_PAID, now, queue.settings.Slots, false)
 	if short == nil {
 		return chosen, nil
 	}
@@ -278,6 +287,7 @@
 	queue.line.take(chosen)
 	queue.running[chosen.ID] = chosen
 	queue.order = append(queue.order, chosen)
+	chosen.resumed = now
 	if chosen.long {
 		queue.longRuns++
 	}
--- a/internal/queue/queue_test.go
+++ b/internal/queue/queue_test.go
@@ -170,7 +170,7 @@
 			item := queue.Item{
 				ID: fmt.Sprint("r", now), Customer: fmt.Sprint("c", random.IntN(4)), Tier: wire.Tier(1 + random.IntN(2)),
 				Priority: int32(random.IntN(2)), Weight: uint32(1 + random.IntN(3)), Size: uint32(1 + random.IntN(1000)),
-				Arrived: now, Deadline: now + clock.Millis(1+random.IntN(200)), Fixed: random.IntN(10) == 0,
+				Arrived: now, Deadline: now + clock.Millis(1+random.IntN(200)), Fixed: random.IntN(10) == 0, Counted: random.IntN(4) > 0,
 			}
 			state.items[item.ID] = item
 			state.waiting[item.ID] = true
--- a/internal/queue/yield.go
+++ b/internal/queue/yield.go
@@ -31,32 +31,44 @@
 	if queue.held >= queue.settings.Held && (run.Tier == wire.Tier_TIER_FREE || queue.cheapestHeld() == nil) {
 		return false
 	}
-	if float64(run.delay()) >= queue.settings.Stretch*float64(run.ran(now)) {
+	if float64(now-run.resumed) < queue.pace {
+		// It has not produced an event since it got the slot.
+		return false
+	}
+	budget := queue.settings.Stretch * float64(run.ran(now))
+	if float64(run.paused) >= budget {
+		return false
+	}
+	if run.Priority == chosen.Priority && queue.fairer(run, chosen) {
+		// What a customer beyond its share waited was the wait for its own work.
+		return true
+	}
+	if float64(run.delay()) >= budget {
 		return false
 	}
 	if run.Priority != chosen.Priority {
 		return run.Priority < chosen.Priority && run.long
 	}
-	over, under := queue.shares(run, chosen)
-	if run.long && !chosen.long {
-		return run.Customer == chosen.Customer || over || under
-	}
-	return over && under
+	return run.long && !chosen.long && queue.level(run, chosen)
 }
 
-// shares tells whether the customer of a running entry keeps at least its share
-// without it, and whether the chosen one's customer stays within its share with it.
-func (queue *Queue) shares(run, chosen *entry) (over, under bool) {
-	if run.Customer == chosen.Customer {
-		return false, false
-	}
+// fairer tells whether a slot that moves from a running entry's customer to the
+// chosen one's leaves the latter with no more slots for its weight.
+func (queue *Queue) fairer(run, chosen *entry) bool {
 	band := queue.line.band(run.Tier, run.Priority)
 	loser, winner := band.accounts[run.Customer], band.accounts[chosen.Customer]
-	if loser == nil || winner == nil {
-		return false, false
+	if run.Customer == chosen.Customer || loser == nil || winner == nil {
+		return false
 	}
-	slots := queue.settings.Slots
-	return float64(loser.running-1) >= band.share(loser, slots), float64(winner.running+1) <= band.share(winner, slots)
+	return float64(winner.running+1)*loser.weight <= float64(loser.running-1)*winner.weight
+}
+
+// level tells whether the chosen one's customer has no more slots for its weight
+// than the running one's.
+func (queue *Queue) level(run, chosen *entry) bool {
+	band := queue.line.band(run.Tier, run.Priority)
+	loser, winner := band.accounts[run.Customer], band.accounts[chosen.Customer]
+	return loser != nil && winner != nil && float64(winner.running)*loser.weight <= float64(loser.running)*winner.weight
 }
 
 // rather tells whether one victim costs less than another: free work before
