--- a/cmd/hibbench/main.go
+++ b/cmd/hibbench/main.go
@@ -10,6 +10,10 @@
 
 	"github.com/jessevdk/go-flags"
 
+	"github.com/hibiscuslug/hibiscuslug/bench/control"
+	"github.com/hibiscuslug/hibiscuslug/bench/expert"
+	"github.com/hibiscuslug/hibiscuslug/bench/models"
+	"github.com/hibiscuslug/hibiscuslug/bench/place"
 	"github.com/hibiscuslug/hibiscuslug/bench/queue"
 	"github.com/hibiscuslug/hibiscuslug/internal/figure"
 )
@@ -27,7 +31,11 @@
 }
 
 var suites = []suite{
-	{name: "queue", run: queue.Run},
+	{"control", control.Run},
+	{"place", place.Run},
+	{"expert", expert.Run},
+	{"models", models.Run},
+	{"queue", queue.Run},
 }
 
 func revision() string {
