entry: admit requests between front and route

Cause: every request went to an engine's queue at once, whatever its caller's patience, and the prediction was the caller's own max_tokens. Change: the entry VM predicts sizes from history and holds or refuses requests by the gate of their engines; refusals are notRun with Retry-After, 429 where the customer's own requests are too many and 503 otherwise.

--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -27,9 +27,12 @@
 	Key string
 	// KeyOptional lets non-idempotent work run without a key.
 	KeyOptional bool
-	// PredictedSize is in stream events.
+	// PredictedSize is in stream events; 0 until package sizes predicts it,
+	// unless a rule gives it.
 	PredictedSize uint32
-	Arrived       clock.Millis
+	// OutputLimit is the caller's limit on the stream events; 0 for none.
+	OutputLimit uint32
+	Arrived     clock.Millis
 	// Deadline is when the caller gives up waiting for the first event.
 	Deadline clock.Millis
 	// PrefixHash identifies the start of the prompt, for prefix-cache affinity.
--- a/internal/class/class.go
+++ b/internal/class/class.go
@@ -16,8 +16,6 @@
 )
 
 const (
-	// defaultSize is the predicted size of a request that sets no output limit, in stream events.
-	defaultSize = 128
 	// prefixLength is how much of the prompt decides prefix-cache affinity, in bytes.
 	prefixLength = 512
 )
@@ -56,8 +54,7 @@
 		Tier: tier.GetLevel(), Priority: tier.GetPriority() + customer.GetPriority(),
 		Deadline: input.Arrived + clock.Millis(tier.GetPatience()),
 		Kind:     kindOf(input.Path), Service: serviceOf(input.Path), Idempotent: true,
-		PredictedSize: predict(input),
-		PrefixHash:    prefixHash(input),
+		OutputLimit: input.MaxTokens, PrefixHash: prefixHash(input),
 	}
 	applyRule(config, &result)
 	lower(config, input, &result)
@@ -118,13 +115,6 @@
 	return name
 }
 
-func predict(input Input) uint32 {
-	if input.MaxTokens > 0 {
-		return input.MaxTokens
-	}
-	return defaultSize
-}
-
 func prefixHash(input Input) uint64 {
 	prompt := input.Prompt
 	return xxhash.Sum64String(prompt[:min(len(prompt), prefixLength)])
--- a/internal/endpt/lane.go
+++ b/internal/endpt/lane.go
@@ -58,7 +58,8 @@
 		Weight: request.GetWeight(), Size: remaining(request), Arrived: run.arrived, Fixed: !request.GetIdempotent(),
 		Counted: request.GetStream(),
 	}
-	if request.GetPatience() > 0 {
+	// A caller that has events already does not give up on the first one.
+	if request.GetPatience() > 0 && request.GetSkipEvents() == 0 {
 		item.Deadline = run.arrived + clock.Millis(request.GetPatience())
 	}
 	lane.mu.Lock()
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -50,6 +50,7 @@
 	fleet       *engines
 	ledger      *ledger.Ledger
 	front       *front.Front
+	keeper      *keeper
 	leaving     atomic.Bool
 	loops       conc.WaitGroup
 	cancel      context.CancelFunc
@@ -73,7 +74,8 @@
 	placer := place.New(settings.Node.Zone, rand.IntN)
 	router := route.New(route.Settings{Node: settings.Node.Name, SilenceLimit: settings.Entry.SilenceLimit},
 		entry.pool, placer, entry.fleet, entry.ledger, ticker, log)
-	entry.front, err = front.New(settings.Entry, entry.view, router, entry.ledger, ticker, entry.newID)
+	entry.keeper = newKeeper(router, entry.fleet, func() int { return len(entry.peers()) }, ticker, log)
+	entry.front, err = front.New(settings.Entry, entry.view, entry.keeper, entry.ledger, ticker, entry.newID)
 	if err != nil {
 		return nil, err
 	}
@@ -99,6 +101,7 @@
 	follower := feed.NewFollower(entry.view, entry.settings.Node.Name, entry.pool, entry.clock, entry.log, entry.sources)
 	entry.loops.Go(func() { follower.Run(ctx) })
 	entry.loops.Go(func() { entry.expire(ctx) })
+	entry.loops.Go(func() { entry.keeper.refresh(ctx) })
 	entry.loops.Go(func() { entry.exchange(ctx) })
 	entry.log.Write(event.Started, "role", "entry", "address", entry.server.Address(), "http", entry.front.Address())
 }
--- /dev/null
+++ b/internal/entry/keeper.go
@@ -0,0 +1,213 @@
+package entry
+
+import (
+	"context"
+	"sync"
+
+	"github.com/hibiscuslug/hibiscuslug/internal/admit"
+	"github.com/hibiscuslug/hibiscuslug/internal/call"
+	"github.com/hibiscuslug/hibiscuslug/internal/event"
+	"github.com/hibiscuslug/hibiscuslug/internal/front"
+	"github.com/hibiscuslug/hibiscuslug/internal/place"
+	"github.com/hibiscuslug/hibiscuslug/internal/queue"
+	"github.com/hibiscuslug/hibiscuslug/internal/route"
+	"github.com/hibiscuslug/hibiscuslug/internal/sizes"
+	"github.com/hibiscuslug/hibiscuslug/pkg/clock"
+	"github.com/hibiscuslug/hibiscuslug/pkg/wire"
+)
+
+// refreshEvery is how often the gates see new load reports.
+const refreshEvery = 50 * clock.Millis(1)
+
+// keeper stands between the front and the router: it predicts the size of a
+// request and lets it through when the gate of its engines admits it.
+type keeper struct {
+	router  front.Router
+	fleet   *engines
+	entries func() int
+	clock   *clock.Clock
+	log     *event.Log
+
+	// mu guards the fields below. Lock order: keeper before engines.
+	mu        sync.Mutex
+	predictor *sizes.Predictor
+	gates     map[pool]*admit.Gate
+	waiting   map[string]chan admit.Decision
+}
+
+// pool names the engines that can run the same requests.
+type pool struct {
+	kind           wire.Kind
+	model, service string
+}
+
+func newKeeper(router front.Router, fleet *engines, entries func() int, ticker *clock.Clock, log *event.Log) *keeper {
+	return &keeper{
+		router: router, fleet: fleet, entries: entries, clock: ticker, log: log, predictor: sizes.New(),
+		gates: map[pool]*admit.Gate{}, waiting: map[string]chan admit.Decision{},
+	}
+}
+
+func poolOf(request call.Call) pool {
+	if request.Kind == wire.Kind_KIND_MODEL {
+		return pool{kind: request.Kind, model: request.Model}
+	}
+	return pool{kind: request.Kind, service: request.Service}
+}
+
+// Do waits for admission, runs the call and learns its size.
+func (keeper *keeper) Do(ctx context.Context, request call.Call, sink route.Sink) route.Result {
+	traits := sizes.Traits{
+		Kind: request.Kind, Customer: request.Customer.GetName(), Model: request.Model,
+		Rule: request.PredictedSize, Prompt: len(request.Body), Limit: request.OutputLimit,
+	}
+	candidates := keeper.fleet.Candidates()
+	keeper.mu.Lock()
+	request.PredictedSize = keeper.predictor.Predict(traits)
+	gate, ok := keeper.gateLocked(request, candidates)
+	keeper.mu.Unlock()
+	if !ok {
+		// No engine is known; the router says so.
+		return keeper.router.Do(ctx, request, sink)
+	}
+	if result := keeper.admit(ctx, gate, request); result.Err != nil {
+		return result
+	}
+	counted := &countingSink{Sink: sink, begin: func() { keeper.started(gate, request.ID) }}
+	result := keeper.router.Do(ctx, request, counted)
+	keeper.mu.Lock()
+	defer keeper.mu.Unlock()
+	if request.Stream && result.Outcome == wire.Outcome_OUTCOME_OK {
+		keeper.predictor.Learn(traits, counted.events)
+	}
+	keeper.carryLocked(gate.Done(keeper.clock.Now(), request.ID))
+	return result
+}
+
+// gateLocked returns the gate of a request's engines, if there are engines.
+func (keeper *keeper) gateLocked(request call.Call, candidates []place.Candidate) (*admit.Gate, bool) {
+	wanted := poolOf(request)
+	gate, ok := keeper.gates[wanted]
+	if ok {
+		return gate, true
+	}
+	capacity := keeper.capacity(wanted, candidates)
+	if capacity.Slots == 0 {
+		return nil, false
+	}
+	gate = admit.New(admit.DefaultSettings())
+	keeper.gates[wanted] = gate
+	keeper.carryLocked(gate.SetCapacity(keeper.clock.Now(), capacity))
+	return gate, true
+}
+
+// admit waits until the gate decides or the caller has gone.
+func (keeper *keeper) admit(ctx context.Context, gate *admit.Gate, request call.Call) route.Result {
+	now := keeper.clock.Now()
+	item := queue.Item{
+		ID: request.ID, Customer: request.Customer.GetName(), Tier: request.Tier, Priority: request.Priority,
+		Weight: request.Customer.GetWeight(), Size: request.PredictedSize, Arrived: now, Deadline: request.Deadline,
+	}
+	decided := make(chan admit.Decision, 1)
+	keeper.mu.Lock()
+	keeper.waiting[request.ID] = decided
+	keeper.carryLocked(gate.Arrive(now, item))
+	keeper.mu.Unlock()
+	select {
+	case decision := <-decided:
+		return keeper.result(request, decision)
+	case <-ctx.Done():
+	}
+	keeper.mu.Lock()
+	defer keeper.mu.Unlock()
+	delete(keeper.waiting, request.ID)
+	if !gate.Withdraw(item) {
+		// It was admitted or refused meanwhile; Done ignores what was refused.
+		keeper.carryLocked(gate.Done(now, request.ID))
+	}
+	return route.Result{Outcome: wire.Outcome_OUTCOME_NOT_RUN, Err: ctx.Err()}
+}
+
+func (keeper *keeper) result(request call.Call, decision admit.Decision) route.Result {
+	refused, ok := decision.(admit.Refuse)
+	if !ok {
+		return route.Result{}
+	}
+	keeper.log.Write(event.RequestRefused, "request", request.ID, "customer", request.Customer.GetName(),
+		"tier", request.Tier, "reason", refused.Refusal.Reason)
+	return route.Result{Outcome: wire.Outcome_OUTCOME_NOT_RUN, Err: refused.Refusal}
+}
+
+// carryLocked passes decisions on to the requests that wait for them.
+func (keeper *keeper) carryLocked(decisions []admit.Decision) {
+	for _, decision := range decisions {
+		id := ""
+		switch decision := decision.(type) {
+		case admit.Admit:
+			id = decision.ID
+		case admit.Refuse:
+			id = decision.ID
+		}
+		if decided, ok := keeper.waiting[id]; ok {
+			delete(keeper.waiting, id)
+			decided <- decision
+		}
+	}
+}
+
+func (keeper *keeper) started(gate *admit.Gate, id string) {
+	keeper.mu.Lock()
+	defer keeper.mu.Unlock()
+	gate.Started(id)
+}
+
+// refresh gives the gates the newest reports until the context ends.
+func (keeper *keeper) refresh(ctx context.Context) {
+	for keeper.clock.Sleep(ctx, refreshEvery) == nil {
+		candidates := keeper.fleet.Candidates()
+		now := keeper.clock.Now()
+		keeper.mu.Lock()
+		for name, gate := range keeper.gates {
+			keeper.carryLocked(gate.SetCapacity(now, keeper.capacity(name, candidates)))
+		}
+		keeper.mu.Unlock()
+	}
+}
+
+// capacity sums what is known of the engines of a pool.
+func (keeper *keeper) capacity(wanted pool, candidates []place.Candidate) admit.Capacity {
+	sum := admit.Capacity{Entries: keeper.entries()}
+	fits := call.Call{Kind: wanted.kind, Model: wanted.model, Service: wanted.service}
+	for _, candidate := range candidates {
+		if !place.Fits(fits, candidate.Engine) {
+			continue
+		}
+		load := candidate.Load
+		own := int(candidate.InFlight) - int(candidate.Sent) + int(candidate.Returned)
+		sum.Slots += int(load.GetSlots())
+		sum.Others += max(0, int(load.GetRunning()+load.GetWaiting())-own)
+		sum.WaitingPaid += int(load.GetWaitingPaid())
+		sum.PaidAhead += load.GetPaidAhead()
+		sum.Backlog += load.GetBacklog()
+		if load.GetRunning() > 0 {
+			sum.Rate += float64(load.GetRate()) * float64(load.GetSlots()) / float64(load.GetRunning())
+		}
+	}
+	return sum
+}
+
+// countingSink counts the events of an answer on their way to the caller.
+type countingSink struct {
+	route.Sink
+	begin  func()
+	events uint32
+}
+
+// Data passes on a part of the answer.
+func (sink *countingSink) Data(events [][]byte) error {
+	if sink.events == 0 {
+		sink.begin()
+	}
+	sink.events += uint32(len(events))
+	return sink.Sink.Data(events)
+}
--- a/internal/front/answer.go
+++ b/internal/front/answer.go
@@ -64,7 +64,7 @@
 	<-answer.headed
 	if answer.status == 0 {
 		result := answer.result
-		return fail(ctx, statusOf(result), result.Outcome, message(result.Err))
+		return fail(ctx, retry(ctx, result), result.Outcome, message(result.Err))
 	}
 	ctx.Status(answer.status)
 	ctx.Set(fiber.HeaderContentType, answer.contentType)
