queue: count a stream of twice its prediction as long

Cause: a stream that outgrew its prediction counted as long only at eight times the typical size. Change: it counts as long from twice its prediction on.

--- a/cmd/hibbench/main.go
+++ b/cmd/hibbench/main.go
@@ -36,6 +36,7 @@
 	{"expert", expert.Run},
 	{"models", models.Run},
 	{"queue", queue.Run},
+	{"queueReal", queue.RunReal},
 }
 
 func revision() string {
--- a/internal/queue/item.go
+++ b/internal/queue/item.go
@@ -73,7 +73,9 @@
 	Item
 	sequence uint64
 	long     bool
-	produced uint32
+	// predicted is the size at arrival.
+	predicted uint32
+	produced  uint32
 	// begun tells whether the attempt was ever started; pausedAt is 0 unless it is paused.
 	begun    bool
 	started  clock.Millis
--- a/internal/queue/queue.go
+++ b/internal/queue/queue.go
@@ -11,6 +11,9 @@
 	// outgrowth is how far a stream that produced more than predicted is
 	// expected to go on: half as much again.
 	outgrowthNumerator, outgrowthDenominator = 3, 2
+	// outgrown is how many times its prediction makes a stream long, if it is
+	// at least of typical size.
+	outgrown = 2
 	// defaultPace is the time between the events of a stream until it is measured.
 	defaultPace = 30
 )
@@ -109,7 +112,7 @@
 		return decisions
 	}
 	queue.line.learn(item.Size)
-	added := &entry{Item: item, long: queue.line.long(item.Size)}
+	added := &entry{Item: item, long: queue.line.long(item.Size), predicted: max(item.Size, leastTypical)}
 	queue.add(added, now)
 	return append(decisions, queue.Tick(now)...)
 }
@@ -165,7 +168,7 @@
 	grown := produced * outgrowthNumerator / outgrowthDenominator
 	queue.charge(run, grown-run.Size)
 	run.Size = grown
-	if !run.long && queue.line.long(produced) {
+	if !run.long && (queue.line.long(produced) || produced >= outgrown*run.predicted) {
 		run.long = true
 		queue.longRuns++
 	}
