--- a/internal/endpt/lane.go
+++ b/internal/endpt/lane.go
@@ -148,7 +148,7 @@
 	}
 	lane.work.Go(func() {
 		defer cancel()
-		result := lane.runner.Run(ctx, lane.target, run.request, &laneSink{lane: lane, id: id, run: run})
+		result := lane.runner.Run(ctx, lane.target, run.request, &laneSink{attempt: run, lane: lane, id: id})
 		lane.end(id, run, result)
 	})
 }
@@ -248,23 +248,20 @@
 
 // laneSink counts what an attempt produces on its way to the attempt.
 type laneSink struct {
-	lane     *lane
-	id       string
-	run      *attempt
-	produced uint32
+	*attempt
+	lane   *lane
+	id     string
+	events uint32
 }
 
-// Head passes on the status of the engine's answer.
-func (sink *laneSink) Head(status int, contentType string) { sink.run.Head(status, contentType) }
-
 // Data passes on a part of the engine's answer.
 func (sink *laneSink) Data(events [][]byte) {
-	sink.run.Data(events)
-	sink.produced += uint32(len(events))
+	sink.attempt.Data(events)
+	sink.events += uint32(len(events))
 	lane := sink.lane
 	now := lane.clock.Now()
 	lane.mu.Lock()
 	defer lane.mu.Unlock()
-	lane.queue.Progress(sink.id, sink.produced)
+	lane.queue.Progress(sink.id, sink.events)
 	lane.rate.add(now, uint64(len(events)), uint64(lane.queue.Running()))
 }
--- a/internal/entry/keeper.go
+++ b/internal/entry/keeper.go
@@ -7,7 +7,7 @@
 	"github.com/hibiscuslug/hibiscuslug/internal/admit"
 	"github.com/hibiscuslug/hibiscuslug/internal/call"
 	"github.com/hibiscuslug/hibiscuslug/internal/event"
-	"github.com/hibiscuslug/hibiscuslug/internal/front"
+	"github.com/hibiscuslug/hibiscuslug/internal/once"
 	"github.com/hibiscuslug/hibiscuslug/internal/place"
 	"github.com/hibiscuslug/hibiscuslug/internal/queue"
 	"github.com/hibiscuslug/hibiscuslug/internal/route"
@@ -19,10 +19,11 @@
 // refreshEvery is how often the gates see new load reports.
 const refreshEvery = 50 * clock.Millis(1)
 
-// keeper stands between the front and the router: it predicts the size of a
-// request and lets it through when the gate of its engines admits it.
+// keeper stands before the router: it predicts the size of a request and lets
+// it through when the gate of its engines admits it. Work that may run only once
+// passes it after its claim, so that a recorded answer needs no admission.
 type keeper struct {
-	router  front.Router
+	router  once.Router
 	fleet   *engines
 	entries func() int
 	clock   *clock.Clock
@@ -41,7 +42,7 @@
 	model, service string
 }
 
-func newKeeper(router front.Router, fleet *engines, entries func() int, ticker *clock.Clock, log *event.Log) *keeper {
+func newKeeper(router once.Router, fleet *engines, entries func() int, ticker *clock.Clock, log *event.Log) *keeper {
 	return &keeper{
 		router: router, fleet: fleet, entries: entries, clock: ticker, log: log, predictor: sizes.New(),
 		gates: map[pool]*admit.Gate{}, waiting: map[string]chan admit.Decision{},
@@ -55,8 +56,27 @@
 	return pool{kind: request.Kind, service: request.Service}
 }
 
-// Do waits for admission, runs the call and learns its size.
+// Do carries a call once it is admitted.
 func (keeper *keeper) Do(ctx context.Context, request call.Call, sink route.Sink) route.Result {
+	return keeper.run(ctx, request, sink, func(request call.Call, sink route.Sink) route.Result {
+		return keeper.router.Do(ctx, request, sink)
+	})
+}
+
+// Place chooses an engine for an attempt.
+func (keeper *keeper) Place(request call.Call, used []string) (place.Choice, bool) {
+	return keeper.router.Place(request, used)
+}
+
+// Attempt sends one attempt once it is admitted.
+func (keeper *keeper) Attempt(ctx context.Context, request call.Call, number uint32, choice place.Choice, sink route.Sink) route.Result {
+	return keeper.run(ctx, request, sink, func(request call.Call, sink route.Sink) route.Result {
+		return keeper.router.Attempt(ctx, request, number, choice, sink)
+	})
+}
+
+// run waits for admission, runs the call and learns its size.
+func (keeper *keeper) run(ctx context.Context, request call.Call, sink route.Sink, carry func(call.Call, route.Sink) route.Result) route.Result {
 	traits := sizes.Traits{
 		Kind: request.Kind, Customer: request.Customer.GetName(), Model: request.Model,
 		Rule: request.PredictedSize, Prompt: len(request.Body), Limit: request.OutputLimit,
@@ -68,13 +88,13 @@
 	keeper.mu.Unlock()
 	if !ok {
 		// No engine is known; the router says so.
-		return keeper.router.Do(ctx, request, sink)
+		return carry(request, sink)
 	}
 	if result := keeper.admit(ctx, gate, request); result.Err != nil {
 		return result
 	}
 	counted := &countingSink{Sink: sink, begin: func() { keeper.started(gate, request.ID) }}
-	result := keeper.router.Do(ctx, request, counted)
+	result := carry(request, counted)
 	keeper.mu.Lock()
 	defer keeper.mu.Unlock()
 	if request.Stream && result.Outcome == wire.Outcome_OUTCOME_OK {
@@ -203,6 +223,13 @@
 	events uint32
 }
 
+// Headers passes on the answer's headers, where its caller takes them.
+func (sink *countingSink) Headers(headers []*wire.Header) {
+	if taker, ok := sink.Sink.(route.HeaderSink); ok {
+		taker.Headers(headers)
+	}
+}
+
 // Data passes on a part of the answer.
 func (sink *countingSink) Data(events [][]byte) error {
 	if sink.events == 0 {
