--- a/cmd/hibbench/main.go
+++ b/cmd/hibbench/main.go
@@ -14,6 +14,7 @@
 	"github.com/hibiscuslug/hibiscuslug/bench/control"
 	"github.com/hibiscuslug/hibiscuslug/bench/expert"
 	"github.com/hibiscuslug/hibiscuslug/bench/models"
+	"github.com/hibiscuslug/hibiscuslug/bench/operate"
 	"github.com/hibiscuslug/hibiscuslug/bench/path"
 	"github.com/hibiscuslug/hibiscuslug/bench/place"
 	"github.com/hibiscuslug/hibiscuslug/bench/queue"
@@ -43,6 +44,7 @@
 	{"models", models.Run},
 	{"queue", queue.Run},
 	{"queueReal", queue.RunReal},
+	{"operate", operate.Run},
 	{"scale", scale.Run},
 	{"storm", storm.Run},
 }
--- /dev/null
+++ b/internal/ctrl/local.go
@@ -0,0 +1,48 @@
+package ctrl
+
+import (
+	"context"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/hibiscuslug/hibiscuslug/internal/feed"
+	"github.com/hibiscuslug/hibiscuslug/internal/rows"
+	"github.com/hibiscuslug/hibiscuslug/pkg/query"
+	"github.com/hibiscuslug/hibiscuslug/pkg/wire"
+)
+
+// known answers queries about the configuration and about this process.
+func (control *Control) known(what string) (*wire.Table, error) {
+	if what == "nodes" {
+		table := rows.New("nodes")
+		rows.Add(table, rows.Node(control.announcement(), 0)...)
+		return table, nil
+	}
+	if table, ok := rows.Config(what, control.view, control.clock.Now()); ok {
+		return table, nil
+	}
+	return nil, errors.Newf("a control VM cannot show %s; send the command to an entry VM", what)
+}
+
+// show answers a show command from what this control VM knows.
+func (control *Control) show(ctx context.Context, show *query.Show) *wire.CommandReply {
+	table, err := control.Local(ctx, &wire.NodeQuery{What: show.What})
+	if err != nil {
+		return query.Invalid(err)
+	}
+	if err := show.Select(table); err != nil {
+		return query.Invalid(err)
+	}
+	return &wire.CommandReply{Table: table, Revision: control.view.State().Revision()}
+}
+
+func (control *Control) announcement() *wire.Announcement {
+	node := control.settings.Node
+	return &wire.Announcement{
+		Node: node.Name, Role: wire.NodeRole_NODE_ROLE_CONTROL, Address: control.advertised(), Zone: node.Zone, Region: node.Region,
+		State: wire.NodeState_NODE_STATE_SERVING, Revision: control.view.State().Revision(), RevisionAge: int64(control.view.Age()),
+	}
+}
+
+// View returns the configuration that is in force here.
+func (control *Control) View() *feed.View { return control.view }
--- a/internal/ctrl/members.go
+++ b/internal/ctrl/members.go
@@ -6,7 +6,6 @@
 	"strconv"
 	"strings"
 
-	"github.com/cockroachdb/errors"
 	"github.com/sourcegraph/conc"
 
 	"github.com/hibiscuslug/hibiscuslug/internal/quorum"
@@ -25,7 +24,11 @@
 	roleUnknown = "unreachable"
 )
 
-var controlColumns = []string{"name", "address", "disk", "role", "term", "index", "commit", "revision"}
+var (
+	controlKind, _ = query.KindOf(whatControl)
+	controlColumns = controlKind.Table().GetColumns()
+	controlTypes   = controlKind.Table().GetTypes()
+)
 
 // changeMember lets a control VM join the group, or removes one.
 func (control *Control) changeMember(ctx context.Context, parsed *query.Command) *wire.CommandReply {
@@ -72,9 +75,9 @@
 	case whatControl:
 		return control.gather(ctx), nil
 	case whatSelf:
-		return &wire.Table{Columns: controlColumns, Rows: []*wire.Row{control.row()}}, nil
+		return &wire.Table{Columns: controlColumns, Types: controlTypes, Rows: []*wire.Row{control.row()}}, nil
 	}
-	return nil, errors.Newf("show %s is not known to a control VM; ask an entry VM", asked.GetWhat())
+	return control.known(asked.GetWhat())
 }
 
 func (control *Control) row() *wire.Row {
@@ -96,7 +99,7 @@
 		asking.Go(func() { rows[at] = control.rowOf(ctx, member) })
 	}
 	asking.Wait()
-	return &wire.Table{Columns: controlColumns, Rows: rows}
+	return &wire.Table{Columns: controlColumns, Types: controlTypes, Rows: rows}
 }
 
 func (control *Control) rowOf(ctx context.Context, member *wire.ControlMember) *wire.Row {
--- a/internal/ctrl/operate.go
+++ b/internal/ctrl/operate.go
@@ -22,7 +22,10 @@
 		return query.Failure(err), nil
 	}
 	if parsed.Show != nil {
-		return control.show(ctx, parsed.Show)
+		return control.show(ctx, parsed.Show), nil
+	}
+	if parsed.Explain != nil || parsed.Cancel != nil {
+		return query.Invalid(errors.New("a control VM does not carry requests; send the command to an entry VM")), nil
 	}
 	if reply := control.firstAnswer(command.GetId()); reply != nil {
 		return reply, nil
@@ -48,14 +51,6 @@
 	return reply, nil
 }
 
-func (control *Control) show(ctx context.Context, asked *query.Show) (*wire.CommandReply, error) {
-	table, err := control.Local(ctx, &wire.NodeQuery{What: asked.What})
-	if err != nil {
-		return query.Invalid(err), nil
-	}
-	return &wire.CommandReply{Table: table, Revision: control.view.State().Revision()}, nil
-}
-
 // firstAnswer returns the answer that the command id got before.
 func (control *Control) firstAnswer(id string) *wire.CommandReply {
 	control.mu.Lock()
@@ -120,7 +115,7 @@
 	if err != nil {
 		return nil, err
 	}
-	change.CommandId, change.Text, change.At = command.GetId(), command.GetText(), int64(control.clock.Now())
+	change.CommandId, change.Text, change.At = command.GetId(), query.Redact(command.GetText()), int64(control.clock.Now())
 	if parsed.IfRevision != nil {
 		change.IfRevision, change.Conditional = *parsed.IfRevision, true
 	}
--- a/pkg/query/reply.go
+++ b/pkg/query/reply.go
@@ -11,7 +11,7 @@
 	reply := &wire.CommandReply{Code: CodeSyntax, Error: err.Error(), Column: 1}
 	var syntax *SyntaxError
 	if errors.As(err, &syntax) {
-		reply.Column = uint32(syntax.Column)
+		reply.Column, reply.Code = uint32(syntax.Column), syntax.Code
 	}
 	return reply
 }
