--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -105,7 +105,18 @@
 	if len(store.segments) == 0 {
 		return store.roll()
 	}
-	return nil
+	return store.syncAll()
+}
+
+// syncAll makes durable what an earlier process may have written and not
+// synced before it was killed: it counts as synced from now on.
+func (store *Store) syncAll() error {
+	for _, part := range store.segments {
+		if err := part.file.Sync(); err != nil {
+			return errors.Wrap(err, "sync journal segment")
+		}
+	}
+	return errors.Wrap(store.disk.SyncFolder(store.folder), "sync data folder")
 }
 
 // loadSegment adds a segment's entries; the result tells whether the log is broken behind it.
