End a damaged member's caution only under a lease

Cause: a new leader's commit mark may be lower than what was committed before it; a damaged member that reached that mark took part in elections again. Change: the caution ends with an append of a leader that has a lease, so that an entry of its own term, and all before it, is committed. Conclusion: the member then holds every entry that was ever committed.

--- a/internal/quorum/replicate.go
+++ b/internal/quorum/replicate.go
@@ -84,7 +84,9 @@
 	if message.GetLeaseAge() > 0 && core.applied >= message.GetCommit() {
 		core.act(Confirmed{Age: clock.Millis(message.GetLeaseAge() - 1)})
 	}
-	if answer.GetIndex() >= message.GetCommit() {
+	// A leader with a lease has committed an entry of its term, and with it
+	// every entry that was ever committed.
+	if message.GetLeaseAge() > 0 && answer.GetIndex() >= message.GetCommit() {
 		core.cautious = false
 	}
 	core.confirmEarly(message, answer.GetIndex())
