Test claims through a group of control VMs

Cause: the scenarios sent changes only. Change: a scenario in which ten keys are claimed again by other requests, at any member, after a failover and after a restart of the whole group.

--- a/internal/procs/group.go
+++ b/internal/procs/group.go
@@ -133,6 +133,13 @@
 	return rows, nil
 }
 
+// Claim sends one step of a claim to a member.
+func (group *Group) Claim(at int, op *wire.ClaimOp) (*wire.ClaimReply, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), callLimit)
+	defer cancel()
+	return wire.NewDRPCClaimsClient(group.Pool.Conn(ctx, group.Address(at))).Apply(ctx, op)
+}
+
 // Watch returns the first item of a member's configuration feed.
 func (group *Group) Watch(at int) (*wire.FeedItem, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), callLimit)
--- a/test/control/control_test.go
+++ b/test/control/control_test.go
@@ -114,6 +114,10 @@
 		run.age(word)
 	case "logged":
 		Expect(run.group.Process(run.victim).Log()).To(ContainSubstring(rest))
+	case "claim":
+		run.claim(rest, true)
+	case "reclaim":
+		run.claim(rest, false)
 	case "race":
 		run.race(number(rest))
 	case "alter":
@@ -284,6 +288,22 @@
 	}
 }
 
+// claim sends one claim for each of ten keys to any member; a key can be
+// granted to one request only.
+func (run *stage) claim(request string, granted bool) {
+	for key := range 10 {
+		Eventually(func(assert Gomega) {
+			reply, err := run.group.Claim(run.any(), &wire.ClaimOp{
+				Customer: "clinic", Key: fmt.Sprint(key), BodyHash: []byte("body"), RequestId: request + fmt.Sprint(key), Attempt: 1,
+				Endpoint: "endpoint1", Incarnation: 1, At: time.Now().UnixMilli(),
+			})
+			assert.Expect(err).NotTo(HaveOccurred())
+			assert.Expect(reply.GetUnavailable()).To(BeFalse())
+			assert.Expect(reply.GetState() == wire.ClaimState_CLAIM_STATE_GRANTED).To(Equal(granted))
+		}).WithTimeout(limit).Should(Succeed())
+	}
+}
+
 // race sends two commands against one revision to two members at once.
 func (run *stage) race(rounds int) {
 	for round := range rounds {
