--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -101,7 +101,7 @@
 	}{
 		{"entry", "Run an entry VM's process", "Takes callers' requests and places them on engines.\n\nExample:\n  hibiscuslug entry --name entry1 --zone zone1 --control 127.0.0.1:7100 --http-listen 127.0.0.1:8080", &entryCommand{out: out}},
 		{"endpoint", "Run an endpoint process", "Stands before the engines of an endpoint VM.\n\nExample:\n  hibiscuslug endpoint --name endpoint1 --zone zone1 --entry 127.0.0.1:7000 --engine model,engine1,http://127.0.0.1:9000,guide-1", &endpointCommand{out: out}},
-		{"control", "Run a control VM's process", "Holds the configuration on disk.\n\nExample:\n  hibiscuslug control --name control1 --zone zone1 --data /var/lib/hibiscuslug", &controlCommand{out: out}},
+		{"control", "Run a control VM's process", "Holds the configuration on disk.\n\nExample:\n  hibiscuslug control --name control1 --zone zone1 --data /var/lib/hibiscuslug\n\nExample of one in a group of three:\n  hibiscuslug control --name control1 --zone zone1 --listen 10.0.0.1:7100 --data /var/lib/hibiscuslug --group control1@10.0.0.1:7100 --group control2@10.0.0.2:7100 --group control3@10.0.0.3:7100", &controlCommand{out: out}},
 	}
 	for _, command := range commands {
 		if _, err := parser.AddCommand(command.name, command.short, command.long, command.data); err != nil {
