Remember the ids of commands that change the members

Cause: a resent 'add control' got the error that the control VM is in the group already, and not its first answer. Change: the member set in the log carries the command's id, and the replicated answers keep it. Conclusion: accepted member commands can be resent like changes. A refused one is decided again.

--- a/internal/ctrl/loop.go
+++ b/internal/ctrl/loop.go
@@ -227,6 +227,7 @@
 		return outcome{claim: control.claims.Apply(body.Claim)}, nil
 	case *wire.Entry_Members:
 		control.log.Write(event.MembersChanged, "index", entry.GetIndex(), "members", describe(body.Members.GetMembers()))
+		return outcome{result: control.machine.Accept(body.Members.GetCommandId())}, nil
 	}
 	return outcome{result: &wire.CommandResult{Revision: control.machine.State().Revision()}}, nil
 }
--- a/internal/ctrl/members.go
+++ b/internal/ctrl/members.go
@@ -28,7 +28,10 @@
 var controlColumns = []string{"name", "address", "disk", "role", "term", "index", "commit", "revision"}
 
 // changeMember lets a control VM join the group, or removes one.
-func (control *Control) changeMember(ctx context.Context, parsed *query.Command) *wire.CommandReply {
+func (control *Control) changeMember(ctx context.Context, id string, parsed *query.Command) *wire.CommandReply {
+	if reply := control.firstAnswer(id); reply != nil {
+		return reply
+	}
 	target, remove := parsed.Add, false
 	if target == nil {
 		target, remove = parsed.Remove, true
@@ -37,7 +40,7 @@
 	if err := checkMember(control.status.Load().Members, target.What, name, remove); err != nil {
 		return refusal(err)
 	}
-	result := control.ask(ctx, input{event: quorum.ChangeMember{Name: name, Remove: remove}})
+	result := control.ask(ctx, input{event: quorum.ChangeMember{Name: name, Remove: remove, CommandID: id}})
 	if result.err != nil {
 		return failure(result)
 	}
--- a/internal/ctrl/operate.go
+++ b/internal/ctrl/operate.go
@@ -75,7 +75,7 @@
 // turns out not to lead.
 func (control *Control) change(ctx context.Context, command *wire.Command, parsed *query.Command) *wire.CommandReply {
 	if parsed.Add != nil || parsed.Remove != nil {
-		return control.changeMember(ctx, parsed)
+		return control.changeMember(ctx, command.GetId(), parsed)
 	}
 	control.changing.Lock()
 	defer control.changing.Unlock()
--- a/internal/quorum/join.go
+++ b/internal/quorum/join.go
@@ -157,7 +157,7 @@
 		return
 	}
 	kept := without(core.members, func(member *wire.ControlMember) bool { return known(member) && !member.GetVoter() })
-	core.setMembers(append(kept, &wire.ControlMember{Name: peer.Name, Disk: peer.Disk, Address: address}))
+	core.setMembers(append(kept, &wire.ControlMember{Name: peer.Name, Disk: peer.Disk, Address: address}), "")
 }
 
 func (core *Core) forwardJoin(message *wire.PeerMessage) {
--- a/internal/quorum/member.go
+++ b/internal/quorum/member.go
@@ -95,10 +95,10 @@
 }
 
 // setMembers appends a member set that differs by one voter at most.
-func (core *Core) setMembers(members []*wire.ControlMember) uint64 {
+func (core *Core) setMembers(members []*wire.ControlMember, commandID string) uint64 {
 	index := core.log.last() + 1
 	core.append([]*wire.Entry{{
-		Index: index, Term: core.hard.Term, Body: &wire.Entry_Members{Members: &wire.MemberSet{Members: members}},
+		Index: index, Term: core.hard.Term, Body: &wire.Entry_Members{Members: &wire.MemberSet{Members: members, CommandId: commandID}},
 	}})
 	core.replicate()
 	return index
@@ -117,10 +117,10 @@
 	if event.Remove {
 		index = core.setMembers(without(core.members, func(member *wire.ControlMember) bool {
 			return member.GetName() == event.Name
-		}))
+		}), event.CommandID)
 	} else {
 		// Disk 0 marks a name that may join and has not yet.
-		index = core.setMembers(append(slices.Clone(core.members), &wire.ControlMember{Name: event.Name}))
+		index = core.setMembers(append(slices.Clone(core.members), &wire.ControlMember{Name: event.Name}), event.CommandID)
 	}
 	core.act(Accepted{ID: event.ID, Index: index, Term: core.hard.Term})
 }
@@ -144,12 +144,12 @@
 			return other.GetName() == member.GetName() && other.GetDisk() != member.GetDisk()
 		}
 		if slices.ContainsFunc(core.members, old) {
-			core.setMembers(without(core.members, old))
+			core.setMembers(without(core.members, old), "")
 			return
 		}
 		core.setMembers(replaced(core.members, member, &wire.ControlMember{
 			Name: member.GetName(), Disk: member.GetDisk(), Address: member.GetAddress(), Voter: true,
-		}))
+		}), "")
 		return
 	}
 }
--- a/internal/quorum/quorum.go
+++ b/internal/quorum/quorum.go
@@ -94,6 +94,8 @@
 	ID     uint64
 	Name   string
 	Remove bool
+	// CommandID is kept with the member set, so that a resent command is known.
+	CommandID string
 }
 
 // Synced tells that a Save and all before it are on disk.
--- a/internal/state/machine.go
+++ b/internal/state/machine.go
@@ -45,6 +45,17 @@
 	return result, numbered
 }
 
+// Accept remembers that a command which changes no configuration, but the
+// members of the control group, was accepted.
+func (machine *Machine) Accept(commandID string) *wire.CommandResult {
+	if result, ok := machine.results[commandID]; ok {
+		return result
+	}
+	result := &wire.CommandResult{CommandId: commandID, Revision: machine.state.revision}
+	machine.remember(result)
+	return result
+}
+
 func (machine *Machine) decide(change *wire.Change) (*wire.CommandResult, *wire.Numbered) {
 	result := &wire.CommandResult{CommandId: change.GetCommandId(), Revision: machine.state.revision}
 	if wanted := change.GetIfRevision(); change.GetConditional() && wanted != machine.state.revision {
--- a/test/control/control_test.go
+++ b/test/control/control_test.go
@@ -125,10 +125,10 @@
 	case "add":
 		Expect(run.group.Add(filepath.Join(GinkgoT().TempDir(), rest))).To(Succeed())
 		run.up = append(run.up, false)
-		run.execute("add", "add control "+rest)
+		run.members("add", "add control "+rest)
 	case "remove":
 		run.victim = run.leader()
-		run.execute("remove", "remove control "+run.group.Name(run.victim))
+		run.members("remove", "remove control "+run.group.Name(run.victim))
 		run.up[run.victim] = false
 	default:
 		Fail("unknown step " + word)
@@ -174,6 +174,15 @@
 	return reply
 }
 
+// members changes the members by a command that is sent twice; the second time
+// it must get the first answer, and not that the change is in force already.
+func (run *stage) members(id, text string) {
+	for range 2 {
+		reply := run.execute(id, text)
+		Expect(reply.GetCode()).To(BeEmpty(), reply.GetError())
+	}
+}
+
 func (run *stage) change(count int) {
 	for range count {
 		id := fmt.Sprintf("c%d", len(run.answers)+1)
