--- a/cmd/hibbench/main.go
+++ b/cmd/hibbench/main.go
@@ -10,10 +10,14 @@
 
 	"github.com/jessevdk/go-flags"
 
+	"github.com/hibiscuslug/hibiscuslug/bench/claim"
 	"github.com/hibiscuslug/hibiscuslug/bench/control"
 	"github.com/hibiscuslug/hibiscuslug/bench/expert"
 	"github.com/hibiscuslug/hibiscuslug/bench/models"
+	"github.com/hibiscuslug/hibiscuslug/bench/path"
 	"github.com/hibiscuslug/hibiscuslug/bench/place"
+	"github.com/hibiscuslug/hibiscuslug/bench/scale"
+	"github.com/hibiscuslug/hibiscuslug/bench/storm"
 	"github.com/hibiscuslug/hibiscuslug/internal/figure"
 )
 
@@ -32,8 +36,12 @@
 var suites = []suite{
 	{"control", control.Run},
 	{"place", place.Run},
+	{"path", path.Run},
+	{"claim", claim.Run},
 	{"expert", expert.Run},
 	{"models", models.Run},
+	{"scale", scale.Run},
+	{"storm", storm.Run},
 }
 
 func revision() string {
--- a/internal/ctrl/operate.go
+++ b/internal/ctrl/operate.go
@@ -149,8 +149,12 @@
 
 // Apply takes a step of a claim through the log.
 func (control *Control) Apply(ctx context.Context, op *wire.ClaimOp) (*wire.ClaimReply, error) {
+	if reply, ok := control.peek(op); ok {
+		return reply, nil
+	}
 	reply := &wire.ClaimReply{Unavailable: true}
 	control.onLeader(ctx, func(ctx context.Context) bool {
+		op.At = int64(control.clock.Now())
 		result := control.propose(ctx, input{entry: &wire.Entry{Body: &wire.Entry_Claim{Claim: op}}})
 		if errors.Is(result.err, quorum.ErrNotLeader) {
 			return true
