--- a/cmd/hibbench/main.go
+++ b/cmd/hibbench/main.go
@@ -16,6 +16,7 @@
 	"github.com/hibiscuslug/hibiscuslug/bench/models"
 	"github.com/hibiscuslug/hibiscuslug/bench/path"
 	"github.com/hibiscuslug/hibiscuslug/bench/place"
+	"github.com/hibiscuslug/hibiscuslug/bench/queue"
 	"github.com/hibiscuslug/hibiscuslug/bench/scale"
 	"github.com/hibiscuslug/hibiscuslug/bench/storm"
 	"github.com/hibiscuslug/hibiscuslug/internal/figure"
@@ -40,6 +41,8 @@
 	{"claim", claim.Run},
 	{"expert", expert.Run},
 	{"models", models.Run},
+	{"queue", queue.Run},
+	{"queueReal", queue.RunReal},
 	{"scale", scale.Run},
 	{"storm", storm.Run},
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -52,6 +52,7 @@
 	ledger      *ledger.Ledger
 	front       *front.Front
 	once        *once.Once
+	keeper      *keeper
 	leaving     atomic.Bool
 	loops       conc.WaitGroup
 	cancel      context.CancelFunc
@@ -75,8 +76,9 @@
 	placer := place.New(settings.Node.Zone, rand.IntN)
 	router := route.New(route.Settings{Node: settings.Node.Name, SilenceLimit: settings.Entry.SilenceLimit},
 		entry.pool, placer, entry.fleet, entry.ledger, ticker, log)
+	entry.keeper = newKeeper(router, entry.fleet, func() int { return len(entry.peers()) }, ticker, log)
 	entry.once = once.New(once.Settings{
-		Router: router, Claims: once.NewClaims(entry.pool, ticker, settings.Entry.Control), Pool: entry.pool,
+		Router: entry.keeper, Claims: once.NewClaims(entry.pool, ticker, settings.Entry.Control), Pool: entry.pool,
 		Endpoints: entry.members.Node, Clock: ticker, Log: log, SilenceLimit: settings.Entry.SilenceLimit,
 	})
 	entry.front, err = front.New(settings.Entry, entry.view, entry.once, entry.ledger, ticker, entry.newID)
@@ -105,6 +107,7 @@
 	follower := feed.NewFollower(entry.view, entry.settings.Node.Name, entry.pool, entry.clock, entry.log, entry.sources)
 	entry.loops.Go(func() { follower.Run(ctx) })
 	entry.loops.Go(func() { entry.expire(ctx) })
+	entry.loops.Go(func() { entry.keeper.refresh(ctx) })
 	entry.loops.Go(func() { entry.exchange(ctx) })
 	entry.log.Write(event.Started, "role", "entry", "address", entry.server.Address(), "http", entry.front.Address())
 }
--- a/internal/front/answer.go
+++ b/internal/front/answer.go
@@ -109,10 +109,7 @@
 
 func (answer *answer) failure(ctx *fiber.Ctx) error {
 	ctx.Response().ResetBody()
-	if answer.result.Outcome == wire.Outcome_OUTCOME_NOT_RUN {
-		ctx.Set(fiber.HeaderRetryAfter, "1")
-	}
-	return fail(ctx, statusOf(answer.result), answer.result.Outcome, message(answer.result.Err))
+	return fail(ctx, retry(ctx, answer.result), answer.result.Outcome, message(answer.result.Err))
 }
 
 // through streams a plain service's body. One that breaks off before its first
