test/overload: pause a free stream on the only slot for paid work

Cause: no test showed a pause and a resume with real processes. Conclusion: the lane carries out the decisions on an engine with one slot.

--- a/internal/procs/deployment.go
+++ b/internal/procs/deployment.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/valyala/fasthttp"
 )
 
 // Deployment is one control VM, entry VMs and model engines with an endpoint
@@ -105,6 +106,15 @@
 	return string(out), err
 }
 
+// Page reads a page of an engine.
+func (made *Deployment) Page(engine *Process, path string) (string, error) {
+	status, page, err := fasthttp.Get(nil, engine.Address+path)
+	if err == nil && status != fasthttp.StatusOK {
+		err = errors.Newf("%s answered status %d to %s", engine.Name, status, path)
+	}
+	return string(page), err
+}
+
 func (made *Deployment) waitKnown(engines int) error {
 	for deadline := time.Now().Add(readyLimit); ; time.Sleep(100 * time.Millisecond) {
 		missing := ""
--- a/test/overload/overload_test.go
+++ b/test/overload/overload_test.go
@@ -34,6 +34,7 @@
 	Slots          int      `json:"slots"`
 	IntervalMillis int      `json:"intervalMillis"`
 	Events         int      `json:"events"`
+	FreeEvents     int      `json:"freeEvents"`
 	Millis         int      `json:"millis"`
 	Paid           int      `json:"paid"`
 	Free           int      `json:"free"`
@@ -45,16 +46,8 @@
 // Guards against refusing work that ran, running refused work, torn answers,
 // and free work served in place of paid work.
 var _ = It("serves paid work first at ten times capacity and refuses the rest early", func() {
-	text, err := os.ReadFile("testdata/overload.json")
-	Expect(err).NotTo(HaveOccurred())
-	var script script
-	Expect(json.Unmarshal(text, &script)).To(Succeed())
-	fleet, err := procs.Deploy(procs.DeploymentSettings{
-		Entries: script.Entries, Engines: script.Engines, Slots: script.Slots,
-		Interval: time.Duration(script.IntervalMillis) * time.Millisecond, Commands: script.Commands,
-	})
-	Expect(err).NotTo(HaveOccurred())
-	DeferCleanup(fleet.Stop)
+	script := load("testdata/overload.json")
+	fleet := deploy(script)
 	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	defer cancel()
 	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4096}}
@@ -70,6 +63,24 @@
 		paidServed, len(paid), freeServed, len(free), script.Seed)
 })
 
+func load(path string) script {
+	text, err := os.ReadFile(path)
+	Expect(err).NotTo(HaveOccurred())
+	var read script
+	Expect(json.Unmarshal(text, &read)).To(Succeed())
+	return read
+}
+
+func deploy(script script) *procs.Deployment {
+	fleet, err := procs.Deploy(procs.DeploymentSettings{
+		Entries: script.Entries, Engines: script.Engines, Slots: script.Slots,
+		Interval: time.Duration(script.IntervalMillis) * time.Millisecond, Commands: script.Commands,
+	})
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(fleet.Stop)
+	return fleet
+}
+
 // awaitTokens waits until every entry VM knows every customer.
 func awaitTokens(ctx context.Context, client *http.Client, fleet *procs.Deployment, tokens []string) {
 	for _, entry := range fleet.Entries {
@@ -109,11 +120,10 @@
 func counts(fleet *procs.Deployment) map[string]int {
 	all := map[string]int{}
 	for _, engine := range fleet.Engines {
-		response, err := http.Get(engine.Address + "/engine/runs")
+		page, err := fleet.Page(engine, "/engine/runs")
 		Expect(err).NotTo(HaveOccurred())
 		var runs map[string]int
-		Expect(json.NewDecoder(response.Body).Decode(&runs)).To(Succeed())
-		Expect(response.Body.Close()).To(Succeed())
+		Expect(json.Unmarshal([]byte(page), &runs)).To(Succeed())
 		for attempt, count := range runs {
 			Expect(count).To(Equal(1), "attempt %s", attempt)
 			all[attempt[:strings.LastIndex(attempt, ".")]]++
--- /dev/null
+++ b/test/overload/pause_test.go
@@ -0,0 +1,50 @@
+package overload_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/sourcegraph/conc"
+
+	"github.com/hibiscuslug/hibiscuslug/internal/procs"
+)
+
+// Guards against paid work that waits for a free stream to end, and against a
+// paused stream that is torn, never resumed or run a second time.
+var _ = It("pauses a free stream on the only slot for paid work and ends it whole", func() {
+	script := load("testdata/pause.json")
+	fleet := deploy(script)
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
+	client := &http.Client{}
+	awaitTokens(ctx, client, fleet, append(script.PaidTokens, script.FreeTokens...))
+	base := fleet.Entries[0].HTTP
+
+	var free procs.Completion
+	var ended atomic.Bool
+	var caller conc.WaitGroup
+	caller.Go(func() {
+		free = procs.Complete(ctx, client, base, script.FreeTokens[0], "free", script.FreeEvents)
+		ended.Store(true)
+	})
+	defer caller.Wait()
+	Eventually(func() string {
+		out, _ := fleet.Page(fleet.Engines[0], "/engine/load")
+		return out
+	}).WithTimeout(limit).WithPolling(time.Millisecond).Should(ContainSubstring(`"running":1`))
+	for number := range script.Paid {
+		paid := procs.Complete(ctx, client, base, script.PaidTokens[0], fmt.Sprint("paid", number), script.Events)
+		Expect(paid.Err).NotTo(HaveOccurred())
+		Expect(paid.Status).To(Equal(http.StatusOK))
+		Expect(ended.Load()).To(BeFalse(), "paid request %d waited for the free stream", number)
+	}
+	caller.Wait()
+	Expect(free.Err).NotTo(HaveOccurred())
+	Expect(free.Status).To(Equal(http.StatusOK))
+	Expect(counts(fleet)).To(HaveKeyWithValue(free.RequestID, 1))
+})
