endpt: start work without a goroutine in between

Cause: each start went through the goroutine that carries out decisions. Change: starts that nothing goes before are carried out at once.

--- a/internal/endpt/lane.go
+++ b/internal/endpt/lane.go
@@ -87,6 +87,15 @@
 // carryLocked passes decisions on to the goroutine that carries them out, which
 // keeps their order without holding the lock during orders to the engine.
 func (lane *lane) carryLocked(decisions []queue.Decision) {
+	for len(decisions) > 0 && !lane.carrying {
+		start, ok := decisions[0].(queue.Start)
+		if !ok {
+			break
+		}
+		// Nothing goes before it, so it needs no goroutine of its own.
+		lane.startLocked(start.ID)
+		decisions = decisions[1:]
+	}
 	lane.pending = append(lane.pending, decisions...)
 	if lane.carrying || len(lane.pending) == 0 {
 		return
@@ -113,7 +122,9 @@
 func (lane *lane) carryOut(decision queue.Decision) {
 	switch decision := decision.(type) {
 	case queue.Start:
-		lane.with(decision.ID, func(run *attempt) { lane.start(decision.ID, run) })
+		lane.mu.Lock()
+		lane.startLocked(decision.ID)
+		lane.mu.Unlock()
 	case queue.Pause:
 		lane.with(decision.ID, lane.pause)
 	case queue.Resume:
@@ -139,11 +150,16 @@
 	}
 }
 
-func (lane *lane) start(id string, run *attempt) {
+// startLocked runs an attempt. One that was fenced meanwhile gives its slot back.
+func (lane *lane) startLocked(id string) {
+	run, ok := lane.runs[id]
+	if !ok {
+		return
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	if !run.begin(cancel) {
 		cancel()
-		lane.forget(id)
+		lane.work.Go(func() { lane.forget(id) })
 		return
 	}
 	lane.work.Go(func() {
