--- a/cmd/hibbench/main.go
+++ b/cmd/hibbench/main.go
@@ -17,6 +17,7 @@
 	"github.com/hibiscuslug/hibiscuslug/bench/operate"
 	"github.com/hibiscuslug/hibiscuslug/bench/path"
 	"github.com/hibiscuslug/hibiscuslug/bench/place"
+	"github.com/hibiscuslug/hibiscuslug/bench/queue"
 	"github.com/hibiscuslug/hibiscuslug/bench/scale"
 	"github.com/hibiscuslug/hibiscuslug/bench/storm"
 	"github.com/hibiscuslug/hibiscuslug/internal/figure"
@@ -41,6 +42,8 @@
 	{"claim", claim.Run},
 	{"expert", expert.Run},
 	{"models", models.Run},
+	{"queue", queue.Run},
+	{"queueReal", queue.RunReal},
 	{"operate", operate.Run},
 	{"scale", scale.Run},
 	{"storm", storm.Run},
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -59,6 +59,7 @@
 	ledger  *ledger.Ledger
 	front   *front.Front
 	once    *once.Once
+	keeper  *keeper
 	flights *flights
 	leaving atomic.Bool
 	loops   conc.WaitGroup
@@ -83,8 +84,9 @@
 	placer := place.New(settings.Node.Zone, rand.IntN)
 	router := route.New(route.Settings{Node: settings.Node.Name, SilenceLimit: settings.Entry.SilenceLimit},
 		entry.relays, placer, entry.fleet, entry.ledger, ticker, log)
+	entry.keeper = newKeeper(router, entry.fleet, func() int { return len(entry.peers()) }, ticker, log)
 	entry.once = once.New(once.Settings{
-		Router: router, Claims: once.NewClaims(entry.pool, ticker, settings.Entry.Control), Pool: entry.relays,
+		Router: entry.keeper, Claims: once.NewClaims(entry.pool, ticker, settings.Entry.Control), Pool: entry.relays,
 		Endpoints: entry.members.Node, Clock: ticker, Log: log, SilenceLimit: settings.Entry.SilenceLimit,
 	})
 	if entry.tracer, err = span.New(settings.Node, "entry"); err != nil {
@@ -120,6 +122,7 @@
 	follower := feed.NewFollower(entry.view, entry.settings.Node.Name, entry.pool, entry.clock, entry.log, entry.sources)
 	entry.loops.Go(func() { follower.Run(ctx) })
 	entry.loops.Go(func() { entry.expire(ctx) })
+	entry.loops.Go(func() { entry.keeper.refresh(ctx) })
 	entry.loops.Go(func() { entry.exchange(ctx) })
 	entry.log.Write(event.Started, "role", "entry", "address", entry.server.Address(), "http", entry.front.Address())
 }
--- a/test/control/control_test.go
+++ b/test/control/control_test.go
@@ -114,6 +114,10 @@
 		run.age(word)
 	case "logged":
 		Expect(run.group.Process(run.victim).Log()).To(ContainSubstring(rest))
+	case "claim":
+		run.claim(rest, true)
+	case "reclaim":
+		run.claim(rest, false)
 	case "race":
 		run.race(number(rest))
 	case "alter":
@@ -121,10 +125,10 @@
 	case "add":
 		Expect(run.group.Add(filepath.Join(GinkgoT().TempDir(), rest))).To(Succeed())
 		run.up = append(run.up, false)
-		run.execute("add", "add control "+rest)
+		run.members("add", "add control "+rest)
 	case "remove":
 		run.victim = run.leader()
-		run.execute("remove", "remove control "+run.group.Name(run.victim))
+		run.members("remove", "remove control "+run.group.Name(run.victim))
 		run.up[run.victim] = false
 	default:
 		Fail("unknown step " + word)
@@ -170,6 +174,15 @@
 	return reply
 }
 
+// members changes the members by a command that is sent twice; the second time
+// it must get the first answer, and not that the change is in force already.
+func (run *stage) members(id, text string) {
+	for range 2 {
+		reply := run.execute(id, text)
+		Expect(reply.GetCode()).To(BeEmpty(), reply.GetError())
+	}
+}
+
 func (run *stage) change(count int) {
 	for range count {
 		id := fmt.Sprintf("c%d", len(run.answers)+1)
@@ -284,6 +297,22 @@
 	}
 }
 
+// claim sends one claim for each of ten keys to any member; a key can be
+// granted to one request only.
+func (run *stage) claim(request string, granted bool) {
+	for key := range 10 {
+		Eventually(func(assert Gomega) {
+			reply, err := run.group.Claim(run.any(), &wire.ClaimOp{
+				Customer: "clinic", Key: fmt.Sprint(key), BodyHash: []byte("body"), RequestId: request + fmt.Sprint(key), Attempt: 1,
+				Endpoint: "endpoint1", Incarnation: 1, At: time.Now().UnixMilli(),
+			})
+			assert.Expect(err).NotTo(HaveOccurred())
+			assert.Expect(reply.GetUnavailable()).To(BeFalse())
+			assert.Expect(reply.GetState() == wire.ClaimState_CLAIM_STATE_GRANTED).To(Equal(granted))
+		}).WithTimeout(limit).Should(Succeed())
+	}
+}
+
 // race sends two commands against one revision to two members at once.
 func (run *stage) race(rounds int) {
 	for round := range rounds {
