Wait until a stopped process has stopped

Cause: with a load average of 45, one run in six of test/once failed: the control VM still recorded an answer after SIGSTOP was sent, so the script that waits for an unrecorded answer waited in vain. Change: the step waits until the process leaves a message unanswered. Conclusion: the verdict no longer depends on when the signal takes effect.

--- a/test/once/once_test.go
+++ b/test/once/once_test.go
@@ -190,6 +190,8 @@
 		fleet.check(step)
 	case "stop":
 		Expect(fleet.processes[step.What].Signal(syscall.SIGSTOP)).To(Succeed())
+		// On a busy machine a process goes on for a while after the signal.
+		Eventually(func() error { return fleet.ask(step.What) }).WithTimeout(limit).ShouldNot(Succeed())
 	case "resume":
 		Expect(fleet.processes[step.What].Signal(syscall.SIGCONT)).To(Succeed())
 	case "kill":
@@ -243,6 +245,23 @@
 	}
 }
 
+// ask sends a process a message that it answers at once.
+func (fleet *fleet) ask(name string) error {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	conn, err := link.NewPool().Fresh(ctx, fleet.processes[name].Address)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = conn.Close() }()
+	if strings.HasPrefix(name, "control") {
+		_, err = wire.NewDRPCClaimsClient(conn).Apply(ctx, &wire.ClaimOp{Customer: "none", Key: "none", Lookup: true})
+		return err
+	}
+	_, err = wire.NewDRPCRelayClient(conn).Ask(ctx, &wire.AskRequest{RequestId: "none"})
+	return err
+}
+
 // claim returns where the key's claim stands at the control VM.
 func (fleet *fleet) claim() wire.ClaimState {
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
