--- a/Makefile
+++ b/Makefile
@@ -31,7 +31,7 @@
 	./.ci/fuzz
 
 lint: $(TOOLS)/golangci-lint
-	$(TOOLS)/golangci-lint run ./...
+	$(TOOLS)/golangci-lint run --allow-parallel-runners ./...
 
 format: $(TOOLS)/golangci-lint
 	$(TOOLS)/golangci-lint fmt ./...
@@ -59,4 +59,4 @@
 	$(GO) run ./schema/gen -in schema/settings.json -out internal/opts/opts.go
 
 check-generated: generate
-	git diff --exit-code -- pkg/wire internal/opts
+	git diff --exit-code -- pkg/wire internal/opts docs/SETTINGS.md
--- a/bench/scale/process.go
+++ b/bench/scale/process.go
@@ -64,7 +64,7 @@
 	if err != nil {
 		return built, err
 	}
-	if _, err := opcli.Run([]string{"--address", control.Address, "create", "customer", "clinic", "tier", "paid", "token", "s3cret"}, io.Discard); err != nil {
+	if _, err := opcli.Run([]string{"--address", control.Address, "create", "customer", "clinic", "tier", "paid", "token", "s3cret"}, nil, io.Discard, io.Discard); err != nil {
 		return built, err
 	}
 	return built, built.wait()
--- a/internal/bounds/bounds.go
+++ b/internal/bounds/bounds.go
@@ -3,6 +3,9 @@
 package bounds
 
 import (
+	"fmt"
+	"net/netip"
+	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -29,15 +32,15 @@
 // Int reports a number out of range.
 func Int(name string, value, low, high int, unit string) error {
 	if value < low || value > high {
-		return errors.Newf("setting --%s is %d; allowed are %d to %d %s", name, value, low, high, unit)
+		return errors.Newf("setting --%s is %d; allowed are %s", name, value, strings.TrimSpace(fmt.Sprintf("%d to %d %s", low, high, unit)))
 	}
 	return nil
 }
 
 // Float reports a number out of range.
 func Float(name string, value, low, high float64, unit string) error {
-	if value < low || value > high {
-		return errors.Newf("setting --%s is %g; allowed are %g to %g %s", name, value, low, high, unit)
+	if !(value >= low && value <= high) {
+		return errors.Newf("setting --%s is %g; allowed are %s", name, value, strings.TrimSpace(fmt.Sprintf("%g to %g %s", low, high, unit)))
 	}
 	return nil
 }
@@ -67,3 +70,51 @@
 	}
 	return nil
 }
+
+// Address reports a text that is not IP:port. Port 0 lets the system choose
+// the port to listen on and cannot be connected to.
+func Address(name, value string) error {
+	parsed, err := netip.ParseAddrPort(value)
+	if err != nil || parsed.Port() == 0 {
+		return errors.Newf("setting --%s is %q; allowed is IP:port with a port of 1 to 65535, such as 127.0.0.1:7000", name, value)
+	}
+	return nil
+}
+
+// Listen reports a text that is not IP:port to listen on; port 0 lets the
+// system choose.
+func Listen(name, value string) error {
+	if _, err := netip.ParseAddrPort(value); err != nil {
+		return errors.Newf("setting --%s is %q; allowed is IP:port with a port of 0 to 65535, such as 127.0.0.1:7000", name, value)
+	}
+	return nil
+}
+
+// Addresses reports the first element that is not IP:port.
+func Addresses(name string, values []string) error {
+	for _, value := range values {
+		if err := Address(name, value); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Members reports the first element that is not NAME@IP:port.
+func Members(name string, values []string) error {
+	for _, value := range values {
+		member, address, ok := strings.Cut(value, "@")
+		if _, err := netip.ParseAddrPort(address); !ok || member == "" || err != nil {
+			return errors.Newf("setting --%s is %q; allowed is NAME@IP:port, such as control1@127.0.0.1:7100", name, value)
+		}
+	}
+	return nil
+}
+
+// Optional runs a check only when there is a value.
+func Optional(check func(name, value string) error, name, value string) error {
+	if value == "" {
+		return nil
+	}
+	return check(name, value)
+}
--- a/internal/endpt/relay.go
+++ b/internal/endpt/relay.go
@@ -24,7 +24,7 @@
 	if err := endpoint.accepts(request); err != nil {
 		return endpoint.refuse(request, err, stream)
 	}
-	run, added := endpoint.table.admit(newAttempt(request, endpoint.clock))
+	run, added := endpoint.table.admit(newAttempt(request, endpoint.clock).traced(endpoint.tracer))
 	if added {
 		endpoint.lanes[request.GetEngine()].submit(run)
 	}
--- /dev/null
+++ b/internal/entry/flights.go
@@ -0,0 +1,99 @@
+package entry
+
+import (
+	"context"
+	"sync"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/hibiscuslug/hibiscuslug/internal/call"
+	"github.com/hibiscuslug/hibiscuslug/internal/front"
+	"github.com/hibiscuslug/hibiscuslug/internal/ledger"
+	"github.com/hibiscuslug/hibiscuslug/internal/meter"
+	"github.com/hibiscuslug/hibiscuslug/internal/route"
+	"github.com/hibiscuslug/hibiscuslug/internal/rows"
+	"github.com/hibiscuslug/hibiscuslug/internal/span"
+)
+
+var errCanceled = errors.New("canceled by an operator")
+
+// flights wraps a router and holds the requests in flight, so that an operator
+// can cancel them.
+type flights struct {
+	router front.Router
+	ledger *ledger.Ledger
+	tracer *span.Tracer
+	// requests and attempts are set before the first request.
+	requests, attempts *meter.Counter
+
+	// mu guards running. It is a leaf lock.
+	mu      sync.Mutex
+	running map[string]flight
+}
+
+type flight struct {
+	cancel context.CancelCauseFunc
+	done   chan struct{}
+}
+
+func newFlights(router front.Router, book *ledger.Ledger, tracer *span.Tracer) *flights {
+	return &flights{router: router, ledger: book, tracer: tracer, running: map[string]flight{}}
+}
+
+// Do runs a call until it ends or is canceled.
+func (flights *flights) Do(ctx context.Context, request call.Call, sink route.Sink) route.Result {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	current := flight{cancel: cancel, done: make(chan struct{})}
+	flights.mu.Lock()
+	flights.running[request.ID] = current
+	flights.mu.Unlock()
+	defer func() {
+		flights.mu.Lock()
+		delete(flights.running, request.ID)
+		flights.mu.Unlock()
+		close(current.done)
+	}()
+	hop := flights.tracer.Root(request.Traceparent, "request", span.Text("request", request.ID),
+		span.Text("customer", request.Customer.GetName()), span.Text("tier", rows.Word(request.Tier)))
+	request.Traceparent = hop.Traceparent(request.Traceparent)
+	result := flights.router.Do(span.Into(ctx, flights.tracer), request, sink)
+	flights.account(request, result)
+	hop.End(front.OutcomeName(result.Outcome), result.Err)
+	return result
+}
+
+// account counts a request that ended, with its attempts, and records its wait.
+func (flights *flights) account(request call.Call, result route.Result) {
+	flights.requests.Add(rows.Word(request.Tier) + "." + front.OutcomeName(result.Outcome))
+	known, ok := flights.ledger.Find(request.ID)
+	if !ok {
+		return
+	}
+	for _, attempt := range known.Attempts {
+		flights.attempts.Add(front.OutcomeName(attempt.Outcome))
+	}
+	if len(known.Attempts) > 0 {
+		flights.tracer.Record(request.Traceparent, "wait", request.Arrived, known.Attempts[0].Started)
+	}
+}
+
+// count returns the number of requests in flight.
+func (flights *flights) count() int {
+	flights.mu.Lock()
+	defer flights.mu.Unlock()
+	return len(flights.running)
+}
+
+// cancel stops a request and returns a channel that is closed at its end, or
+// false when it is not in flight.
+func (flights *flights) cancel(id string) (<-chan struct{}, bool) {
+	flights.mu.Lock()
+	defer flights.mu.Unlock()
+	current, ok := flights.running[id]
+	if !ok {
+		return nil, false
+	}
+	current.cancel(errCanceled)
+	return current.done, true
+}
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -26,6 +26,9 @@
 	AttemptSilent      = Event{202, "connection made no progress"}
 	AnswerNotRecorded  = Event{210, "answer of non-idempotent work could not be recorded in time"}
 	WorkLost           = Event{211, "outcome of non-idempotent work is not known"}
+	AttemptRefused     = Event{230, "attempt refused by the queue"}
+	OrderFailed        = Event{231, "order to an engine failed"}
+	RequestRefused     = Event{232, "request refused at admission"}
 	EndpointJoined     = Event{301, "endpoint announced itself"}
 	EndpointExpired    = Event{302, "endpoint's announcement expired"}
 	EndpointLeaving    = Event{303, "endpoint is leaving"}
