fake: give the model engine slots, priorities, pausing, a load page and a crash

Cause: tests of queueing and of failing endpoints need an engine that batches a bounded number of requests and that can take its endpoint VM down. Conclusion: ready for the queueing and the fault tests.

--- a/cmd/hibfake/main.go
+++ b/cmd/hibfake/main.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"strconv"
+	"strings"
 	"syscall"
 	"time"
 
@@ -19,6 +21,11 @@
 	Listen     string        `long:"listen" default:"127.0.0.1:0" description:"IP:port"`
 	FirstToken time.Duration `long:"first-token" default:"0s" description:"Time before the first event, or of a booking"`
 	Interval   time.Duration `long:"interval" default:"0s" description:"Time between events"`
+	Slots      int           `long:"slots" default:"0" description:"Requests that run at once; any number when 0"`
+	LoadLag    time.Duration `long:"load-lag" default:"0s" description:"Age of the load page"`
+	Status     int           `long:"status" default:"0" description:"Error status of every answer; none when 0"`
+	CrashOn    string        `long:"crash-on" description:"Text in a request that takes the endpoint VM down"`
+	CrashFile  string        `long:"crash-file" description:"File with the id of the endpoint process, which a crash ends as well"`
 }
 
 type system interface {
@@ -30,7 +37,20 @@
 	if set.Kind == "desk" {
 		return fake.NewDesk(set.Listen, set.FirstToken)
 	}
-	return fake.NewModel(fake.ModelSettings{Listen: set.Listen, FirstToken: set.FirstToken, Interval: set.Interval})
+	return fake.NewModel(fake.ModelSettings{
+		Listen: set.Listen, FirstToken: set.FirstToken, Interval: set.Interval, Slots: set.Slots, LoadLag: set.LoadLag,
+		Status: set.Status, CrashOn: set.CrashOn, Crash: func() { crash(set.CrashFile) },
+	})
+}
+
+// crash takes the endpoint VM down: its endpoint process and this engine.
+func crash(path string) {
+	if text, err := os.ReadFile(path); err == nil {
+		if id, err := strconv.Atoi(strings.TrimSpace(string(text))); err == nil && id > 1 {
+			_ = syscall.Kill(id, syscall.SIGKILL)
+		}
+	}
+	os.Exit(3)
 }
 
 func run() error {
--- a/internal/fake/model.go
+++ b/internal/fake/model.go
@@ -4,6 +4,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -24,6 +25,15 @@
 	FirstToken time.Duration
 	// Interval is the time between events; none when zero.
 	Interval time.Duration
+	// Slots is how many requests run at once; any number when zero.
+	Slots int
+	// LoadLag is the age of the load page.
+	LoadLag time.Duration
+	// Status, when set, answers every request with this error status.
+	Status int
+	// CrashOn, when set, calls Crash for a request whose body contains it.
+	CrashOn string
+	Crash   func()
 }
 
 // Model is a fake model engine. Event n of an answer depends only on the
@@ -33,11 +43,11 @@
 	listener net.Listener
 	app      *fiber.App
 	running  conc.WaitGroup
+	batch    *batch
 
-	// mu guards the fields below.
-	mu      sync.Mutex
-	runs    map[string]int
-	cancels map[string]context.CancelFunc
+	// mu guards runs.
+	mu   sync.Mutex
+	runs map[string]int
 }
 
 // completion is what the fake reads of a request.
@@ -55,9 +65,12 @@
 	if err != nil {
 		return nil, err
 	}
-	model := &Model{settings: settings, listener: listener, runs: map[string]int{}, cancels: map[string]context.CancelFunc{}}
+	model := &Model{settings: settings, listener: listener, runs: map[string]int{}, batch: newBatch(settings.Slots, settings.LoadLag)}
 	model.app = fiber.New(fiber.Config{DisableStartupMessage: true, BodyLimit: 64 << 20})
-	model.app.Post("/engine/cancel", model.cancel)
+	model.app.Post("/engine/cancel", model.instruct(func(known *job) { known.cancel() }))
+	model.app.Post("/engine/pause", model.instruct(func(known *job) { known.paused = true }))
+	model.app.Post("/engine/resume", model.instruct(func(known *job) { known.paused = false }))
+	model.app.Get("/engine/load", func(ctx *fiber.Ctx) error { return ctx.JSON(model.batch.load(ctx.Query("id"))) })
 	model.app.Get("/engine/runs", func(ctx *fiber.Ctx) error { return ctx.JSON(model.Runs()) })
 	model.app.Post("/*", model.complete)
 	model.running.Go(func() { _ = model.app.Listener(listener) })
@@ -85,29 +98,21 @@
 	return err
 }
 
-func (model *Model) begin(id string) context.Context {
-	ctx, cancel := context.WithCancel(context.Background())
+func (model *Model) begin(id string, priority int) (*job, context.Context) {
 	model.mu.Lock()
 	defer model.mu.Unlock()
 	model.runs[id]++
-	model.cancels[id] = cancel
-	return ctx
+	return model.batch.add(id, priority)
 }
 
-func (model *Model) end(id string) {
-	model.mu.Lock()
-	defer model.mu.Unlock()
-	model.cancels[id]()
-	delete(model.cancels, id)
-}
-
-func (model *Model) cancel(ctx *fiber.Ctx) error {
-	model.mu.Lock()
-	defer model.mu.Unlock()
-	if cancel, ok := model.cancels[ctx.Query("id")]; ok {
-		cancel()
+// instruct answers an instruction about one request.
+func (model *Model) instruct(change func(*job)) fiber.Handler {
+	return func(ctx *fiber.Ctx) error {
+		if !model.batch.each(ctx.Query("id"), change) {
+			return ctx.SendStatus(fiber.StatusNotFound)
+		}
+		return ctx.SendStatus(fiber.StatusNoContent)
 	}
-	return ctx.SendStatus(fiber.StatusNoContent)
 }
 
 // Token returns event n of the answer to a body.
@@ -125,24 +130,28 @@
 		asked.MaxTokens = defaultTokens
 	}
 	from, _ := strconv.Atoi(ctx.Get("X-Resume-From", "0"))
-	id := string([]byte(ctx.Get("X-Request-Id")))
-	running := model.begin(id)
+	priority, _ := strconv.Atoi(ctx.Get("X-Priority", "0"))
+	running, alive := model.begin(string([]byte(ctx.Get("X-Request-Id"))), priority)
+	if model.settings.Status != 0 {
+		model.batch.remove(running)
+		return fiber.NewError(model.settings.Status, "engine fails by its settings")
+	}
 	if !asked.Stream {
-		defer model.end(id)
-		return model.whole(running, ctx, body, asked.MaxTokens)
+		defer model.batch.remove(running)
+		return model.whole(alive, running, ctx, body, asked.MaxTokens)
 	}
 	ctx.Set(fiber.HeaderContentType, "text/event-stream")
 	ctx.Context().SetBodyStreamWriter(func(out *bufio.Writer) {
-		defer model.end(id)
-		model.stream(running, out, body, from, asked.MaxTokens)
+		defer model.batch.remove(running)
+		model.stream(alive, running, out, body, from, asked.MaxTokens)
 	})
 	return nil
 }
 
-func (model *Model) whole(running context.Context, ctx *fiber.Ctx, body []byte, count int) error {
+func (model *Model) whole(alive context.Context, running *job, ctx *fiber.Ctx, body []byte, count int) error {
 	text := ""
 	for n := range count {
-		if !model.pause(running, n == 0) {
+		if !model.next(alive, running, body, n == 0) {
 			return fiber.NewError(fiber.StatusServiceUnavailable, "canceled")
 		}
 		text += Token(body, n)
@@ -150,9 +159,9 @@
 	return ctx.JSON(fiber.Map{"choices": []fiber.Map{{"text": text}}})
 }
 
-func (model *Model) stream(running context.Context, out *bufio.Writer, body []byte, from, count int) {
+func (model *Model) stream(alive context.Context, running *job, out *bufio.Writer, body []byte, from, count int) {
 	for n := from; n < count; n++ {
-		if !model.pause(running, n == from) {
+		if !model.next(alive, running, body, n == from) {
 			return
 		}
 		if _, err := fmt.Fprintf(out, "data: {\"choices\":[{\"text\":%q}]}\n\n", Token(body, n)); err != nil {
@@ -167,21 +176,28 @@
 	_ = out.Flush()
 }
 
-// pause waits for the next event and tells whether the request still runs.
-func (model *Model) pause(running context.Context, first bool) bool {
+// next waits until the next event is due and the request holds a slot, and
+// tells whether the request still runs.
+func (model *Model) next(alive context.Context, running *job, body []byte, first bool) bool {
+	if !model.batch.enter(alive, running) {
+		return false
+	}
 	span := model.settings.Interval
 	if first {
 		span = model.settings.FirstToken
 	}
-	if span == 0 {
-		return running.Err() == nil
+	if span > 0 {
+		timer := time.NewTimer(span)
+		defer timer.Stop()
+		select {
+		case <-alive.Done():
+			return false
+		case <-timer.C:
+		}
 	}
-	timer := time.NewTimer(span)
-	defer timer.Stop()
-	select {
-	case <-running.Done():
-		return false
-	case <-timer.C:
-		return true
+	if model.settings.CrashOn != "" && bytes.Contains(body, []byte(model.settings.CrashOn)) {
+		model.settings.Crash()
 	}
+	model.batch.produce(running)
+	return alive.Err() == nil
 }
