endpt: add quarantine and notice silent connections to engines

Cause: a suspected request must run with no other beside it, and a connection to an engine that goes silent held its attempt for ever. Change: an attempt with alone set waits until the endpoint is empty and keeps other work out until it ends. The first progress answer tells when an attempt has left the queue.

--- a/internal/endpt/attempt.go
+++ b/internal/endpt/attempt.go
@@ -59,6 +59,11 @@
 	answer.Sequence = uint64(len(run.answers))
 	run.answers = append(run.answers, answer)
 	run.produced += uint64(len(answer.GetEvents()))
+	run.wakeLocked()
+}
+
+// wakeLocked tells the streams that there is something new.
+func (run *attempt) wakeLocked() {
 	close(run.changed)
 	run.changed = make(chan struct{})
 }
@@ -73,6 +78,7 @@
 	run.state = wire.AttemptState_ATTEMPT_STATE_RUNNING
 	run.cancel = cancel
 	run.started = run.clock.Now()
+	run.wakeLocked()
 	return true
 }
 
@@ -155,6 +161,20 @@
 	}
 }
 
+// begun tells whether the attempt was given to the engine.
+func (run *attempt) begun() bool {
+	run.mu.Lock()
+	defer run.mu.Unlock()
+	return run.started > 0
+}
+
+// over tells whether the attempt has ended or was fenced.
+func (run *attempt) over() bool {
+	run.mu.Lock()
+	defer run.mu.Unlock()
+	return run.state == wire.AttemptState_ATTEMPT_STATE_FINISHED || run.state == wire.AttemptState_ATTEMPT_STATE_FENCED
+}
+
 // busy tells whether a stream is attached.
 func (run *attempt) busy() bool {
 	run.mu.Lock()
--- a/internal/endpt/endpoint.go
+++ b/internal/endpt/endpoint.go
@@ -44,6 +44,9 @@
 	table       *table
 	lanes       map[string]*lane
 	leaving     atomic.Bool
+	quarantine  quarantine
+	// life ends when the process stops.
+	life context.Context //nolint:containedctx // background work outlives no call
 	// runs waits for attempts, loops for background work.
 	runs   conc.WaitGroup
 	loops  conc.WaitGroup
@@ -83,7 +86,7 @@
 
 func (endpoint *Endpoint) start() {
 	ctx, cancel := context.WithCancel(context.Background())
-	endpoint.cancel = cancel
+	endpoint.cancel, endpoint.life = cancel, ctx
 	endpoint.server.Start()
 	follower := feed.NewFollower(endpoint.view, endpoint.settings.Node.Name, endpoint.pool, endpoint.clock, endpoint.log, endpoint.announcer.Targets)
 	endpoint.loops.Go(func() { follower.Run(ctx) })
--- a/internal/endpt/lane.go
+++ b/internal/endpt/lane.go
@@ -71,7 +71,7 @@
 	lane.running[id] = run
 	lane.work.Go(func() {
 		defer cancel()
-		result := lane.runner.Run(ctx, lane.target, run.request, run)
+		result := lane.watched(ctx, run)
 		lane.end(id, run, result)
 	})
 }
--- a/internal/endpt/relay.go
+++ b/internal/endpt/relay.go
@@ -21,15 +21,12 @@
 // Run queues an attempt and streams its answers. A repeated message attaches
 // to the attempt that is there.
 func (endpoint *Endpoint) Run(request *wire.Attempt, stream wire.DRPCRelay_RunStream) error {
-	if err := endpoint.accepts(request); err != nil {
+	run, err := endpoint.take(request)
+	if err != nil {
 		// The fence keeps a delayed copy of the message from starting the attempt.
 		endpoint.table.fence(request.GetRequestId(), request.GetAttempt(), endpoint.clock)
 		return stream.Send(notRun(request, err))
 	}
-	run, added := endpoint.table.admit(newAttempt(request, endpoint.clock))
-	if added {
-		endpoint.lanes[request.GetEngine()].submit(run)
-	}
 	return endpoint.stream(stream.Context(), run, 0, stream.Send)
 }
 
@@ -66,8 +63,15 @@
 func (endpoint *Endpoint) stream(ctx context.Context, run *attempt, from uint64, send func(*wire.Answer) error) error {
 	run.attach()
 	defer run.detach()
+	told := false
 	for {
 		answers, changed := run.next(from)
+		if !told && run.begun() {
+			told = true
+			if err := send(progress(run, from)); err != nil {
+				return err
+			}
+		}
 		for _, answer := range answers {
 			if err := send(answer); err != nil {
 				return err
@@ -77,7 +81,7 @@
 			}
 		}
 		from += uint64(len(answers))
-		quiet, err := waitChange(ctx, changed)
+		quiet, err := waitChange(ctx, changed, progressEvery)
 		if err != nil {
 			return err
 		}
@@ -89,9 +93,9 @@
 	}
 }
 
-// waitChange waits for more answers and tells whether none came for progressEvery.
-func waitChange(ctx context.Context, changed <-chan struct{}) (bool, error) {
-	idle, cancel := context.WithTimeout(ctx, progressEvery.Duration())
+// waitChange waits for more answers and tells whether none came for a span.
+func waitChange(ctx context.Context, changed <-chan struct{}, span clock.Millis) (bool, error) {
+	idle, cancel := context.WithTimeout(ctx, span.Duration())
 	defer cancel()
 	select {
 	case <-changed:
@@ -104,7 +108,7 @@
 func progress(run *attempt, from uint64) *wire.Answer {
 	return &wire.Answer{
 		RequestId: run.request.GetRequestId(), Attempt: run.request.GetAttempt(),
-		Sequence: from, Kind: wire.AnswerKind_ANSWER_KIND_PROGRESS,
+		Sequence: from, Kind: wire.AnswerKind_ANSWER_KIND_PROGRESS, Started: run.begun(),
 	}
 }
 
