route: bound retries, share suspicions and wait for engines

Cause: retries were unbounded, a crashing request was repeated without end, and a request failed at once when its engines were restarting. Change: attempts go through the retry policy and the suspicion core. An entry VM tells the others of a crash before it answers, proposes blocks to control and refuses blocked requests with 422. Slow paid attempts are raced. Bodies that are not streams are held until their attempt ends, so that it can be replaced. Requests wait for an engine within their deadline, paid first. A request of which an attempt may have run is never reported as notRun. Callers that take nothing for 10 s count as gone. The silence limit falls from 1,500 to 1,100 ms, so that it, one question and a new attempt stay below 2 s.

--- a/internal/blame/core.go
+++ b/internal/blame/core.go
@@ -107,6 +107,11 @@
 	return Verdict{Standing: Quarantine, Crashes: len(counted)}
 }
 
+// Idle tells whether nothing is held against any request.
+func (core Core) Idle() bool {
+	return len(core.crashes) == 0 && len(core.silent) == 0 && len(core.blocks) == 0
+}
+
 // Crashes returns the crashes that other entry VMs should know, newest first.
 func (core Core) Crashes() []Crash {
 	list := slices.Collect(maps.Values(core.crashes))
@@ -127,7 +132,7 @@
 	}
 	core.crashes = with(core.crashes, crash.key(), merged)
 	var actions []Action
-	if !known || len(merged.Suspects) != len(old.Suspects) || merged.Alive != old.Alive {
+	if !known || len(merged.Suspects) != len(old.Suspects) || merged.Alive != old.Alive || merged.Alone != old.Alone {
 		actions = append(actions, Share{Crash: merged})
 	}
 	core, proposals := core.judged(now)
@@ -189,7 +194,7 @@
 			}
 			verdict := block{until: now + remembered, crashes: len(counted), requestID: suspect.RequestID}
 			core.blocks = with(core.blocks, suspect.Fingerprint, verdict)
-			actions = append(actions, Propose{Suspect: suspect, Crashes: verdict.crashes, Until: verdict.until})
+			actions = append(actions, Propose{Suspect: suspect, Crashes: verdict.crashes, Until: verdict.until, Latest: latest(counted)})
 		}
 	}
 	return core, actions
@@ -201,7 +206,8 @@
 	var list []Crash
 	for _, crash := range core.crashes {
 		old := now-crash.At >= remembered || crash.At <= core.cleared[fingerprint]
-		if !crash.Alive && !old && crash.has(fingerprint) && !core.explained(crash, fingerprint) {
+		beside := crash.Alone != 0 && crash.Alone != fingerprint
+		if !crash.Alive && !old && !beside && crash.has(fingerprint) && !core.explained(crash, fingerprint) {
 			list = append(list, crash)
 		}
 	}
@@ -215,10 +221,14 @@
 	})
 }
 
+func latest(crashes []Crash) clock.Millis {
+	return slices.MaxFunc(crashes, func(first, second Crash) int { return cmp.Compare(first.At, second.At) }).At
+}
+
 // guilty tells whether a request ran alone in one of its crashes or is the
 // only suspect that they have in common.
 func guilty(fingerprint uint64, crashes []Crash) bool {
-	if slices.ContainsFunc(crashes, func(crash Crash) bool { return crash.Alone }) {
+	if slices.ContainsFunc(crashes, func(crash Crash) bool { return crash.Alone == fingerprint }) {
 		return true
 	}
 	for _, suspect := range crashes[0].Suspects {
@@ -232,7 +242,7 @@
 
 // settled tells whether all reports that can change the verdict have come in.
 func settled(crashes []Crash, now clock.Millis) bool {
-	alone := slices.ContainsFunc(crashes, func(crash Crash) bool { return crash.Alone })
+	alone := slices.ContainsFunc(crashes, func(crash Crash) bool { return crash.Alone != 0 })
 	return alone || !slices.ContainsFunc(crashes, func(crash Crash) bool { return now-crash.At < settle })
 }
 
--- a/internal/blame/core_test.go
+++ b/internal/blame/core_test.go
@@ -25,7 +25,7 @@
 	Event       string            `json:"event"`
 	Endpoint    string            `json:"endpoint"`
 	Incarnation uint64            `json:"incarnation"`
-	Alone       bool              `json:"alone"`
+	Alone       uint64            `json:"alone"`
 	Suspects    []uint64          `json:"suspects"`
 	Verdicts    map[string]string `json:"verdicts"`
 	Proposed    []string          `json:"proposed"`
--- a/internal/blame/crash.go
+++ b/internal/blame/crash.go
@@ -23,8 +23,9 @@
 	Endpoint    string
 	Incarnation uint64
 	At          clock.Millis
-	// Alone tells that the only suspect ran in quarantine, with no other beside it.
-	Alone bool
+	// Alone is the fingerprint of the request that ran in quarantine, with no
+	// other beside it; zero when none did.
+	Alone uint64
 	// Alive is set when the incarnation announced itself after all.
 	Alive    bool
 	Suspects []Suspect
@@ -45,7 +46,7 @@
 // merged returns what two reports of the same crash tell together.
 func (crash Crash) merged(other Crash) Crash {
 	crash.At = min(crash.At, other.At)
-	crash.Alone = crash.Alone || other.Alone
+	crash.Alone = max(crash.Alone, other.Alone)
 	crash.Alive = crash.Alive || other.Alive
 	suspects := slices.Clone(crash.Suspects)
 	for _, suspect := range other.Suspects {
@@ -110,6 +111,8 @@
 	Suspect Suspect
 	Crashes int
 	Until   clock.Millis
+	// Latest is when the last of the crashes was seen.
+	Latest clock.Millis
 }
 
 func (Share) action()   {}
--- /dev/null
+++ b/internal/ctrl/block.go
@@ -0,0 +1,24 @@
+package ctrl
+
+import (
+	"google.golang.org/protobuf/proto"
+
+	"github.com/hibiscuslug/hibiscuslug/internal/state"
+	"github.com/hibiscuslug/hibiscuslug/pkg/wire"
+)
+
+// asked accepts the change that an entry VM asks for. Entry VMs may block a
+// request that crashes endpoints and end a block, and nothing else.
+func (control *Control) asked(command *wire.Command) *wire.CommandReply {
+	change := proto.CloneOf(command.GetChange())
+	switch {
+	case change.GetBlock() != nil:
+		change.Text = "block request " + change.GetBlock().GetRequestId()
+	case change.GetDrop().GetWhat() == "block":
+		change.Text = "unblock request " + change.GetDrop().GetName()
+	default:
+		return &wire.CommandReply{Code: state.CodeInvalid, Error: "an entry VM may only block a request or end a block"}
+	}
+	change.CommandId, change.At = command.GetId(), int64(control.clock.Now())
+	return control.accept(change)
+}
--- a/internal/ctrl/operate.go
+++ b/internal/ctrl/operate.go
@@ -13,6 +13,9 @@
 
 // Execute runs an operator's command.
 func (control *Control) Execute(_ context.Context, command *wire.Command) (*wire.CommandReply, error) {
+	if command.GetChange() != nil {
+		return control.asked(command), nil
+	}
 	parsed, err := query.Parse(command.GetText())
 	if err != nil {
 		return query.Failure(err), nil
@@ -21,11 +24,16 @@
 	if err != nil {
 		return refusal(err), nil
 	}
+	return control.accept(change), nil
+}
+
+// accept makes a change durable and tells what became of it.
+func (control *Control) accept(change *wire.Change) *wire.CommandReply {
 	result, err := control.propose(change)
 	if err != nil {
-		return unavailable(err), nil
+		return unavailable(err)
 	}
-	return &wire.CommandReply{Revision: result.GetRevision(), Code: result.GetCode(), Error: result.GetError()}, nil
+	return &wire.CommandReply{Revision: result.GetRevision(), Code: result.GetCode(), Error: result.GetError()}
 }
 
 func (control *Control) change(command *wire.Command, parsed *query.Command) (*wire.Change, error) {
--- a/internal/entry/engines.go
+++ b/internal/entry/engines.go
@@ -96,6 +96,12 @@
 	track.Load, track.Learned, track.Sent, track.Returned = load, fleet.clock.Now(), 0, 0
 }
 
+// Gone takes an endpoint process out before its announcement expires, when its
+// connections are refused. A later announcement brings it back.
+func (fleet *engines) Gone(candidate place.Candidate) {
+	fleet.members.Remove(candidate.Endpoint, candidate.Incarnation)
+}
+
 // Begin counts a request on an engine.
 func (fleet *engines) Begin(candidate place.Candidate) {
 	fleet.mu.Lock()
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -50,6 +50,7 @@
 	fleet       *engines
 	ledger      *ledger.Ledger
 	front       *front.Front
+	judge       *judge
 	leaving     atomic.Bool
 	loops       conc.WaitGroup
 	cancel      context.CancelFunc
@@ -70,9 +71,10 @@
 	if err := entry.register(); err != nil {
 		return nil, err
 	}
+	entry.judge = newJudge(entry)
 	placer := place.New(settings.Node.Zone, rand.IntN)
 	router := route.New(route.Settings{Node: settings.Node.Name, SilenceLimit: settings.Entry.SilenceLimit},
-		entry.pool, placer, entry.fleet, entry.ledger, ticker, log)
+		entry.pool, placer, entry.fleet, entry.judge, entry.ledger, ticker, log)
 	entry.front, err = front.New(settings.Entry, entry.view, router, entry.ledger, ticker, entry.newID)
 	if err != nil {
 		return nil, err
@@ -100,6 +102,7 @@
 	entry.loops.Go(func() { follower.Run(ctx) })
 	entry.loops.Go(func() { entry.expire(ctx) })
 	entry.loops.Go(func() { entry.exchange(ctx) })
+	entry.loops.Go(func() { entry.judge.run(ctx) })
 	entry.log.Write(event.Started, "role", "entry", "address", entry.server.Address(), "http", entry.front.Address())
 }
 
@@ -163,6 +166,7 @@
 	}
 	entry.cancel()
 	entry.loops.Wait()
+	entry.judge.work.Wait()
 	if err := entry.server.Close(); err != nil {
 		return err
 	}
--- a/internal/entry/member.go
+++ b/internal/entry/member.go
@@ -30,6 +30,7 @@
 	case member.Refreshed, member.Dropped:
 	}
 	entry.fleet.report(announcement)
+	entry.judge.seen(announcement)
 	peers := entry.peers()
 	if version := peersVersion(peers); version != announcement.GetPeersVersion() {
 		reply.Peers, reply.PeersVersion = peers, version
@@ -59,6 +60,10 @@
 // records that the peer does not have go whole.
 func (entry *Entry) Exchange(_ context.Context, digest *wire.Digest) (*wire.Digest, error) {
 	entry.absorb(digest)
+	if len(digest.GetNodes()) == 0 {
+		// The digest only told of a crash.
+		return &wire.Digest{}, nil
+	}
 	has := make(map[string]*wire.Announcement, len(digest.GetNodes()))
 	for _, node := range digest.GetNodes() {
 		has[node.GetNode()] = node
@@ -76,10 +81,11 @@
 			reply.Nodes = append(reply.Nodes, member.Brief(peer))
 		}
 	}
-	return reply, nil
+	return entry.judge.describe(reply), nil
 }
 
 func (entry *Entry) absorb(digest *wire.Digest) {
+	entry.judge.absorb(digest)
 	now := entry.clock.Now()
 	for _, node := range digest.GetNodes() {
 		if node.GetNode() != entry.settings.Node.Name {
@@ -98,7 +104,7 @@
 		}
 		digest.Nodes = append(digest.Nodes, peer)
 	}
-	return digest
+	return entry.judge.describe(digest)
 }
 
 // exchange meets one peer at random at a time, so that entry VMs learn of each
--- a/internal/front/answer.go
+++ b/internal/front/answer.go
@@ -131,6 +131,9 @@
 }
 
 func statusOf(result route.Result) int {
+	if result.Status != 0 {
+		return result.Status
+	}
 	switch result.Outcome {
 	case wire.Outcome_OUTCOME_NOT_RUN:
 		return fasthttp.StatusServiceUnavailable
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -21,12 +21,17 @@
 	"github.com/hibiscuslug/hibiscuslug/internal/class"
 	"github.com/hibiscuslug/hibiscuslug/internal/feed"
 	"github.com/hibiscuslug/hibiscuslug/internal/ledger"
+	"github.com/hibiscuslug/hibiscuslug/internal/link"
 	"github.com/hibiscuslug/hibiscuslug/internal/opts"
 	"github.com/hibiscuslug/hibiscuslug/internal/route"
 	"github.com/hibiscuslug/hibiscuslug/pkg/clock"
 	"github.com/hibiscuslug/hibiscuslug/pkg/wire"
 )
 
+// callerWriteLimit is how long a caller may take nothing of an answer that is
+// ready before it counts as gone.
+const callerWriteLimit = 10 * clock.Second
+
 // Router runs calls.
 type Router interface {
 	Do(ctx context.Context, request call.Call, sink route.Sink) route.Result
@@ -68,7 +73,7 @@
 	front.app.All("/services/*", front.serve)
 	front.running.Go(func() {
 		// The listener's end is reported by Close.
-		_ = front.app.Listener(listener)
+		_ = front.app.Listener(link.WithWriteLimit(listener, callerWriteLimit))
 	})
 	return front, nil
 }
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -74,11 +74,14 @@
 	})
 }
 
-// Tried records the end of the latest attempt.
-func (ledger *Ledger) Tried(id string, now, queued clock.Millis, outcome wire.Outcome, reason string) {
+// Tried records the end of an attempt.
+func (ledger *Ledger) Tried(id string, number uint32, now, queued clock.Millis, outcome wire.Outcome, reason string) {
 	ledger.update(id, func(entry *Entry) {
-		last := &entry.Attempts[len(entry.Attempts)-1]
-		last.Ended, last.Queued, last.Outcome, last.Error = now, queued, outcome, reason
+		for at := range entry.Attempts {
+			if try := &entry.Attempts[at]; try.Number == number {
+				try.Ended, try.Queued, try.Outcome, try.Error = now, queued, outcome, reason
+			}
+		}
 	})
 }
 
--- a/internal/link/pool.go
+++ b/internal/link/pool.go
@@ -80,11 +80,28 @@
 	return pool.idle.Close()
 }
 
+var (
+	// ErrConnect marks errors of calls whose message was never sent, because no
+	// connection could be made.
+	ErrConnect = errors.New("no connection")
+	// ErrDialTimeout marks those of an address that did not answer.
+	ErrDialTimeout = errors.New("no answer to a new connection")
+)
+
+func connectError(err error, address string) error {
+	marked := errors.Mark(errors.Wrapf(err, "connect to %s", address), ErrConnect)
+	var failed net.Error
+	if errors.As(err, &failed) && failed.Timeout() {
+		return errors.Mark(marked, ErrDialTimeout)
+	}
+	return marked
+}
+
 func dial(ctx context.Context, address string) (drpcpool.Conn, error) {
 	dialer := net.Dialer{Timeout: dialLimit.Duration(), KeepAlive: keepAliveIdle}
 	conn, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
-		return nil, errors.Wrapf(err, "connect to %s", address)
+		return nil, connectError(err, address)
 	}
 	return drpcconn.NewWithOptions(conn, drpcconn.Options{Manager: managerOptions()}), nil
 }
--- a/internal/opts/opts.go
+++ b/internal/opts/opts.go
@@ -39,7 +39,7 @@
 	MaxHeader     int          `long:"max-header" env:"HIB_MAX_HEADER" description:"Largest request header, in bytes (1024 to 1048576)" default:"16384"`
 	MaxConcurrent int          `long:"max-concurrent" env:"HIB_MAX_CONCURRENT" description:"Most requests in flight, in requests (1 to 1000000)" default:"10000"`
 	RequestLimit  clock.Millis `long:"request-limit" env:"HIB_REQUEST_LIMIT" description:"Longest time of one request (1s to 24h)" default:"10m"`
-	SilenceLimit  clock.Millis `long:"silence-limit" env:"HIB_SILENCE_LIMIT" description:"Time without an answer or progress after which a connection counts as silent (100ms to 1m)" default:"1500ms"`
+	SilenceLimit  clock.Millis `long:"silence-limit" env:"HIB_SILENCE_LIMIT" description:"Time without an answer or progress after which a connection counts as silent (100ms to 1m)" default:"1100ms"`
 }
 
 // Check reports the first setting that is missing or out of range.
--- a/internal/retry/detector.go
+++ b/internal/retry/detector.go
@@ -17,6 +17,8 @@
 	mostAway  = 30 * clock.Second
 	// probeLimit is when a probe that has not ended stops holding up the next.
 	probeLimit = 5 * clock.Second
+	// forgotten is when an engine that gets no requests any more is dropped.
+	forgotten = 5 * clock.Minute
 )
 
 // Health is what a detector knows of one engine.
@@ -27,6 +29,7 @@
 	until clock.Millis
 	// probed is when a probe was sent; zero when none is on its way.
 	probed clock.Millis
+	failed clock.Millis
 }
 
 // Detector tells engines that fail from the others. It is an immutable value.
@@ -58,6 +61,9 @@
 	return Probe
 }
 
+// Quiet tells whether no engine is avoided or close to it.
+func (detector Detector) Quiet() bool { return len(detector.engines) == 0 }
+
 func (detector Detector) probing(now clock.Millis) bool {
 	for _, health := range detector.engines {
 		if health.probed > 0 && now-health.probed < probeLimit {
@@ -102,7 +108,7 @@
 	if !ok {
 		return detector
 	}
-	health = Health{score: health.score * forgive}
+	health = Health{score: health.score * forgive, failed: health.failed}
 	if health.score < failing/4 {
 		next := maps.Clone(detector.engines)
 		delete(next, engine)
@@ -116,6 +122,7 @@
 func (detector Detector) WithFailure(engine string, now clock.Millis) Detector {
 	health := detector.engines[engine]
 	health.score = min(health.score+1, 2*failing)
+	health.failed = now
 	switch {
 	case health.away > 0 && now < health.until:
 		// A request sent before the engine was avoided tells nothing new.
@@ -123,7 +130,10 @@
 		health.away = min(max(2*health.away, leastAway), mostAway)
 		health.until, health.probed = now+health.away, 0
 	}
-	return detector.with(engine, health)
+	next := detector.with(engine, health)
+	// The map was copied by with.
+	maps.DeleteFunc(next.engines, func(_ string, old Health) bool { return now-old.failed > forgotten })
+	return next
 }
 
 // WithNeutral notes a request that ended without telling anything of the engine.
--- a/internal/retry/policy.go
+++ b/internal/retry/policy.go
@@ -31,6 +31,8 @@
 	Succeeded End = iota
 	// Failed is an engine that broke off, answered a server error or is gone.
 	Failed
+	// Lost is an engine whose endpoint process answers nothing any more.
+	Lost
 	// Neutral is an attempt that was refused, cancelled or failed by its own fault.
 	Neutral
 )
@@ -41,6 +43,8 @@
 	case Succeeded:
 		policy.Budget = policy.Budget.WithSuccess()
 		policy.Detector = policy.Detector.WithSuccess(engine)
+	case Lost:
+		policy.Detector = policy.Detector.WithFailure(engine, now).WithFailure(engine, now)
 	case Failed:
 		policy.Detector = policy.Detector.WithFailure(engine, now)
 	default:
--- a/internal/route/exchange.go
+++ b/internal/route/exchange.go
@@ -2,17 +2,33 @@
 
 import (
 	"context"
+	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"storj.io/drpc"
 
-	"github.com/hibiscuslug/hibiscuslug/internal/event"
+	"github.com/hibiscuslug/hibiscuslug/internal/link"
 	"github.com/hibiscuslug/hibiscuslug/internal/place"
+	"github.com/hibiscuslug/hibiscuslug/internal/retry"
 	"github.com/hibiscuslug/hibiscuslug/pkg/clock"
 	"github.com/hibiscuslug/hibiscuslug/pkg/wire"
 )
 
+// fate is what became of an attempt's endpoint process.
+type fate int
+
+const (
+	// present endpoints answer.
+	present fate = iota
+	// unreached endpoints never got the attempt.
+	unreached
+	// mute endpoints answer nothing, on new connections either.
+	mute
+	// dead endpoints refuse connections or are another incarnation.
+	dead
+)
+
 // exchange is the conversation with an endpoint process about one attempt. It
 // may use several connections, one after the other.
 type exchange struct {
@@ -20,12 +36,18 @@
 	candidate place.Candidate
 	message   *wire.Attempt
 	delivery  *delivery
-
-	next   uint64
-	ended  bool
-	result Result
-	load   *wire.EngineLoad
-	queued clock.Millis
+	sent      clock.Millis
+	// begun is when the attempt left the endpoint process's queue; zero before.
+	begun atomic.Int64
+
+	next    uint64
+	ended   bool
+	result  Result
+	load    *wire.EngineLoad
+	queued  clock.Millis
+	held    *held
+	fate    fate
+	answers int
 }
 
 // receiver is what Run and Resume streams have in common.
@@ -38,10 +60,10 @@
 		conn := exchange.router.pool.Conn(ctx, exchange.candidate.Address)
 		return wire.NewDRPCRelayClient(conn).Run(ctx, exchange.message)
 	})
-	if exchange.ended {
-		return exchange.result
+	if !exchange.ended {
+		exchange.result = exchange.recover(ctx, err)
 	}
-	return exchange.recover(ctx, err)
+	return exchange.result
 }
 
 // attach reads answers from a stream until the attempt ends, the stream breaks
@@ -61,16 +83,18 @@
 		if err != nil {
 			return cause(ctx, err)
 		}
-		silence.Reset(limit)
+		// A caller that is slow to take the answer is no silence of the endpoint.
+		silence.Stop()
 		if err := exchange.take(answer); err != nil {
 			return err
 		}
+		silence.Reset(limit)
 	}
 	return nil
 }
 
 func cause(ctx context.Context, err error) error {
-	if reason := context.Cause(ctx); reason != nil {
+	if reason := context.Cause(ctx); reason != nil && !errors.Is(err, link.ErrConnect) {
 		return reason
 	}
 	return err
@@ -81,102 +105,93 @@
 	if answer.GetRequestId() != exchange.message.GetRequestId() || answer.GetAttempt() != exchange.message.GetAttempt() {
 		return nil
 	}
-	if answer.GetKind() == wire.AnswerKind_ANSWER_KIND_PROGRESS || answer.GetSequence() < exchange.next {
+	exchange.answers++
+	if answer.GetKind() == wire.AnswerKind_ANSWER_KIND_PROGRESS {
+		if answer.GetStarted() {
+			exchange.begin(exchange.router.clock.Now())
+		}
+		return nil
+	}
+	if answer.GetSequence() < exchange.next {
 		return nil
 	}
-	if answer.GetKind() != wire.AnswerKind_ANSWER_KIND_END && answer.GetSequence() > exchange.next {
+	if answer.GetSequence() > exchange.next {
 		return errors.Newf("answer %d arrived where %d was expected", answer.GetSequence(), exchange.next)
 	}
 	exchange.next++
 	switch answer.GetKind() {
 	case wire.AnswerKind_ANSWER_KIND_HEAD:
-		exchange.delivery.head(int(answer.GetStatus()), answer.GetContentType())
+		exchange.begin(exchange.sent)
+		return exchange.head(int(answer.GetStatus()), answer.GetContentType())
 	case wire.AnswerKind_ANSWER_KIND_DATA:
-		return exchange.delivery.data(answer.GetEvents())
+		return exchange.data(answer.GetEvents())
 	case wire.AnswerKind_ANSWER_KIND_END:
-		exchange.end(answer)
+		return exchange.end(answer)
 	default:
 	}
 	return nil
 }
 
-func (exchange *exchange) end(answer *wire.Answer) {
-	exchange.ended = true
-	exchange.result = Result{Outcome: answer.GetOutcome()}
-	if answer.GetError() != "" {
-		exchange.result.Err = errors.Newf("%s", answer.GetError())
-	}
-	exchange.load, exchange.queued = answer.GetLoad(), clock.Millis(answer.GetQueued())
-}
+func (exchange *exchange) begin(now clock.Millis) { exchange.begun.CompareAndSwap(0, int64(now)) }
 
-// recover attaches again on a new connection, or settles what became of the
-// attempt when that is not possible.
-func (exchange *exchange) recover(ctx context.Context, reason error) Result {
-	if ctx.Err() != nil || errors.Is(reason, errStopped) {
-		exchange.abandon()
-		return Result{Outcome: wire.Outcome_OUTCOME_UNKNOWN, Err: reason}
-	}
-	exchange.router.log.Write(event.AttemptSilent, "request", exchange.message.GetRequestId(), "endpoint", exchange.candidate.Endpoint, "error", reason)
-	exchange.router.pool.Discard(exchange.candidate.Address)
-	reply, err := exchange.ask(ctx, true)
-	if err != nil {
-		return Result{Outcome: wire.Outcome_OUTCOME_UNKNOWN, Err: reason}
+func (exchange *exchange) isBegun() bool { return exchange.begun.Load() != 0 }
+
+// head passes on the head of a stream. Other answers are held until their end.
+func (exchange *exchange) head(status int, contentType string) error {
+	if !isStream(contentType) || status >= http.StatusBadRequest {
+		exchange.held = &held{status: status, contentType: contentType}
+		return nil
 	}
-	switch reply.GetState() {
-	case wire.AttemptState_ATTEMPT_STATE_FENCED:
-		return Result{Outcome: wire.Outcome_OUTCOME_NOT_RUN, Err: reason}
-	case wire.AttemptState_ATTEMPT_STATE_RUNNING, wire.AttemptState_ATTEMPT_STATE_FINISHED:
-		return exchange.resume(ctx)
-	default:
-		return Result{Outcome: wire.Outcome_OUTCOME_UNKNOWN, Err: reason}
+	if !exchange.delivery.claim(exchange) {
+		return errLost
 	}
+	span := exchange.router.clock.Now() - clock.Millis(exchange.begun.Load())
+	exchange.router.change(func(policy retry.Policy) retry.Policy { return policy.WithFirst(span) })
+	exchange.delivery.head(status, contentType)
+	return nil
 }
 
-func (exchange *exchange) resume(ctx context.Context) Result {
-	err := exchange.attach(ctx, func(ctx context.Context) (receiver, error) {
-		conn, err := exchange.router.pool.Fresh(ctx, exchange.candidate.Address)
-		if err != nil {
-			return nil, err
+func (exchange *exchange) data(events [][]byte) error {
+	if exchange.held == nil {
+		if !exchange.delivery.isOwner(exchange) {
+			return errLost
 		}
-		context.AfterFunc(ctx, func() { _ = conn.Close() })
-		return wire.NewDRPCRelayClient(conn).Resume(ctx, &wire.ResumeRequest{
-			RequestId: exchange.message.GetRequestId(), Attempt: exchange.message.GetAttempt(),
-			Incarnation: exchange.message.GetIncarnation(), FromSequence: exchange.next,
-		})
-	})
-	if exchange.ended {
-		return exchange.result
+		return exchange.delivery.data(events)
 	}
-	return Result{Outcome: wire.Outcome_OUTCOME_UNKNOWN, Err: err}
-}
-
-// ask asks about the attempt on a connection that did not exist before.
-func (exchange *exchange) ask(ctx context.Context, fence bool) (*wire.AskReply, error) {
-	ctx, cancel := context.WithTimeout(ctx, askLimit)
-	defer cancel()
-	conn, err := exchange.router.pool.Fresh(ctx, exchange.candidate.Address)
-	if err != nil {
-		return nil, err
+	exchange.held.add(events)
+	if exchange.held.size > maxHeld {
+		return exchange.pass()
 	}
-	defer closeConn(conn)
-	return wire.NewDRPCRelayClient(conn).Ask(ctx, &wire.AskRequest{
-		RequestId: exchange.message.GetRequestId(), Attempt: exchange.message.GetAttempt(),
-		Incarnation: exchange.message.GetIncarnation(), Fence: fence,
-	})
+	return nil
 }
 
-// abandon tells the endpoint process that nobody waits for the attempt.
-func (exchange *exchange) abandon() {
-	ctx, cancel := context.WithTimeout(context.Background(), askLimit)
-	defer cancel()
-	client := wire.NewDRPCRelayClient(exchange.router.pool.Conn(ctx, exchange.candidate.Address))
-	// An endpoint process that misses this cancels the attempt when it was abandoned long enough.
-	_, _ = client.Cancel(ctx, &wire.CancelRequest{
-		RequestId: exchange.message.GetRequestId(), Attempt: exchange.message.GetAttempt(), Reason: errStopped.Error(),
-	})
+// pass gives the held answer to the caller.
+func (exchange *exchange) pass() error {
+	if exchange.held == nil {
+		return nil
+	}
+	if exchange.delivery.started() && !exchange.delivery.isOwner(exchange) || !exchange.delivery.claim(exchange) {
+		return errLost
+	}
+	held := exchange.held
+	exchange.held = nil
+	return held.pass(exchange.delivery)
 }
 
-func closeConn(conn drpc.Conn) {
-	// The connection is not used again.
-	_ = conn.Close()
+func (exchange *exchange) end(answer *wire.Answer) error {
+	result := Result{Outcome: answer.GetOutcome()}
+	if answer.GetError() != "" {
+		result.Err = errors.Newf("%s", answer.GetError())
+	}
+	if result.Outcome == wire.Outcome_OUTCOME_OK {
+		if err := exchange.pass(); err != nil {
+			return err
+		}
+	}
+	if answer.GetFull() {
+		result.Err = errFull
+	}
+	exchange.ended, exchange.result = true, result
+	exchange.load, exchange.queued = answer.GetLoad(), clock.Millis(answer.GetQueued())
+	return nil
 }
--- a/internal/route/router.go
+++ b/internal/route/router.go
@@ -6,24 +6,21 @@
 import (
 	"context"
 	"slices"
-	"time"
+	"sync"
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/hibiscuslug/hibiscuslug/internal/blame"
 	"github.com/hibiscuslug/hibiscuslug/internal/call"
 	"github.com/hibiscuslug/hibiscuslug/internal/event"
 	"github.com/hibiscuslug/hibiscuslug/internal/ledger"
 	"github.com/hibiscuslug/hibiscuslug/internal/link"
 	"github.com/hibiscuslug/hibiscuslug/internal/place"
+	"github.com/hibiscuslug/hibiscuslug/internal/retry"
 	"github.com/hibiscuslug/hibiscuslug/pkg/clock"
 	"github.com/hibiscuslug/hibiscuslug/pkg/wire"
 )
 
-const (
-	maxAttempts = 3
-	askLimit    = 500 * time.Millisecond
-)
-
 // Sink takes the parts of the answer for the caller, in order and once each.
 type Sink interface {
 	Head(status int, contentType string)
@@ -35,6 +32,9 @@
 type Result struct {
 	Outcome wire.Outcome
 	Err     error
+	// Status is the HTTP status for a call that ended without an engine's
+	// answer; the outcome decides when it is zero.
+	Status int
 }
 
 // Source lists the engines that may be used now.
@@ -43,6 +43,29 @@
 	// Begin and End count this entry VM's own requests on an engine.
 	Begin(candidate place.Candidate)
 	End(candidate place.Candidate, load *wire.EngineLoad)
+	// Gone takes an endpoint process out that refuses connections.
+	Gone(candidate place.Candidate)
+}
+
+// Flight is an attempt as the judge sees it.
+type Flight struct {
+	Candidate place.Candidate
+	Request   call.Call
+	Alone     bool
+	Sent      clock.Millis
+	// Begun tells whether the attempt has left the endpoint process's queue.
+	Begun func() bool
+}
+
+// Judge keeps requests that crash endpoints from running on more of them.
+type Judge interface {
+	Verdict(request call.Call) blame.Verdict
+	Begin(flight *Flight)
+	End(flight *Flight)
+	// Crashed returns when the other entry VMs have been told.
+	Crashed(flight *Flight)
+	Silent(flight *Flight)
+	Cleared(request call.Call)
 }
 
 // Settings of a router.
@@ -57,108 +80,90 @@
 	pool     *link.Pool
 	placer   *place.Placer
 	source   Source
+	judge    Judge
 	ledger   *ledger.Ledger
 	clock    *clock.Clock
 	log      *event.Log
+	room     *room
+
+	// mu guards the fields below. It is a leaf lock.
+	mu     sync.Mutex
+	policy retry.Policy
+	// alone counts the attempts in quarantine.
+	alone int
 }
 
 // New returns a router.
-func New(settings Settings, pool *link.Pool, placer *place.Placer, source Source, book *ledger.Ledger, ticker *clock.Clock, log *event.Log) *Router {
-	return &Router{settings: settings, pool: pool, placer: placer, source: source, ledger: book, clock: ticker, log: log}
+func New(settings Settings, pool *link.Pool, placer *place.Placer, source Source, judge Judge, book *ledger.Ledger, ticker *clock.Clock, log *event.Log) *Router {
+	return &Router{
+		settings: settings, pool: pool, placer: placer, source: source, judge: judge, ledger: book,
+		clock: ticker, log: log, room: newRoom(ticker.Now()), policy: retry.NewPolicy(),
+	}
 }
 
 var (
 	errNoEngine = errors.New("no engine can run this request now")
 	errSilent   = errors.New("endpoint made no progress")
-	errStopped  = errors.New("caller has gone")
+	errFull     = errors.New("engine has no room")
+	errDeadline = errors.New("request waited as long as its tier allows")
 )
 
 // Do runs a call and passes its answer to the sink.
 func (router *Router) Do(ctx context.Context, request call.Call, sink Sink) Result {
-	delivery := &delivery{sink: sink}
-	result := Result{Outcome: wire.Outcome_OUTCOME_NOT_RUN, Err: errNoEngine}
-	var used []string
-	for number := uint32(1); number <= maxAttempts; number++ {
-		choice, ok := router.choose(request, used)
-		if !ok {
-			break
-		}
-		used = append(used, choice.Candidate.Engine.GetName())
-		result = router.try(ctx, request, number, choice, delivery)
-		if !router.again(ctx, request, result, delivery) {
-			break
-		}
-	}
-	return result
+	return newTrip(router, request, sink).run(ctx)
 }
 
-func (router *Router) choose(request call.Call, used []string) (place.Choice, bool) {
-	candidates := router.source.Candidates()
-	fresh := slices.DeleteFunc(slices.Clone(candidates), func(candidate place.Candidate) bool {
-		return slices.Contains(used, candidate.Engine.GetName())
-	})
-	return router.placer.Choose(request, fresh, router.clock.Now(), nil)
+// change replaces the retry policy.
+func (router *Router) change(next func(retry.Policy) retry.Policy) {
+	router.mu.Lock()
+	defer router.mu.Unlock()
+	router.policy = next(router.policy)
 }
 
-// again tells whether a call may be tried once more.
-func (router *Router) again(ctx context.Context, request call.Call, result Result, delivery *delivery) bool {
-	switch result.Outcome {
-	case wire.Outcome_OUTCOME_OK:
-		return false
-	case wire.Outcome_OUTCOME_NOT_RUN:
-		return ctx.Err() == nil
-	default:
-	}
-	// A body that is not a stream of events cannot be continued.
-	resumable := request.Stream || !delivery.started
-	return ctx.Err() == nil && request.Idempotent && result.Outcome == wire.Outcome_OUTCOME_UNKNOWN && resumable
+// payRetry takes one more attempt from the retry budget.
+func (router *Router) payRetry(started int) bool {
+	router.mu.Lock()
+	defer router.mu.Unlock()
+	next, ok := router.policy.WithRetry(started)
+	router.policy = next
+	return ok
 }
 
-func (router *Router) try(ctx context.Context, request call.Call, number uint32, choice place.Choice, delivery *delivery) Result {
-	candidate := choice.Candidate
-	router.ledger.Try(request.ID, ledger.Attempt{
-		Number: number, Endpoint: candidate.Endpoint, Engine: candidate.Engine.GetName(),
-		Reason: choice.Reason, Started: router.clock.Now(),
-	})
-	router.source.Begin(candidate)
-	exchange := &exchange{router: router, candidate: candidate, message: router.message(request, number, candidate, delivery), delivery: delivery}
-	result := exchange.run(ctx)
-	router.source.End(candidate, exchange.load)
-	reason := ""
-	if result.Err != nil {
-		reason = result.Err.Error()
-		router.log.Write(event.AttemptFailed, "request", request.ID, "attempt", number, "engine", candidate.Engine.GetName(), "outcome", result.Outcome, "error", reason)
+// healthy leaves out the engines that fail, unless none would be left.
+func (router *Router) healthy(candidates []place.Candidate) []place.Candidate {
+	router.mu.Lock()
+	defer router.mu.Unlock()
+	if router.policy.Detector.Quiet() {
+		return candidates
 	}
-	router.ledger.Tried(request.ID, router.clock.Now(), exchange.queued, result.Outcome, reason)
-	return result
-}
-
-func (router *Router) message(request call.Call, number uint32, candidate place.Candidate, delivery *delivery) *wire.Attempt {
-	return &wire.Attempt{
-		RequestId: request.ID, Attempt: number, Incarnation: candidate.Incarnation, Engine: candidate.Engine.GetName(),
-		Customer: request.Customer.GetName(), Tier: request.Tier, Priority: request.Priority, Weight: request.Customer.GetWeight(),
-		Kind: request.Kind, Idempotent: request.Idempotent, Model: request.Model, Method: request.Method, Path: request.Path,
-		ContentType: request.ContentType, Body: request.Body, Stream: request.Stream, SkipEvents: delivery.events,
-		PredictedSize: request.PredictedSize, Patience: int64(request.Deadline - router.clock.Now()),
-		Traceparent: request.Traceparent, Entry: router.settings.Node, PrefixHash: request.PrefixHash,
+	names := make([]string, len(candidates))
+	for at, candidate := range candidates {
+		names[at] = healthKey(candidate)
 	}
+	usable := router.policy.Detector.Usable(names, router.clock.Now())
+	kept := make([]place.Candidate, 0, len(usable))
+	for at, candidate := range candidates {
+		if slices.Contains(usable, names[at]) {
+			kept = append(kept, candidate)
+		}
+	}
+	return kept
 }
 
-// delivery counts what the caller has, over all attempts.
-type delivery struct {
-	sink    Sink
-	started bool
-	events  uint64
-}
-
-func (delivery *delivery) head(status int, contentType string) {
-	if !delivery.started {
-		delivery.started = true
-		delivery.sink.Head(status, contentType)
+// enterQuarantine takes one of the few quarantines that this entry VM may use
+// at a time: each keeps an endpoint from other work.
+func (router *Router) enterQuarantine(endpoints int) bool {
+	router.mu.Lock()
+	defer router.mu.Unlock()
+	if router.alone >= max(1, endpoints/quarantineShare) {
+		return false
 	}
+	router.alone++
+	return true
 }
 
-func (delivery *delivery) data(events [][]byte) error {
-	delivery.events += uint64(len(events))
-	return delivery.sink.Data(events)
+func (router *Router) leaveQuarantine() {
+	router.mu.Lock()
+	defer router.mu.Unlock()
+	router.alone--
 }
