link: never use a connection again that was discarded while in use

Change: connections are pooled by address and number of discards, and the follower of the feed discards its source's connections when a stream breaks. Conclusion: one silent connection costs one silence limit, not every reuse.

--- a/internal/feed/follow.go
+++ b/internal/feed/follow.go
@@ -44,6 +44,8 @@
 			if ctx.Err() != nil {
 				return
 			}
+			// The connection may be silent; a stream given up leaves it open.
+			follower.pool.Discard(address)
 			follower.log.Write(event.FeedLost, "source", address, "error", err)
 		}
 		// Jitter keeps a restarted source from being met by all its watchers at once.
--- a/internal/link/pool.go
+++ b/internal/link/pool.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"net"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -40,12 +41,25 @@
 
 // Pool holds idle connections by address.
 type Pool struct {
-	idle *drpcpool.Pool[string, drpcpool.Conn]
+	idle *drpcpool.Pool[peer, drpcpool.Conn]
+
+	// mu guards discarded. It is a leaf lock.
+	mu sync.Mutex
+	// discarded counts the calls of Discard by address.
+	discarded map[string]uint64
+}
+
+// peer is an address between two calls of Discard. A connection that is in use
+// when its address is discarded comes back under the old peer and is not used
+// again: a call that was given up leaves its connection open, and it may be silent.
+type peer struct {
+	address   string
+	discarded uint64
 }
 
 // NewPool returns an empty pool.
 func NewPool() *Pool {
-	return &Pool{idle: drpcpool.New[string, drpcpool.Conn](drpcpool.Options{
+	return &Pool{discarded: map[string]uint64{}, idle: drpcpool.New[peer, drpcpool.Conn](drpcpool.Options{
 		Expiration:  idleExpiry,
 		KeyCapacity: idlePerPeer,
 	})}
@@ -54,7 +68,13 @@
 // Conn returns a connection to an address. It takes an idle one or dials when
 // the first call is made.
 func (pool *Pool) Conn(ctx context.Context, address string) drpc.Conn {
-	return pool.idle.Get(ctx, address, dial)
+	return pool.idle.Get(ctx, pool.peer(address), dialPeer)
+}
+
+func (pool *Pool) peer(address string) peer {
+	pool.mu.Lock()
+	defer pool.mu.Unlock()
+	return peer{address: address, discarded: pool.discarded[address]}
 }
 
 // Fresh dials a connection that did not exist before. Use it when existing
@@ -63,10 +83,15 @@
 	return dial(ctx, address)
 }
 
-// Discard closes the idle connections to an address.
+// Discard closes the idle connections to an address and keeps those in use
+// from being used again.
 func (pool *Pool) Discard(address string) {
+	old := pool.peer(address)
+	pool.mu.Lock()
+	pool.discarded[address] = old.discarded + 1
+	pool.mu.Unlock()
 	for {
-		conn, ok := pool.idle.Take(address)
+		conn, ok := pool.idle.Take(old)
 		if !ok {
 			return
 		}
@@ -97,6 +122,8 @@
 	return marked
 }
 
+func dialPeer(ctx context.Context, to peer) (drpcpool.Conn, error) { return dial(ctx, to.address) }
+
 func dial(ctx context.Context, address string) (drpcpool.Conn, error) {
 	dialer := net.Dialer{Timeout: dialLimit.Duration(), KeepAlive: keepAliveIdle}
 	conn, err := dialer.DialContext(ctx, "tcp", address)
