bench/route: measure retries, silent connections and crashing requests

Cause: the targets for retries, silence and crashing requests had no figures. Change: retry.amplification in virtual time with a plain baseline; silent.recovery over eight hops, silent.falseAlarms, poison.endpointsLost and poison.innocentBlocked with real processes. test/faults runs the same scenario for a crashing request.

--- a/cmd/hibbench/main.go
+++ b/cmd/hibbench/main.go
@@ -11,6 +11,7 @@
 	"github.com/jessevdk/go-flags"
 
 	"github.com/hibiscuslug/hibiscuslug/bench/place"
+	"github.com/hibiscuslug/hibiscuslug/bench/route"
 	"github.com/hibiscuslug/hibiscuslug/internal/figure"
 )
 
@@ -28,6 +29,7 @@
 
 var suites = []suite{
 	{"place", place.Run},
+	{"route", route.Run},
 }
 
 func revision() string {
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -28,7 +28,6 @@
 	CrashSuspected     = Event{211, "endpoint crashed with requests running"}
 	RequestBlocked     = Event{212, "request blocked for crashing endpoints"}
 	BlockNotAccepted   = Event{213, "block could not be put into the configuration"}
-	EngineSilent       = Event{214, "connection to the engine is silent"}
 	EndpointJoined     = Event{301, "endpoint announced itself"}
 	EndpointExpired    = Event{302, "endpoint's announcement expired"}
 	EndpointLeaving    = Event{303, "endpoint is leaving"}
--- a/internal/procs/cluster.go
+++ b/internal/procs/cluster.go
@@ -187,11 +187,20 @@
 	return cluster.CommandAt(cluster.Entries[0], text)
 }
 
+// CommandAtControl runs an operator's command at the control VM.
+func (cluster *Cluster) CommandAtControl(text string) (string, error) {
+	return command(cluster.Control.Address, text)
+}
+
 // CommandAt runs an operator's command at an entry VM.
 func (cluster *Cluster) CommandAt(entry *EntryVM, text string) (string, error) {
+	return command(entry.Process.Address, text)
+}
+
+func command(address, text string) (string, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), clusterLimit)
 	defer cancel()
-	arguments := append([]string{"--address", entry.Process.Address}, strings.Fields(text)...)
+	arguments := append([]string{"--address", address}, strings.Fields(text)...)
 	out, err := exec.CommandContext(ctx, Binary("hibctl"), arguments...).CombinedOutput()
 	return string(out), err
 }
--- /dev/null
+++ b/test/faults/poison_test.go
@@ -0,0 +1,47 @@
+package faults_test
+
+import (
+	"net/http"
+	"strings"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/hibiscuslug/hibiscuslug/bench/route"
+)
+
+// Guards against a request that crashes one endpoint after the other, and
+// against blocking requests that only ran beside it.
+var _ = It("refuses a crashing request everywhere after two endpoints and blocks no other", func() {
+	const seed = 1
+	By("seed 1")
+	cluster, err := route.PoisonCluster(GinkgoT().TempDir())
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(cluster.Close)
+	DeferCleanup(func() {
+		if CurrentSpecReport().Failed() {
+			for _, entry := range cluster.Entries {
+				GinkgoWriter.Println(entry.Process.Log())
+			}
+		}
+	})
+	result, err := route.Poison(cluster, seed)
+	Expect(err).NotTo(HaveOccurred())
+	Expect(result.Lost).To(BeNumerically("<=", 2))
+	Expect(result.Blocked).To(BeZero())
+	Expect(result.Broken).To(BeEmpty())
+	Expect(result.Innocent).To(BeNumerically(">", 0))
+	Expect(result.Refused.Status).To(Equal(http.StatusUnprocessableEntity))
+	Expect(result.Refused.Outcome).To(Equal("failed"))
+	Expect(result.Refused.Text).To(And(ContainSubstring("blocked until"), ContainSubstring("unblock request")))
+	_, command, _ := strings.Cut(result.Refused.Text, "an operator can end the block earlier by: ")
+	id := strings.Fields(strings.Trim(strings.SplitN(command, `"`, 2)[0], " "))[2]
+	for _, entry := range cluster.Entries {
+		Eventually(func() (string, error) { return cluster.CommandAt(entry, "show blocks") }).WithTimeout(limit).Should(ContainSubstring(id))
+	}
+	out, err := cluster.Command("unblock request " + id)
+	Expect(err).NotTo(HaveOccurred(), out)
+	for _, entry := range cluster.Entries {
+		Eventually(func() (string, error) { return cluster.CommandAt(entry, "show blocks") }).WithTimeout(limit).ShouldNot(ContainSubstring(id))
+	}
+})
