--- a/cmd/hibbench/main.go
+++ b/cmd/hibbench/main.go
@@ -10,6 +10,9 @@
 
 	"github.com/jessevdk/go-flags"
 
+	"github.com/hibiscuslug/hibiscuslug/bench/control"
+	"github.com/hibiscuslug/hibiscuslug/bench/expert"
+	"github.com/hibiscuslug/hibiscuslug/bench/models"
 	"github.com/hibiscuslug/hibiscuslug/bench/place"
 	"github.com/hibiscuslug/hibiscuslug/bench/route"
 	"github.com/hibiscuslug/hibiscuslug/internal/figure"
@@ -28,8 +31,11 @@
 }
 
 var suites = []suite{
+	{"control", control.Run},
 	{"place", place.Run},
 	{"route", route.Run},
+	{"expert", expert.Run},
+	{"models", models.Run},
 }
 
 func revision() string {
--- a/internal/ctrl/block.go
+++ b/internal/ctrl/block.go
@@ -7,9 +7,9 @@
 	"github.com/hibiscuslug/hibiscuslug/pkg/wire"
 )
 
-// asked accepts the change that an entry VM asks for. Entry VMs may block a
+// requested returns the change that an entry VM asks for. Entry VMs may block a
 // request that crashes endpoints and end a block, and nothing else.
-func (control *Control) asked(command *wire.Command) *wire.CommandReply {
+func (control *Control) requested(command *wire.Command) (*wire.Change, error) {
 	change := proto.CloneOf(command.GetChange())
 	switch {
 	case change.GetBlock() != nil:
@@ -17,8 +17,8 @@
 	case change.GetDrop().GetWhat() == "block":
 		change.Text = "unblock request " + change.GetDrop().GetName()
 	default:
-		return &wire.CommandReply{Code: state.CodeInvalid, Error: "an entry VM may only block a request or end a block"}
+		return nil, &state.RefusedError{Code: state.CodeInvalid, Message: "an entry VM may only block a request or end a block"}
 	}
 	change.CommandId, change.At = command.GetId(), int64(control.clock.Now())
-	return control.accept(change)
+	return change, nil
 }
--- /dev/null
+++ b/internal/ctrl/control_test.go
@@ -0,0 +1,163 @@
+package ctrl_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"os"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/hibiscuslug/hibiscuslug/internal/ctrl"
+	"github.com/hibiscuslug/hibiscuslug/internal/event"
+	"github.com/hibiscuslug/hibiscuslug/internal/fake"
+	"github.com/hibiscuslug/hibiscuslug/internal/opts"
+	"github.com/hibiscuslug/hibiscuslug/pkg/clock"
+	"github.com/hibiscuslug/hibiscuslug/pkg/wire"
+)
+
+func TestControl(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "Control")
+}
+
+const limit = 30 * time.Second
+
+// command is an operator's line with the reply it must get.
+type command struct {
+	ID       string `json:"id"`
+	Text     string `json:"text"`
+	Code     string `json:"code"`
+	Revision uint64 `json:"revision"`
+	Contains string `json:"contains"`
+}
+
+func load() []command {
+	text, err := os.ReadFile("testdata/commands.json")
+	Expect(err).NotTo(HaveOccurred())
+	var list []command
+	Expect(json.Unmarshal(text, &list)).To(Succeed())
+	return list
+}
+
+var _ = Describe("a control VM alone", func() {
+	var disk *fake.Disk
+	var folder string
+	start := func() *ctrl.Control {
+		control, err := ctrl.New(ctrl.Settings{
+			Node: opts.Node{Name: "control1", Zone: "zone1", Listen: "127.0.0.1:0"},
+			Control: opts.Control{
+				Data: folder, ElectionTimeout: 200, CommitLimit: 500, SnapshotBytes: 4096,
+			},
+			Disk: disk,
+		}, clock.NewSystem(), event.Discard())
+		Expect(err).NotTo(HaveOccurred())
+		return control
+	}
+	execute := func(control *ctrl.Control, id, text string) *wire.CommandReply {
+		reply, err := control.Execute(context.Background(), &wire.Command{Id: id, Text: text})
+		Expect(err).NotTo(HaveOccurred())
+		return reply
+	}
+
+	BeforeEach(func() { disk, folder = fake.NewDisk(), GinkgoT().TempDir() })
+
+	// Guards against commands that are done twice, or lose their first answer
+	// in a restart.
+	It("gives each command id its first answer, before and after a restart", func() {
+		for range 2 {
+			control := start()
+			for _, script := range load() {
+				reply := execute(control, script.ID, script.Text)
+				Expect(reply.GetCode()).To(Equal(script.Code), "%s: %s", script.Text, reply.GetError())
+				Expect(reply.GetError()).To(ContainSubstring(script.Contains))
+				Expect(reply.GetRevision()).To(Equal(script.Revision), script.Text)
+			}
+			Expect(control.Close()).To(Succeed())
+		}
+	})
+
+	// Guards against changes that are accepted without room on the disk, and
+	// against a control VM that cannot be read or does not recover.
+	It("refuses changes on a full disk, answers queries and recovers", func() {
+		control := start()
+		Expect(execute(control, "before", "create customer before tier paid").GetCode()).To(BeEmpty())
+		disk.SetRoom(3)
+		Eventually(func() string {
+			return execute(control, "during", "create customer during tier paid").GetCode()
+		}).WithTimeout(limit).Should(Equal("unavailable"))
+		shown := execute(control, "show", "show control")
+		Expect(shown.GetTable().GetRows()).To(HaveLen(1))
+		Expect(shown.GetRevision()).To(Equal(uint64(1)))
+		disk.SetRoom(-1)
+		Eventually(func() string {
+			return execute(control, "after", "create customer after tier paid").GetCode()
+		}).WithTimeout(limit).Should(BeEmpty())
+		Expect(execute(control, "during", "create customer during tier paid").GetCode()).To(BeEmpty())
+		Expect(control.Close()).To(Succeed())
+		control = start()
+		Expect(execute(control, "before", "create customer before tier paid").GetRevision()).To(Equal(uint64(1)))
+		Expect(control.Close()).To(Succeed())
+	})
+})
+
+// Guards against a group that refuses changes because the disk of one member,
+// the leader, is full.
+var _ = It("a group moves leadership away from a full disk", func() {
+	const count = 3
+	var group []string
+	var addresses []string
+	for at := range count {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		addresses = append(addresses, listener.Addr().String())
+		group = append(group, fmt.Sprintf("control%d@%s", at+1, addresses[at]))
+		Expect(listener.Close()).To(Succeed())
+	}
+	var disks []*fake.Disk
+	var members []*ctrl.Control
+	for at := range count {
+		disks = append(disks, fake.NewDisk())
+		member, err := ctrl.New(ctrl.Settings{
+			Node:    opts.Node{Name: fmt.Sprintf("control%d", at+1), Zone: "zone1", Listen: addresses[at]},
+			Control: opts.Control{Data: GinkgoT().TempDir(), Group: group, ElectionTimeout: 300, CommitLimit: 2000, SnapshotBytes: 4096},
+			Disk:    disks[at],
+		}, clock.NewSystem(), event.Discard())
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(member.Close)
+		members = append(members, member)
+	}
+	accepted := func(member *ctrl.Control, id string) {
+		Eventually(func() string {
+			reply, err := member.Execute(context.Background(), &wire.Command{Id: id, Text: "create customer " + id + " tier paid"})
+			Expect(err).NotTo(HaveOccurred())
+			return reply.GetCode()
+		}).WithTimeout(limit).Should(BeEmpty(), id)
+	}
+	row := func(member *ctrl.Control) []string {
+		table, err := member.Local(context.Background(), &wire.NodeQuery{What: "controlSelf"})
+		Expect(err).NotTo(HaveOccurred())
+		return table.GetRows()[0].GetCells()
+	}
+	accepted(members[0], "before")
+	full := 0
+	for at, member := range members {
+		if row(member)[3] == "leader" {
+			full = at
+		}
+	}
+	disks[full].SetRoom(3)
+	for n := range 10 {
+		accepted(members[(full+n)%count], fmt.Sprintf("during%d", n))
+	}
+	Expect(row(members[full])[3]).NotTo(Equal("leader"))
+	disks[full].SetRoom(-1)
+	accepted(members[full], "after")
+	for _, member := range members {
+		Eventually(func() string { return row(member)[7] }).WithTimeout(limit).Should(Equal("12"))
+	}
+})
