route: keep new work from an endpoint as soon as it does not answer

Cause: while work that may not be repeated was asked about for 10 s, its endpoint stayed in use, and further bookings were lost to it. Change: the first unanswered question takes the endpoint out of use; a refusing endpoint is asked for 3 s, the lifetime of its announcement.

--- a/bench/route/silent.go
+++ b/bench/route/silent.go
@@ -100,7 +100,8 @@
 	return measure(cluster)
 }
 
-// streamGap returns the longest pause between two tokens of any caller.
+// streamGap returns the longest pause between two tokens of any caller, or the
+// longest wait for the first token of a request that is sent after the fault.
 func streamGap(ctx context.Context, cluster *procs.Cluster, hop hop, random *rand.Rand) (time.Duration, error) {
 	var far atomic.Int64
 	var mu sync.Mutex
@@ -133,6 +134,23 @@
 		time.Sleep(time.Millisecond)
 	}
 	err := hop.silence(cluster)
+	for number := range silentCallers {
+		callers.Go(func() {
+			body := fmt.Sprintf(`{"model":"guide-1","prompt":"new on %s %d","max_tokens":%d,"stream":true}`, hop.name, number, slowTokens)
+			begin, first := time.Now(), time.Duration(0)
+			answer, err := procs.Complete(ctx, cluster.Entries[0].URL(), "paid", body, func(count int) {
+				if count == 1 {
+					first = time.Since(begin)
+				}
+			})
+			if err == nil {
+				err = answer.Check(body, slowTokens)
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			worst, failure = max(worst, first), errors.CombineErrors(failure, err)
+		})
+	}
 	callers.Wait()
 	return worst, errors.CombineErrors(err, failure)
 }
--- /dev/null
+++ b/internal/link/link_test.go
@@ -0,0 +1,96 @@
+package link_test
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/hibiscuslug/hibiscuslug/internal/fault"
+	"github.com/hibiscuslug/hibiscuslug/internal/link"
+	"github.com/hibiscuslug/hibiscuslug/pkg/clock"
+	"github.com/hibiscuslug/hibiscuslug/pkg/wire"
+)
+
+func TestLink(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "Link")
+}
+
+const limit = 20 * time.Second
+
+type member struct {
+	wire.DRPCMemberUnimplementedServer
+}
+
+func (*member) Exchange(context.Context, *wire.Digest) (*wire.Digest, error) {
+	return &wire.Digest{}, nil
+}
+
+func exchange(pool *link.Pool, address string, within time.Duration) error {
+	ctx, cancel := context.WithTimeout(context.Background(), within)
+	defer cancel()
+	_, err := wire.NewDRPCMemberClient(pool.Conn(ctx, address)).Exchange(ctx, &wire.Digest{})
+	return err
+}
+
+// Guards against a pool that hands out a silent connection again after a call
+// on it was given up.
+var _ = It("does not use a connection again that was discarded while in use", func() {
+	server, err := link.Listen("127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	Expect(wire.DRPCRegisterMember(server.Mux(), &member{})).To(Succeed())
+	server.Start()
+	DeferCleanup(server.Close)
+	proxy, err := fault.New(server.Address())
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(proxy.Close)
+	pool := link.NewPool()
+	DeferCleanup(pool.Close)
+	Expect(exchange(pool, proxy.Address(), limit)).To(Succeed())
+	Expect(proxy.Silence(fault.Downstream)).To(Equal(1))
+	// The call is given up and its connection discarded while the call holds it.
+	discarded := make(chan struct{})
+	time.AfterFunc(50*time.Millisecond, func() {
+		pool.Discard(proxy.Address())
+		close(discarded)
+	})
+	Expect(exchange(pool, proxy.Address(), 200*time.Millisecond)).NotTo(Succeed())
+	<-discarded
+	Expect(exchange(pool, proxy.Address(), limit)).To(Succeed())
+})
+
+// Guards against work that is held for a caller that takes nothing, and against
+// cutting off one that is only slow.
+var _ = It("fails a write only when the peer takes nothing for the limit", func() {
+	plain, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	listener := link.WithWriteLimit(plain, 500*clock.Millis(1))
+	DeferCleanup(listener.Close)
+	peer, err := net.Dial("tcp", listener.Addr().String())
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(peer.Close)
+	conn, err := listener.Accept()
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(conn.Close)
+	ended := make(chan error, 1)
+	go func() {
+		piece := make([]byte, 1<<20)
+		for {
+			if _, err := conn.Write(piece); err != nil {
+				ended <- err
+				return
+			}
+		}
+	}()
+	buffer := make([]byte, 1<<20)
+	for range 20 {
+		_, err := peer.Read(buffer)
+		Expect(err).NotTo(HaveOccurred())
+	}
+	Expect(ended).NotTo(Receive())
+	Eventually(ended).WithTimeout(limit).Should(Receive(MatchError(ContainSubstring("timeout"))))
+})
--- a/internal/procs/cluster.go
+++ b/internal/procs/cluster.go
@@ -32,6 +32,8 @@
 	Engine   []string
 	Endpoint []string
 	Entry    []string
+	// EngineOf are further arguments of the engine of one VM, by its number.
+	EngineOf map[int][]string
 	// Desk gives every endpoint VM an order desk as well.
 	Desk bool
 }
@@ -46,6 +48,7 @@
 	ToEngine   *fault.Proxy
 	ToEndpoint *fault.Proxy
 	zone       string
+	number     int
 }
 
 // EntryVM is an entry VM with fault proxies on the ways to it.
@@ -142,7 +145,7 @@
 }
 
 func (cluster *Cluster) addVM(number int) error {
-	vm := &VM{Name: "endpoint" + strconv.Itoa(number+1), zone: cluster.zone(number)}
+	vm := &VM{Name: "endpoint" + strconv.Itoa(number+1), zone: cluster.zone(number), number: number}
 	var err error
 	if vm.ToEngine, err = cluster.proxy(""); err != nil {
 		return err
@@ -157,8 +160,9 @@
 // Start starts the processes of an endpoint VM, again after a crash.
 func (cluster *Cluster) Start(vm *VM) error {
 	crashFile := filepath.Join(cluster.settings.Dir, vm.Name+".pid")
+	engine := append([]string{"--crash-file", crashFile}, cluster.settings.Engine...)
 	var err error
-	if vm.Engine, err = cluster.process("engine of "+vm.Name, "hibfake", append([]string{"--crash-file", crashFile}, cluster.settings.Engine...)...); err != nil {
+	if vm.Engine, err = cluster.process("engine of "+vm.Name, "hibfake", append(engine, cluster.settings.EngineOf[vm.number]...)...); err != nil {
 		return err
 	}
 	vm.ToEngine.Retarget(strings.TrimPrefix(vm.Engine.Address, "http://"))
--- a/internal/route/recover.go
+++ b/internal/route/recover.go
@@ -10,6 +10,7 @@
 
 	"github.com/hibiscuslug/hibiscuslug/internal/event"
 	"github.com/hibiscuslug/hibiscuslug/internal/link"
+	"github.com/hibiscuslug/hibiscuslug/internal/retry"
 	"github.com/hibiscuslug/hibiscuslug/pkg/clock"
 	"github.com/hibiscuslug/hibiscuslug/pkg/wire"
 )
@@ -24,6 +25,9 @@
 	// otherPatience is how long it is asked about work that cannot: nothing is
 	// gained by giving up earlier.
 	otherPatience = 10 * clock.Second
+	// refusedPatience is how long it is asked while it refuses connections: as
+	// long as its announcement lasts.
+	refusedPatience = 3 * clock.Second
 	// maxResumes bounds new connections that bring no answer.
 	maxResumes = 3
 )
@@ -87,7 +91,7 @@
 	if !exchange.message.GetIdempotent() {
 		patience = otherPatience
 	}
-	deadline := exchange.router.clock.Now() + patience
+	begin := exchange.router.clock.Now()
 	for {
 		reply, err := exchange.ask(ctx, false)
 		if err == nil && reply.GetState() == wire.AttemptState_ATTEMPT_STATE_NEVER_SEEN {
@@ -96,11 +100,13 @@
 		if err == nil {
 			return reply.GetState(), nil
 		}
+		limit := patience
 		exchange.fate = mute
 		if !timedOut(err) {
-			exchange.fate = dead
+			exchange.fate, limit = dead, min(patience, refusedPatience)
 		}
-		if exchange.router.clock.Now() >= deadline || (exchange.fate == dead && exchange.message.GetIdempotent()) {
+		exchange.avoid()
+		if exchange.router.clock.Now()-begin >= limit || (exchange.fate == dead && exchange.message.GetIdempotent()) {
 			return 0, err
 		}
 		if err := exchange.router.clock.Sleep(ctx, askPause); err != nil {
@@ -109,6 +115,18 @@
 	}
 }
 
+// avoid keeps new work from an endpoint process as soon as it does not answer,
+// while it may still be asked about this attempt.
+func (exchange *exchange) avoid() {
+	now := exchange.router.clock.Now()
+	exchange.router.change(func(policy retry.Policy) retry.Policy {
+		return policy.WithEnd(healthKey(exchange.candidate), retry.Lost, now)
+	})
+	if exchange.fate == dead {
+		exchange.router.source.Gone(exchange.candidate)
+	}
+}
+
 // timedOut tells an endpoint that does not answer from one that refuses.
 func timedOut(err error) bool {
 	return errors.Is(err, context.DeadlineExceeded) || errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, link.ErrDialTimeout)
