--- a/test/faults/work_test.go
+++ b/test/faults/work_test.go
@@ -74,6 +74,11 @@
 			booked[body] += count
 		}
 	}
+	outcomes := map[string]int{}
+	for _, answer := range answers {
+		outcomes[answer.Outcome]++
+	}
+	GinkgoWriter.Println("outcomes", outcomes)
 	for number, answer := range answers {
 		count := booked[fmt.Sprintf("kit %d", number)]
 		switch answer.Outcome {
