bench/route: silence idle connections as well

Cause: silent.recovery on the ways up showed only streams that were already running, which lose nothing there; new work on idle connections was not hit. Change: 24 short requests leave idle connections before the fault, and 8 new requests follow it.

--- a/bench/route/silent.go
+++ b/bench/route/silent.go
@@ -103,6 +103,9 @@
 // streamGap returns the longest pause between two tokens of any caller, or the
 // longest wait for the first token of a request that is sent after the fault.
 func streamGap(ctx context.Context, cluster *procs.Cluster, hop hop, random *rand.Rand) (time.Duration, error) {
+	if err := warm(ctx, cluster); err != nil {
+		return 0, err
+	}
 	var far atomic.Int64
 	var mu sync.Mutex
 	var callers sync.WaitGroup
@@ -155,6 +158,29 @@
 	return worst, errors.CombineErrors(err, failure)
 }
 
+// warm leaves idle connections on every way, which a fault silences as well.
+func warm(ctx context.Context, cluster *procs.Cluster) error {
+	var callers sync.WaitGroup
+	failures := make(chan error, 3*silentCallers)
+	for number := range 3 * silentCallers {
+		callers.Go(func() {
+			body := fmt.Sprintf(`{"model":"guide-1","prompt":"warm %d","max_tokens":%d,"stream":true}`, number, 2*slowTokens)
+			answer, err := procs.Complete(ctx, cluster.Entries[0].URL(), "paid", body, nil)
+			if err == nil {
+				err = answer.Check(body, 2*slowTokens)
+			}
+			failures <- err
+		})
+	}
+	callers.Wait()
+	close(failures)
+	var failure error
+	for err := range failures {
+		failure = errors.CombineErrors(failure, err)
+	}
+	return failure
+}
+
 // changeGap returns the time from a change at control to its effect at the entry VM.
 func changeGap(ctx context.Context, cluster *procs.Cluster, hop hop, random *rand.Rand) (time.Duration, error) {
 	time.Sleep(time.Duration(random.IntN(500)) * time.Millisecond)
--- a/internal/route/recover.go
+++ b/internal/route/recover.go
@@ -16,12 +16,12 @@
 )
 
 const (
-	askLimit = 400 * time.Millisecond
+	askLimit = 300 * time.Millisecond
 	askPause = 50 * clock.Millis(1)
 	// repeatablePatience is how long an endpoint process is asked about work
-	// that can be run again elsewhere. With the silence limit and one question
-	// it stays below the target of 2 s.
-	repeatablePatience = 500 * clock.Millis(1)
+	// that can be run again elsewhere: two questions. With the silence limit
+	// they stay below the target of 2 s.
+	repeatablePatience = 400 * clock.Millis(1)
 	// otherPatience is how long it is asked about work that cannot: nothing is
 	// gained by giving up earlier.
 	otherPatience = 10 * clock.Second
