--- a/internal/endpt/quarantine.go
+++ b/internal/endpt/quarantine.go
@@ -25,7 +25,7 @@
 
 // take accepts an attempt, or finds the one with the same id.
 func (endpoint *Endpoint) take(request *wire.Attempt) (*attempt, error) {
-	if run, ok := endpoint.table.find(request.GetRequestId(), request.GetAttempt()); ok && request.GetIncarnation() == endpoint.incarnation {
+	if run, ok := endpoint.table.find(request.GetRequestId(), request.GetAttempt(), endpoint.clock); ok && request.GetIncarnation() == endpoint.incarnation {
 		return run, nil
 	}
 	if request.GetAlone() {
--- a/internal/endpt/silence.go
+++ b/internal/endpt/silence.go
@@ -36,11 +36,11 @@
 }
 
 // Head takes the head of the engine's answer.
-func (in *inbound) Head(status int, contentType string) {
+func (in *inbound) Head(status int, contentType string, headers []*wire.Header) {
 	in.mu.Lock()
 	defer in.mu.Unlock()
 	if in.last = in.clock.Now(); !in.cut {
-		in.sink.Head(status, contentType)
+		in.sink.Head(status, contentType, headers)
 	}
 }
 
--- a/internal/entry/judge.go
+++ b/internal/entry/judge.go
@@ -10,6 +10,7 @@
 	"github.com/hibiscuslug/hibiscuslug/internal/blame"
 	"github.com/hibiscuslug/hibiscuslug/internal/call"
 	"github.com/hibiscuslug/hibiscuslug/internal/event"
+	"github.com/hibiscuslug/hibiscuslug/internal/once"
 	"github.com/hibiscuslug/hibiscuslug/internal/route"
 	"github.com/hibiscuslug/hibiscuslug/pkg/clock"
 	"github.com/hibiscuslug/hibiscuslug/pkg/wire"
@@ -49,6 +50,20 @@
 	incarnation uint64
 }
 
+// guard refuses blocked requests before anything else is done for them.
+type guard struct {
+	router *route.Router
+	next   *once.Once
+}
+
+// Do runs a call unless it is blocked.
+func (guard guard) Do(ctx context.Context, request call.Call, sink route.Sink) route.Result {
+	if refusal := guard.router.Refused(request); refusal != nil {
+		return *refusal
+	}
+	return guard.next.Do(ctx, request, sink)
+}
+
 func newJudge(entry *Entry) *judge {
 	return &judge{
 		entry: entry, flights: map[post]map[*route.Flight]struct{}{},
--- a/internal/route/attempt.go
+++ b/internal/route/attempt.go
@@ -223,7 +223,7 @@
 		Kind: request.Kind, Idempotent: request.Idempotent, Model: request.Model, Method: request.Method, Path: request.Path,
 		ContentType: request.ContentType, Body: request.Body, Stream: request.Stream, SkipEvents: events,
 		PredictedSize: request.PredictedSize, Patience: int64(max(request.Deadline-trip.router.clock.Now(), clock.Second)),
-		Traceparent: request.Traceparent, Entry: trip.router.settings.Node, PrefixHash: request.PrefixHash,
+		Traceparent: request.Traceparent, Entry: trip.router.settings.Node, PrefixHash: request.PrefixHash, Headers: request.Headers,
 		RefuseIfFull: !choice.Queue && !alone, Alone: alone,
 	}
 }
--- a/internal/route/delivery.go
+++ b/internal/route/delivery.go
@@ -94,14 +94,18 @@
 	return delivery.done
 }
 
-func (delivery *delivery) head(status int, contentType string) {
+func (delivery *delivery) head(head *held) {
 	delivery.mu.Lock()
 	first := !delivery.headed
-	delivery.headed, delivery.stream = true, isStream(contentType)
+	delivery.headed, delivery.stream = true, isStream(head.contentType)
 	delivery.mu.Unlock()
-	if first {
-		delivery.sink.Head(status, contentType)
+	if !first {
+		return
 	}
+	if sink, ok := delivery.sink.(HeaderSink); ok {
+		sink.Headers(head.headers)
+	}
+	delivery.sink.Head(head.status, head.contentType)
 }
 
 func (delivery *delivery) data(events [][]byte) error {
@@ -126,6 +130,7 @@
 type held struct {
 	status      int
 	contentType string
+	headers     []*wire.Header
 	pieces      [][]byte
 	size        int
 }
@@ -139,7 +144,7 @@
 
 // pass gives the answer to the caller.
 func (held *held) pass(to *delivery) error {
-	to.head(held.status, held.contentType)
+	to.head(held)
 	if len(held.pieces) == 0 {
 		return nil
 	}
--- a/internal/route/exchange.go
+++ b/internal/route/exchange.go
@@ -90,6 +90,8 @@
 		}
 		silence.Reset(limit)
 	}
+	// A stream that is cancelled before its end costs its connection.
+	_, _ = stream.Recv()
 	return nil
 }
 
@@ -122,7 +124,7 @@
 	switch answer.GetKind() {
 	case wire.AnswerKind_ANSWER_KIND_HEAD:
 		exchange.begin(exchange.sent)
-		return exchange.head(int(answer.GetStatus()), answer.GetContentType())
+		return exchange.head(&held{status: int(answer.GetStatus()), contentType: answer.GetContentType(), headers: answer.GetHeaders()})
 	case wire.AnswerKind_ANSWER_KIND_DATA:
 		return exchange.data(answer.GetEvents())
 	case wire.AnswerKind_ANSWER_KIND_END:
@@ -137,9 +139,9 @@
 func (exchange *exchange) isBegun() bool { return exchange.begun.Load() != 0 }
 
 // head passes on the head of a stream. Other answers are held until their end.
-func (exchange *exchange) head(status int, contentType string) error {
-	if !isStream(contentType) || status >= http.StatusBadRequest {
-		exchange.held = &held{status: status, contentType: contentType}
+func (exchange *exchange) head(head *held) error {
+	if !isStream(head.contentType) || head.status >= http.StatusBadRequest {
+		exchange.held = head
 		return nil
 	}
 	if !exchange.delivery.claim(exchange) {
@@ -147,7 +149,7 @@
 	}
 	span := exchange.router.clock.Now() - clock.Millis(exchange.begun.Load())
 	exchange.router.change(func(policy retry.Policy) retry.Policy { return policy.WithFirst(span) })
-	exchange.delivery.head(status, contentType)
+	exchange.delivery.head(head)
 	return nil
 }
 
--- a/internal/route/router.go
+++ b/internal/route/router.go
@@ -32,9 +32,11 @@
 type Result struct {
 	Outcome wire.Outcome
 	Err     error
-	// Status is the HTTP status for a call that ended without an engine's
-	// answer; the outcome decides when it is zero.
-	Status int
+}
+
+// HeaderSink is a Sink that also takes the headers of a plain service's answer.
+type HeaderSink interface {
+	Headers(headers []*wire.Header)
 }
 
 // Source lists the engines that may be used now.
--- /dev/null
+++ b/internal/route/single.go
@@ -0,0 +1,48 @@
+package route
+
+import (
+	"context"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/hibiscuslug/hibiscuslug/internal/blame"
+	"github.com/hibiscuslug/hibiscuslug/internal/call"
+	"github.com/hibiscuslug/hibiscuslug/internal/place"
+	"github.com/hibiscuslug/hibiscuslug/pkg/wire"
+)
+
+var errQuarantines = errors.New("the request must run alone and no endpoint can be kept for it now")
+
+// Refused returns the answer to a request that is blocked, or nil.
+func (router *Router) Refused(request call.Call) *Result {
+	if verdict := router.judge.Verdict(request); verdict.Standing == blame.Refuse {
+		return blocked(verdict)
+	}
+	return nil
+}
+
+// Place chooses an engine for an attempt that the caller records before it is
+// sent. Engines named in used are left out unless no other is left.
+func (router *Router) Place(request call.Call, used []string) (place.Choice, bool) {
+	if standing := router.judge.Verdict(request).Standing; standing == blame.Refuse || standing == blame.Hold {
+		return place.Choice{}, false
+	}
+	trip := newTrip(router, request, nil)
+	trip.used = used
+	choice, found, _ := trip.choose(false)
+	return choice, found
+}
+
+// Attempt sends one attempt to the engine chosen for it and never tries again.
+func (router *Router) Attempt(ctx context.Context, request call.Call, number uint32, choice place.Choice, sink Sink) Result {
+	standing := router.judge.Verdict(request).Standing
+	alone := standing == blame.Quarantine
+	if alone && !router.enterQuarantine(len(fitting(request, router.source.Candidates()))) {
+		return Result{Outcome: wire.Outcome_OUTCOME_NOT_RUN, Err: errQuarantines}
+	}
+	trip := newTrip(router, request, sink)
+	trip.number = number - 1
+	// Each refusal costs the recorder a claim, so a full engine queues the attempt.
+	choice.Queue = true
+	return trip.close(trip.attempt(ctx, choice, alone))
+}
--- a/internal/route/trip.go
+++ b/internal/route/trip.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -43,6 +44,8 @@
 	// failed names the engines that failed the call, with their incarnation.
 	failed map[string]uint64
 	pause  clock.Millis
+	// used names engines that are not wanted, whatever their incarnation.
+	used []string
 	// held is the error answer of the latest attempt.
 	held *held
 }
@@ -58,7 +61,8 @@
 	for {
 		choice, alone, refusal := trip.next(ctx)
 		if refusal != nil {
-			if refusal.Status != 0 {
+			if refusal.Outcome == wire.Outcome_OUTCOME_FAILED {
+				// The refusal is the answer, not an earlier error of an engine.
 				trip.held = nil
 			}
 			return trip.close(*refusal)
@@ -133,12 +137,13 @@
 
 // fresh leaves out the engines that failed the call, unless none would be left.
 func (trip *trip) fresh(candidates []place.Candidate) []place.Candidate {
-	if len(trip.failed) == 0 {
+	if len(trip.failed) == 0 && len(trip.used) == 0 {
 		return candidates
 	}
 	kept := make([]place.Candidate, 0, len(candidates))
 	for _, candidate := range candidates {
-		if trip.failed[candidate.Engine.GetName()] != candidate.Incarnation {
+		name := candidate.Engine.GetName()
+		if trip.failed[name] != candidate.Incarnation && !slices.Contains(trip.used, name) {
 			kept = append(kept, candidate)
 		}
 	}
@@ -216,7 +221,7 @@
 	if verdict.RequestID != "" {
 		text += fmt.Sprintf("; an operator can end the block earlier by: unblock request %s", verdict.RequestID)
 	}
-	return &Result{Outcome: wire.Outcome_OUTCOME_FAILED, Err: errors.Newf("%s", text), Status: http.StatusUnprocessableEntity}
+	return &Result{Outcome: wire.Outcome_OUTCOME_FAILED, Err: &call.StatusError{Status: http.StatusUnprocessableEntity, Text: text}}
 }
 
 func (trip *trip) logFailure(candidate place.Candidate, number uint32, result Result) {
