fault: refuse connections once the target refuses them

Cause: behind the proxy a dead process looked like one that accepts and closes connections, so claims rightly stayed undecided and a booking test did not end. Change: the proxy closes its listener when the target refuses a connection and listens again at Retarget. Conclusion: a killed process looks killed.

--- a/internal/fault/proxy.go
+++ b/internal/fault/proxy.go
@@ -6,6 +6,7 @@
 	"context"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -29,14 +30,15 @@
 
 // Proxy passes connections on to one target. Silent and lost traffic is held
 // back and delivered by Heal, as TCP would deliver it after retransmission.
+// Once the target refuses a connection, so does the proxy until Retarget.
 type Proxy struct {
-	listener net.Listener
-	running  conc.WaitGroup
-	accepted chan struct{}
+	address string
+	running conc.WaitGroup
 
 	// mu guards the fields below. Lock order: proxy before gate.
-	mu     sync.Mutex
-	target string
+	mu       sync.Mutex
+	listener net.Listener
+	target   string
 	delays map[Direction]time.Duration
 	lost   Direction
 	cut    bool
@@ -53,21 +55,43 @@
 		return nil, errors.Wrap(err, "listen for the fault proxy")
 	}
 	proxy := &Proxy{
-		listener: listener, accepted: make(chan struct{}), target: target,
+		address: listener.Addr().String(), listener: listener, target: target,
 		delays: map[Direction]time.Duration{}, pairs: map[*pair]struct{}{},
 	}
-	proxy.running.Go(proxy.accept)
+	proxy.running.Go(func() { proxy.accept(listener) })
 	return proxy, nil
 }
 
 // Address returns the address to connect to instead of the target's.
-func (proxy *Proxy) Address() string { return proxy.listener.Addr().String() }
+func (proxy *Proxy) Address() string { return proxy.address }
 
 // Retarget sends new connections to another address.
-func (proxy *Proxy) Retarget(target string) {
+func (proxy *Proxy) Retarget(target string) error {
 	proxy.mu.Lock()
 	defer proxy.mu.Unlock()
 	proxy.target = target
+	if proxy.listener != nil {
+		return nil
+	}
+	var config net.ListenConfig
+	listener, err := config.Listen(context.Background(), "tcp", proxy.address)
+	if err != nil {
+		return errors.Wrap(err, "listen for the fault proxy again")
+	}
+	proxy.listener = listener
+	proxy.running.Go(func() { proxy.accept(listener) })
+	return nil
+}
+
+// refuse closes the listener after the target refused a connection.
+func (proxy *Proxy) refuse(target string) {
+	proxy.mu.Lock()
+	defer proxy.mu.Unlock()
+	if proxy.listener != nil && proxy.target == target && target != "" {
+		// The connecting process sees the refusal.
+		_ = proxy.listener.Close()
+		proxy.listener = nil
+	}
 }
 
 // Delay adds a latency to the traffic of open and new connections.
@@ -147,9 +171,11 @@
 
 // Close stops the proxy and waits for its connections to end.
 func (proxy *Proxy) Close() error {
-	err := proxy.listener.Close()
-	<-proxy.accepted
 	proxy.mu.Lock()
+	var err error
+	if proxy.listener != nil {
+		err = proxy.listener.Close()
+	}
 	proxy.closed = true
 	proxy.mu.Unlock()
 	proxy.CloseConnections()
@@ -157,10 +183,9 @@
 	return err
 }
 
-func (proxy *Proxy) accept() {
-	defer close(proxy.accepted)
+func (proxy *Proxy) accept(listener net.Listener) {
 	for {
-		client, err := proxy.listener.Accept()
+		client, err := listener.Accept()
 		if err != nil {
 			return
 		}
@@ -179,6 +204,9 @@
 		if err != nil {
 			// The connecting process sees its connection closed.
 			_ = client.Close()
+			if errors.Is(err, syscall.ECONNREFUSED) {
+				proxy.refuse(target)
+			}
 			return
 		}
 		server = dialed
--- a/internal/procs/cluster.go
+++ b/internal/procs/cluster.go
@@ -135,7 +135,9 @@
 	if err != nil {
 		return err
 	}
-	toEntry.Retarget(process.Address)
+	if err := toEntry.Retarget(process.Address); err != nil {
+		return err
+	}
 	toHTTP, err := cluster.proxy(strings.TrimPrefix(process.HTTP, "http://"))
 	if err != nil {
 		return err
@@ -165,7 +167,9 @@
 	if vm.Engine, err = cluster.process("engine of "+vm.Name, "hibfake", append(engine, cluster.settings.EngineOf[vm.number]...)...); err != nil {
 		return err
 	}
-	vm.ToEngine.Retarget(strings.TrimPrefix(vm.Engine.Address, "http://"))
+	if err := vm.ToEngine.Retarget(strings.TrimPrefix(vm.Engine.Address, "http://")); err != nil {
+		return err
+	}
 	arguments := []string{
 		"endpoint", "--name", vm.Name, "--zone", vm.zone, "--advertise", vm.ToEndpoint.Address(),
 		"--engine", "model,engine-" + vm.Name + ",http://" + vm.ToEngine.Address() + ",guide-1",
@@ -182,7 +186,9 @@
 	if vm.Endpoint, err = cluster.process(vm.Name, "hibiscuslug", append(arguments, cluster.settings.Endpoint...)...); err != nil {
 		return err
 	}
-	vm.ToEndpoint.Retarget(vm.Endpoint.Address)
+	if err := vm.ToEndpoint.Retarget(vm.Endpoint.Address); err != nil {
+		return err
+	}
 	return os.WriteFile(crashFile, []byte(strconv.Itoa(vm.Endpoint.command.Process.Pid)), 0o600)
 }
 
