--- a/internal/fault/proxy.go
+++ b/internal/fault/proxy.go
@@ -39,11 +39,11 @@
 	mu       sync.Mutex
 	listener net.Listener
 	target   string
-	delays map[Direction]time.Duration
-	lost   Direction
-	cut    bool
-	pairs  map[*pair]struct{}
-	closed bool
+	delays   map[Direction]time.Duration
+	lost     Direction
+	cut      bool
+	pairs    map[*pair]struct{}
+	closed   bool
 }
 
 // New starts a proxy on a free loopback port. An empty target refuses
