--- a/bench/queue/real.go
+++ b/bench/queue/real.go
@@ -128,7 +128,7 @@
 	defer cancel()
 	for _, entry := range fleet.Entries {
 		for _, token := range append(names("paid", 2), names("free", 2)...) {
-			for procs.Complete(ctx, client, entry.HTTP, token, "first", 1).Status != http.StatusOK {
+			for procs.CompleteTimed(ctx, client, entry.HTTP, token, "first", 1).Status != http.StatusOK {
 				select {
 				case <-ctx.Done():
 					return errors.Newf("entry VM %s does not serve %s", entry.Name, token)
@@ -151,7 +151,7 @@
 		time.Sleep(time.Until(began.Add(time.Duration(job.at * float64(time.Millisecond)))))
 		callers.Go(func() {
 			base := fleet.Entries[number%len(fleet.Entries)].HTTP
-			seen := procs.Complete(ctx, client, base, job.customer, fmt.Sprint(job.customer, " ", number), int(job.size))
+			seen := procs.CompleteTimed(ctx, client, base, job.customer, fmt.Sprint(job.customer, " ", number), int(job.size))
 			failures[number] = seen.Err
 			if seen.Status == http.StatusOK && seen.Err == nil {
 				job.first = job.at + float64(seen.First)/float64(time.Millisecond)
--- a/cmd/hibbench/main.go
+++ b/cmd/hibbench/main.go
@@ -18,6 +18,7 @@
 	"github.com/hibiscuslug/hibiscuslug/bench/path"
 	"github.com/hibiscuslug/hibiscuslug/bench/place"
 	"github.com/hibiscuslug/hibiscuslug/bench/queue"
+	"github.com/hibiscuslug/hibiscuslug/bench/route"
 	"github.com/hibiscuslug/hibiscuslug/bench/scale"
 	"github.com/hibiscuslug/hibiscuslug/bench/storm"
 	"github.com/hibiscuslug/hibiscuslug/internal/figure"
@@ -38,6 +39,7 @@
 var suites = []suite{
 	{"control", control.Run},
 	{"place", place.Run},
+	{"route", route.Run},
 	{"path", path.Run},
 	{"claim", claim.Run},
 	{"expert", expert.Run},
--- a/internal/ctrl/operate.go
+++ b/internal/ctrl/operate.go
@@ -17,9 +17,13 @@
 // Execute runs an operator's command. A change is answered once a majority has
 // synced it.
 func (control *Control) Execute(ctx context.Context, command *wire.Command) (*wire.CommandReply, error) {
-	parsed, err := query.Parse(command.GetText())
-	if err != nil {
-		return query.Failure(err), nil
+	parsed := &query.Command{}
+	if command.GetChange() == nil {
+		read, err := query.Parse(command.GetText())
+		if err != nil {
+			return query.Failure(err), nil
+		}
+		parsed = read
 	}
 	if parsed.Show != nil {
 		return control.show(ctx, parsed.Show), nil
@@ -111,6 +115,9 @@
 }
 
 func (control *Control) parse(command *wire.Command, parsed *query.Command) (*wire.Change, error) {
+	if command.GetChange() != nil {
+		return control.requested(command)
+	}
 	change, err := state.FromCommand(control.view.State(), parsed)
 	if err != nil {
 		return nil, err
--- a/internal/endpt/lane.go
+++ b/internal/endpt/lane.go
@@ -164,7 +164,7 @@
 	}
 	lane.work.Go(func() {
 		defer cancel()
-		result := lane.runner.Run(ctx, lane.target, run.request, &laneSink{attempt: run, lane: lane, id: id})
+		result := lane.watched(ctx, run, &laneSink{attempt: run, lane: lane, id: id})
 		lane.end(id, run, result)
 	})
 }
@@ -255,6 +255,18 @@
 	}
 }
 
+// full tells whether new work of a tier would have to wait. Paid work takes the
+// slots of free streams.
+func (lane *lane) full(tier wire.Tier) bool {
+	lane.mu.Lock()
+	defer lane.mu.Unlock()
+	load := lane.queue.Load()
+	if tier == wire.Tier_TIER_PAID {
+		return load.RunningPaid+load.WaitingPaid >= lane.slots
+	}
+	return load.Running+load.Waiting >= lane.slots
+}
+
 // idle tells whether nothing waits or runs.
 func (lane *lane) idle() bool {
 	lane.mu.Lock()
--- a/internal/endpt/relay.go
+++ b/internal/endpt/relay.go
@@ -16,24 +16,27 @@
 	errIncarnation = errors.New("attempt is for another incarnation of this endpoint process")
 	errLeaving     = errors.New("endpoint takes no new work")
 	errNoEngine    = errors.New("endpoint has no such engine")
+	errFull        = errors.New("engine has no room")
 )
 
 // Run queues an attempt and streams its answers. A repeated message attaches
 // to the attempt that is there.
 func (endpoint *Endpoint) Run(request *wire.Attempt, stream wire.DRPCRelay_RunStream) error {
-	if err := endpoint.accepts(request); err != nil {
+	run, err := endpoint.take(request)
+	if err != nil {
 		return endpoint.refuse(request, err, stream)
 	}
-	run, added := endpoint.table.admit(newAttempt(request, endpoint.clock).traced(endpoint.tracer))
-	if added {
-		endpoint.lanes[request.GetEngine()].submit(run)
-	}
 	return endpoint.stream(stream.Context(), run, 0, stream)
 }
 
 // refuse fences the attempt, so that a delayed copy of the message does not
 // start it. An attempt that an earlier copy started is not refused any more.
 func (endpoint *Endpoint) refuse(request *wire.Attempt, reason error, stream wire.DRPCRelay_RunStream) error {
+	if errors.Is(reason, errFull) {
+		// Under load there are many of these, so they leave no record. An attempt
+		// is sent once, so no copy of it can follow.
+		return stream.Send(endpoint.full(request))
+	}
 	run := endpoint.table.fence(request.GetRequestId(), request.GetAttempt(), endpoint.clock)
 	if state, _ := run.known(); state != wire.AttemptState_ATTEMPT_STATE_FENCED {
 		return endpoint.stream(stream.Context(), run, 0, stream)
@@ -51,9 +54,19 @@
 	if endpoint.leaving.Load() || endpoint.view.State().Drained(endpoint.settings.Node.Name) {
 		return errLeaving
 	}
+	if request.GetRefuseIfFull() && request.GetIdempotent() && endpoint.lanes[request.GetEngine()].full(request.GetTier()) {
+		return errFull
+	}
 	return nil
 }
 
+// full ends an attempt that the engine has no room for, and tells its load.
+func (endpoint *Endpoint) full(request *wire.Attempt) *wire.Answer {
+	answer := notRun(request, errFull)
+	answer.Full, answer.Load = true, endpoint.lanes[request.GetEngine()].info().GetLoad()
+	return answer
+}
+
 // notRun ends an attempt that was never queued.
 func notRun(request *wire.Attempt, reason error) *wire.Answer {
 	return &wire.Answer{
@@ -74,8 +87,15 @@
 func (endpoint *Endpoint) stream(ctx context.Context, run *attempt, from uint64, stream sender) error {
 	run.attach()
 	defer run.detach()
+	told := false
 	for {
 		answers, changed := run.next(from)
+		if !told && run.begun() {
+			told = true
+			if err := stream.Send(progress(run, from)); err != nil {
+				return err
+			}
+		}
 		if err := sendAll(stream, answers); err != nil {
 			return err
 		}
@@ -84,7 +104,7 @@
 			return nil
 		}
 		from += uint64(len(answers))
-		quiet, err := waitChange(ctx, changed)
+		quiet, err := waitChange(ctx, changed, progressEvery)
 		if err != nil {
 			return err
 		}
@@ -96,9 +116,9 @@
 	}
 }
 
-// waitChange waits for more answers and tells whether none came for progressEvery.
-func waitChange(ctx context.Context, changed <-chan struct{}) (bool, error) {
-	idle, cancel := context.WithTimeout(ctx, progressEvery.Duration())
+// waitChange waits for more answers and tells whether none came for a span.
+func waitChange(ctx context.Context, changed <-chan struct{}, span clock.Millis) (bool, error) {
+	idle, cancel := context.WithTimeout(ctx, span.Duration())
 	defer cancel()
 	select {
 	case <-changed:
@@ -111,7 +131,7 @@
 func progress(run *attempt, from uint64) *wire.Answer {
 	return &wire.Answer{
 		RequestId: run.request.GetRequestId(), Attempt: run.request.GetAttempt(),
-		Sequence: from, Kind: wire.AnswerKind_ANSWER_KIND_PROGRESS,
+		Sequence: from, Kind: wire.AnswerKind_ANSWER_KIND_PROGRESS, Started: run.begun(),
 	}
 }
 
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -60,6 +60,7 @@
 	front   *front.Front
 	once    *once.Once
 	keeper  *keeper
+	judge   *judge
 	flights *flights
 	leaving atomic.Bool
 	loops   conc.WaitGroup
@@ -81,9 +82,10 @@
 	if err := entry.register(); err != nil {
 		return nil, err
 	}
+	entry.judge = newJudge(entry)
 	placer := place.New(settings.Node.Zone, rand.IntN)
 	router := route.New(route.Settings{Node: settings.Node.Name, SilenceLimit: settings.Entry.SilenceLimit},
-		entry.relays, placer, entry.fleet, entry.ledger, ticker, log)
+		entry.relays, placer, entry.fleet, entry.judge, entry.ledger, ticker, log)
 	entry.keeper = newKeeper(router, entry.fleet, func() int { return len(entry.peers()) }, ticker, log)
 	entry.once = once.New(once.Settings{
 		Router: entry.keeper, Claims: once.NewClaims(entry.pool, ticker, settings.Entry.Control), Pool: entry.relays,
@@ -92,7 +94,7 @@
 	if entry.tracer, err = span.New(settings.Node, "entry"); err != nil {
 		return nil, err
 	}
-	entry.flights = newFlights(entry.once, entry.ledger, entry.tracer)
+	entry.flights = newFlights(guard{router: router, next: entry.once}, entry.ledger, entry.tracer)
 	if err := entry.measure(); err != nil {
 		return nil, err
 	}
@@ -124,6 +126,7 @@
 	entry.loops.Go(func() { entry.expire(ctx) })
 	entry.loops.Go(func() { entry.keeper.refresh(ctx) })
 	entry.loops.Go(func() { entry.exchange(ctx) })
+	entry.loops.Go(func() { entry.judge.run(ctx) })
 	entry.log.Write(event.Started, "role", "entry", "address", entry.server.Address(), "http", entry.front.Address())
 }
 
@@ -191,6 +194,7 @@
 	}
 	entry.cancel()
 	entry.loops.Wait()
+	entry.judge.work.Wait()
 	if err := entry.server.Close(); err != nil {
 		return err
 	}
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -26,6 +26,10 @@
 	AttemptSilent      = Event{202, "connection made no progress"}
 	AnswerNotRecorded  = Event{210, "answer of non-idempotent work could not be recorded in time"}
 	WorkLost           = Event{211, "outcome of non-idempotent work is not known"}
+	AttemptRaced       = Event{220, "slow attempt is raced by another"}
+	CrashSuspected     = Event{221, "endpoint crashed with requests running"}
+	RequestBlocked     = Event{222, "request blocked for crashing endpoints"}
+	BlockNotAccepted   = Event{223, "block could not be put into the configuration"}
 	AttemptRefused     = Event{230, "attempt refused by the queue"}
 	OrderFailed        = Event{231, "order to an engine failed"}
 	RequestRefused     = Event{232, "request refused at admission"}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -18,12 +18,17 @@
 	"github.com/hibiscuslug/hibiscuslug/internal/call"
 	"github.com/hibiscuslug/hibiscuslug/internal/feed"
 	"github.com/hibiscuslug/hibiscuslug/internal/ledger"
+	"github.com/hibiscuslug/hibiscuslug/internal/link"
 	"github.com/hibiscuslug/hibiscuslug/internal/opts"
 	"github.com/hibiscuslug/hibiscuslug/internal/route"
 	"github.com/hibiscuslug/hibiscuslug/pkg/clock"
 	"github.com/hibiscuslug/hibiscuslug/pkg/wire"
 )
 
+// callerWriteLimit is how long a caller may take nothing of an answer that is
+// ready before it counts as gone.
+const callerWriteLimit = 10 * clock.Second
+
 // idleLimit is how long a connection may wait for its next request. It is above
 // the 60 s after which common load balancers close theirs.
 const idleLimit = 75 * time.Second
@@ -71,7 +76,7 @@
 	front.app.All("/services/*", front.serve)
 	front.running.Go(func() {
 		// The listener's end is reported by Close.
-		_ = front.app.Listener(listener)
+		_ = front.app.Listener(link.WithWriteLimit(listener, callerWriteLimit))
 	})
 	return front, nil
 }
--- a/internal/once/once_test.go
+++ b/internal/once/once_test.go
@@ -9,6 +9,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/hibiscuslug/hibiscuslug/internal/blame"
 	"github.com/hibiscuslug/hibiscuslug/internal/call"
 	"github.com/hibiscuslug/hibiscuslug/internal/claim"
 	"github.com/hibiscuslug/hibiscuslug/internal/endpt"
@@ -156,7 +157,7 @@
 		})
 		addresses = []string{serve(func(server *link.Server) error { return wire.DRPCRegisterMember(server.Mux(), members) })}
 		router = route.New(route.Settings{Node: "entry1", SilenceLimit: clock.Second}, pool,
-			place.New("zone1", func(int) int { return 0 }), members, ledger.New(10), ticker, event.Discard())
+			place.New("zone1", func(int) int { return 0 }), members, noJudge{}, ledger.New(10), ticker, event.Discard())
 		settings = once.Settings{
 			Claims: once.NewClaims(pool, ticker, []string{leader}), Pool: pool, Endpoints: members.Node,
 			Clock: ticker, Log: event.Discard(), SilenceLimit: clock.Second,
@@ -197,3 +198,16 @@
 		Expect(desk.Booked()).To(Equal(map[string]int{"kit": 1}))
 	})
 })
+
+// Gone is not needed: the table of members decides.
+func (entry *entry) Gone(place.Candidate) {}
+
+// noJudge suspects no request.
+type noJudge struct{}
+
+func (noJudge) Verdict(call.Call) blame.Verdict { return blame.Verdict{} }
+func (noJudge) Begin(*route.Flight)             {}
+func (noJudge) End(*route.Flight)               {}
+func (noJudge) Crashed(*route.Flight)           {}
+func (noJudge) Silent(*route.Flight)            {}
+func (noJudge) Cleared(call.Call)               {}
--- a/internal/opts/opts.go
+++ b/internal/opts/opts.go
@@ -46,7 +46,7 @@
 	MaxConcurrent int          `long:"max-concurrent" env:"HIB_MAX_CONCURRENT" description:"Most requests in flight, in requests (1 to 1000000)" default:"10000"`
 	ReadLimit     clock.Millis `long:"read-limit" env:"HIB_READ_LIMIT" description:"Longest time in which a caller must send a whole request (100ms to 10m)" default:"10s"`
 	RequestLimit  clock.Millis `long:"request-limit" env:"HIB_REQUEST_LIMIT" description:"Longest time of one request (1s to 24h)" default:"10m"`
-	SilenceLimit  clock.Millis `long:"silence-limit" env:"HIB_SILENCE_LIMIT" description:"Time without an answer or progress after which a connection counts as silent (100ms to 1m)" default:"1500ms"`
+	SilenceLimit  clock.Millis `long:"silence-limit" env:"HIB_SILENCE_LIMIT" description:"Time without an answer or progress after which a connection counts as silent (100ms to 1m)" default:"1100ms"`
 }
 
 // Check reports the first setting that is missing or out of range.
--- a/internal/procs/stream.go
+++ b/internal/procs/stream.go
@@ -24,8 +24,8 @@
 	Err   error
 }
 
-// Complete asks for a streamed completion and checks it token by token.
-func Complete(ctx context.Context, client *http.Client, base, token, prompt string, events int) Completion {
+// CompleteTimed asks for a streamed completion and checks it token by token.
+func CompleteTimed(ctx context.Context, client *http.Client, base, token, prompt string, events int) Completion {
 	body := []byte(fmt.Sprintf(`{"model":"guide-1","prompt":%q,"max_tokens":%d,"stream":true}`, prompt, events))
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, base+"/v1/completions", bytes.NewReader(body))
 	if err != nil {
--- a/test/history/history_test.go
+++ b/test/history/history_test.go
@@ -137,9 +137,10 @@
 		}).WithTimeout(readyLimit).Should(Equal("accepted"))
 	}
 	for _, entry := range clients.world.entries {
-		Eventually(func() int {
-			return clients.send(entry, "/v1/completions", `{"model":"guide-1","prompt":"ready","max_tokens":1,"stream":true}`, "").Status
-		}).WithTimeout(readyLimit).Should(Equal(200), entry.name)
+		Eventually(func() string {
+			heard := clients.send(entry, "/v1/completions", `{"model":"guide-1","prompt":"ready","max_tokens":1,"stream":true}`, "")
+			return fmt.Sprintf("%d %s", heard.Status, heard.Text)
+		}).WithTimeout(readyLimit).Should(HavePrefix("200 "), entry.name)
 	}
 }
 
--- a/test/history/world_test.go
+++ b/test/history/world_test.go
@@ -50,9 +50,13 @@
 	member.mu.Unlock()
 	process, err := procs.Start(member.name, "hibiscuslug", member.arguments...)
 	member.mu.Lock()
-	defer member.mu.Unlock()
 	member.process = process
-	return err
+	member.mu.Unlock()
+	if err != nil {
+		return err
+	}
+	// The proxy refuses connections since the process refused one.
+	return member.proxy.Retarget(member.listen)
 }
 
 func (member *member) running() (*procs.Process, int) {
--- a/test/overload/overload_test.go
+++ b/test/overload/overload_test.go
@@ -86,7 +86,7 @@
 	for _, entry := range fleet.Entries {
 		for _, token := range tokens {
 			Eventually(func() int {
-				return procs.Complete(ctx, client, entry.HTTP, token, "first", 1).Status
+				return procs.CompleteTimed(ctx, client, entry.HTTP, token, "first", 1).Status
 			}).WithTimeout(limit).Should(Equal(http.StatusOK))
 		}
 	}
@@ -103,7 +103,7 @@
 		base := fleet.Entries[random.IntN(len(fleet.Entries))].HTTP
 		callers.Go(func() {
 			time.Sleep(time.Until(began.Add(at)))
-			*seen = procs.Complete(ctx, client, base, token, prompt, script.Events)
+			*seen = procs.CompleteTimed(ctx, client, base, token, prompt, script.Events)
 		})
 	}
 	for at := range paid {
--- a/test/overload/pause_test.go
+++ b/test/overload/pause_test.go
@@ -29,7 +29,7 @@
 	var ended atomic.Bool
 	var caller conc.WaitGroup
 	caller.Go(func() {
-		free = procs.Complete(ctx, client, base, script.FreeTokens[0], "free", script.FreeEvents)
+		free = procs.CompleteTimed(ctx, client, base, script.FreeTokens[0], "free", script.FreeEvents)
 		ended.Store(true)
 	})
 	defer caller.Wait()
@@ -38,7 +38,7 @@
 		return out
 	}).WithTimeout(limit).WithPolling(time.Millisecond).Should(ContainSubstring(`"running":1`))
 	for number := range script.Paid {
-		paid := procs.Complete(ctx, client, base, script.PaidTokens[0], fmt.Sprint("paid", number), script.Events)
+		paid := procs.CompleteTimed(ctx, client, base, script.PaidTokens[0], fmt.Sprint("paid", number), script.Events)
 		Expect(paid.Err).NotTo(HaveOccurred())
 		Expect(paid.Status).To(Equal(http.StatusOK))
 		Expect(ended.Load()).To(BeFalse(), "paid request %d waited for the free stream", number)
