Name parts by the terms of the field

Cause: trip, judge, keeper, dog, board and home need explaining. Change: dispatch, crash tracker, admission, guard, layout and affine. Conclusion: no behaviour changed.

--- a/internal/entry/keeper.go
+++ b/internal/entry/admission.go
@@ -19,17 +19,17 @@
 // refreshEvery is how often the gates see new load reports.
 const refreshEvery = 50 * clock.Millis(1)
 
-// keeper stands before the router: it predicts the size of a request and lets
+// admission stands before the router: it predicts the size of a request and lets
 // it through when the gate of its engines admits it. Work that may run only once
 // passes it after its claim, so that a recorded answer needs no admission.
-type keeper struct {
+type admission struct {
 	router  once.Router
 	fleet   *engines
 	entries func() int
 	clock   *clock.Clock
 	log     *event.Log
 
-	// mu guards the fields below. Lock order: keeper before engines.
+	// mu guards the fields below. Lock order: admission before engines.
 	mu        sync.Mutex
 	predictor *sizes.Predictor
 	gates     map[pool]*admit.Gate
@@ -42,8 +42,8 @@
 	model, service string
 }
 
-func newKeeper(router once.Router, fleet *engines, entries func() int, ticker *clock.Clock, log *event.Log) *keeper {
-	return &keeper{
+func newAdmission(router once.Router, fleet *engines, entries func() int, ticker *clock.Clock, log *event.Log) *admission {
+	return &admission{
 		router: router, fleet: fleet, entries: entries, clock: ticker, log: log, predictor: sizes.New(),
 		gates: map[pool]*admit.Gate{}, waiting: map[string]chan admit.Decision{},
 	}
@@ -57,109 +57,109 @@
 }
 
 // Do carries a call once it is admitted.
-func (keeper *keeper) Do(ctx context.Context, request call.Call, sink route.Sink) route.Result {
-	return keeper.run(ctx, request, sink, func(request call.Call, sink route.Sink) route.Result {
-		return keeper.router.Do(ctx, request, sink)
+func (admission *admission) Do(ctx context.Context, request call.Call, sink route.Sink) route.Result {
+	return admission.run(ctx, request, sink, func(request call.Call, sink route.Sink) route.Result {
+		return admission.router.Do(ctx, request, sink)
 	})
 }
 
 // Place chooses an engine for an attempt.
-func (keeper *keeper) Place(request call.Call, used []string) (place.Choice, bool) {
-	return keeper.router.Place(request, used)
+func (admission *admission) Place(request call.Call, used []string) (place.Choice, bool) {
+	return admission.router.Place(request, used)
 }
 
 // Attempt sends one attempt once it is admitted.
-func (keeper *keeper) Attempt(ctx context.Context, request call.Call, number uint32, choice place.Choice, sink route.Sink) route.Result {
-	return keeper.run(ctx, request, sink, func(request call.Call, sink route.Sink) route.Result {
-		return keeper.router.Attempt(ctx, request, number, choice, sink)
+func (admission *admission) Attempt(ctx context.Context, request call.Call, number uint32, choice place.Choice, sink route.Sink) route.Result {
+	return admission.run(ctx, request, sink, func(request call.Call, sink route.Sink) route.Result {
+		return admission.router.Attempt(ctx, request, number, choice, sink)
 	})
 }
 
 // run waits for admission, runs the call and learns its size.
-func (keeper *keeper) run(ctx context.Context, request call.Call, sink route.Sink, carry func(call.Call, route.Sink) route.Result) route.Result {
+func (admission *admission) run(ctx context.Context, request call.Call, sink route.Sink, carry func(call.Call, route.Sink) route.Result) route.Result {
 	traits := sizes.Traits{
 		Kind: request.Kind, Customer: request.Customer.GetName(), Model: request.Model,
 		Rule: request.PredictedSize, Prompt: len(request.Body), Limit: request.OutputLimit,
 	}
-	candidates := keeper.fleet.Candidates()
-	keeper.mu.Lock()
-	request.PredictedSize = keeper.predictor.Predict(traits)
-	gate, ok := keeper.gateLocked(request, candidates)
-	keeper.mu.Unlock()
+	candidates := admission.fleet.Candidates()
+	admission.mu.Lock()
+	request.PredictedSize = admission.predictor.Predict(traits)
+	gate, ok := admission.gateLocked(request, candidates)
+	admission.mu.Unlock()
 	if !ok {
 		// No engine is known; the router says so.
 		return carry(request, sink)
 	}
-	if result := keeper.admit(ctx, gate, request); result.Err != nil {
+	if result := admission.admit(ctx, gate, request); result.Err != nil {
 		return result
 	}
-	counted := &countingSink{Sink: sink, begin: func() { keeper.started(gate, request.ID) }}
+	counted := &countingSink{Sink: sink, begin: func() { admission.started(gate, request.ID) }}
 	result := carry(request, counted)
-	keeper.mu.Lock()
-	defer keeper.mu.Unlock()
+	admission.mu.Lock()
+	defer admission.mu.Unlock()
 	if request.Stream && result.Outcome == wire.Outcome_OUTCOME_OK {
-		keeper.predictor.Learn(traits, counted.events)
+		admission.predictor.Learn(traits, counted.events)
 	}
-	keeper.carryLocked(gate.Done(keeper.clock.Now(), request.ID))
+	admission.carryLocked(gate.Done(admission.clock.Now(), request.ID))
 	return result
 }
 
 // gateLocked returns the gate of a request's engines, if there are engines.
-func (keeper *keeper) gateLocked(request call.Call, candidates []place.Candidate) (*admit.Gate, bool) {
+func (admission *admission) gateLocked(request call.Call, candidates []place.Candidate) (*admit.Gate, bool) {
 	wanted := poolOf(request)
-	gate, ok := keeper.gates[wanted]
+	gate, ok := admission.gates[wanted]
 	if ok {
 		return gate, true
 	}
-	capacity := keeper.capacity(wanted, candidates)
+	capacity := admission.capacity(wanted, candidates)
 	if capacity.Slots == 0 {
 		return nil, false
 	}
 	gate = admit.New(admit.DefaultSettings())
-	keeper.gates[wanted] = gate
-	keeper.carryLocked(gate.SetCapacity(keeper.clock.Now(), capacity))
+	admission.gates[wanted] = gate
+	admission.carryLocked(gate.SetCapacity(admission.clock.Now(), capacity))
 	return gate, true
 }
 
 // admit waits until the gate decides or the caller has gone.
-func (keeper *keeper) admit(ctx context.Context, gate *admit.Gate, request call.Call) route.Result {
-	now := keeper.clock.Now()
+func (admission *admission) admit(ctx context.Context, gate *admit.Gate, request call.Call) route.Result {
+	now := admission.clock.Now()
 	item := queue.Item{
 		ID: request.ID, Customer: request.Customer.GetName(), Tier: request.Tier, Priority: request.Priority,
 		Weight: request.Customer.GetWeight(), Size: request.PredictedSize, Arrived: now, Deadline: request.Deadline,
 	}
 	decided := make(chan admit.Decision, 1)
-	keeper.mu.Lock()
-	keeper.waiting[request.ID] = decided
-	keeper.carryLocked(gate.Arrive(now, item))
-	keeper.mu.Unlock()
+	admission.mu.Lock()
+	admission.waiting[request.ID] = decided
+	admission.carryLocked(gate.Arrive(now, item))
+	admission.mu.Unlock()
 	select {
 	case decision := <-decided:
-		return keeper.result(request, decision)
+		return admission.result(request, decision)
 	case <-ctx.Done():
 	}
-	keeper.mu.Lock()
-	defer keeper.mu.Unlock()
-	delete(keeper.waiting, request.ID)
+	admission.mu.Lock()
+	defer admission.mu.Unlock()
+	delete(admission.waiting, request.ID)
 	if !gate.Withdraw(item) {
 		// It was admitted or refused meanwhile; Done ignores what was refused.
-		keeper.carryLocked(gate.Done(now, request.ID))
+		admission.carryLocked(gate.Done(now, request.ID))
 	}
 	return route.Result{Outcome: wire.Outcome_OUTCOME_NOT_RUN, Err: ctx.Err()}
 }
 
-func (keeper *keeper) result(request call.Call, decision admit.Decision) route.Result {
+func (admission *admission) result(request call.Call, decision admit.Decision) route.Result {
 	refused, ok := decision.(admit.Refuse)
 	if !ok {
 		return route.Result{}
 	}
-	keeper.log.Write(event.RequestRefused, "request", request.ID, "customer", request.Customer.GetName(),
+	admission.log.Write(event.RequestRefused, "request", request.ID, "customer", request.Customer.GetName(),
 		"tier", request.Tier, "reason", refused.Refusal.Reason)
 	return route.Result{Outcome: wire.Outcome_OUTCOME_NOT_RUN, Err: refused.Refusal}
 }
 
 // carryLocked passes decisions on to the requests that wait for them.
-func (keeper *keeper) carryLocked(decisions []admit.Decision) {
+func (admission *admission) carryLocked(decisions []admit.Decision) {
 	for _, decision := range decisions {
 		id := ""
 		switch decision := decision.(type) {
@@ -168,35 +168,35 @@
 		case admit.Refuse:
 			id = decision.ID
 		}
-		if decided, ok := keeper.waiting[id]; ok {
-			delete(keeper.waiting, id)
+		if decided, ok := admission.waiting[id]; ok {
+			delete(admission.waiting, id)
 			decided <- decision
 		}
 	}
 }
 
-func (keeper *keeper) started(gate *admit.Gate, id string) {
-	keeper.mu.Lock()
-	defer keeper.mu.Unlock()
+func (admission *admission) started(gate *admit.Gate, id string) {
+	admission.mu.Lock()
+	defer admission.mu.Unlock()
 	gate.Started(id)
 }
 
 // refresh gives the gates the newest reports until the context ends.
-func (keeper *keeper) refresh(ctx context.Context) {
-	for keeper.clock.Sleep(ctx, refreshEvery) == nil {
-		candidates := keeper.fleet.Candidates()
-		now := keeper.clock.Now()
-		keeper.mu.Lock()
-		for name, gate := range keeper.gates {
-			keeper.carryLocked(gate.SetCapacity(now, keeper.capacity(name, candidates)))
+func (admission *admission) refresh(ctx context.Context) {
+	for admission.clock.Sleep(ctx, refreshEvery) == nil {
+		candidates := admission.fleet.Candidates()
+		now := admission.clock.Now()
+		admission.mu.Lock()
+		for name, gate := range admission.gates {
+			admission.carryLocked(gate.SetCapacity(now, admission.capacity(name, candidates)))
 		}
-		keeper.mu.Unlock()
+		admission.mu.Unlock()
 	}
 }
 
 // capacity sums what is known of the engines of a pool.
-func (keeper *keeper) capacity(wanted pool, candidates []place.Candidate) admit.Capacity {
-	sum := admit.Capacity{Entries: keeper.entries()}
+func (admission *admission) capacity(wanted pool, candidates []place.Candidate) admit.Capacity {
+	sum := admit.Capacity{Entries: admission.entries()}
 	fits := call.Call{Kind: wanted.kind, Model: wanted.model, Service: wanted.service}
 	for _, candidate := range candidates {
 		if !place.Fits(fits, candidate.Engine) {
--- a/internal/entry/blocks.go
+++ b/internal/entry/blocks.go
@@ -19,8 +19,8 @@
 
 // propose asks control for a block. All entry VMs that come to the same verdict
 // use the same command id, so that it becomes one change.
-func (judge *judge) propose(proposal blame.Propose) {
-	judge.want(&wire.Command{
+func (tracker *crashTracker) propose(proposal blame.Propose) {
+	tracker.want(&wire.Command{
 		Id: fmt.Sprintf("block-%016x-%d", proposal.Suspect.Fingerprint, proposal.Latest),
 		Change: &wire.Change{Body: &wire.Change_Block{Block: &wire.Block{
 			Fingerprint: proposal.Suspect.Fingerprint, RequestId: proposal.Suspect.RequestID,
@@ -29,39 +29,39 @@
 	})
 }
 
-func (judge *judge) want(command *wire.Command) {
-	judge.mu.Lock()
-	defer judge.mu.Unlock()
-	judge.wanted[command.GetId()] = command
+func (tracker *crashTracker) want(command *wire.Command) {
+	tracker.mu.Lock()
+	defer tracker.mu.Unlock()
+	tracker.wanted[command.GetId()] = command
 }
 
 // follow compares the blocks in the configuration with those known before.
-func (judge *judge) follow() {
-	config, now := judge.entry.view.State(), judge.entry.clock.Now()
+func (tracker *crashTracker) follow() {
+	config, now := tracker.entry.view.State(), tracker.entry.clock.Now()
 	current := make(map[uint64]*wire.Block, len(config.Blocks()))
 	for _, block := range config.Blocks() {
 		current[block.GetFingerprint()] = block
 		if clock.Millis(block.GetUntil()) <= now {
-			judge.wantEnd(block)
+			tracker.wantEnd(block)
 		}
 	}
-	if config.Revision() == judge.revision {
+	if config.Revision() == tracker.revision {
 		return
 	}
 	for fingerprint, block := range current {
-		judge.heard(blame.Blocked{Fingerprint: fingerprint, Until: clock.Millis(block.GetUntil())})
+		tracker.heard(blame.Blocked{Fingerprint: fingerprint, Until: clock.Millis(block.GetUntil())})
 	}
-	for fingerprint := range judge.blocks {
+	for fingerprint := range tracker.blocks {
 		if _, ok := current[fingerprint]; !ok {
-			judge.heard(blame.Ended{Fingerprint: fingerprint})
+			tracker.heard(blame.Ended{Fingerprint: fingerprint})
 		}
 	}
-	judge.revision, judge.blocks = config.Revision(), current
+	tracker.revision, tracker.blocks = config.Revision(), current
 }
 
 // wantEnd asks control to drop a block whose time is over.
-func (judge *judge) wantEnd(block *wire.Block) {
-	judge.want(&wire.Command{
+func (tracker *crashTracker) wantEnd(block *wire.Block) {
+	tracker.want(&wire.Command{
 		Id:     fmt.Sprintf("blockEnd-%016x-%d", block.GetFingerprint(), block.GetUntil()),
 		Change: &wire.Change{Body: &wire.Change_Drop{Drop: &wire.Drop{What: "block", Name: block.GetRequestId()}}},
 	})
@@ -69,33 +69,33 @@
 
 // sendWanted proposes what control has not accepted yet. Until then the entry
 // VMs act on the suspicions that they share.
-func (judge *judge) sendWanted(ctx context.Context) {
-	judge.mu.Lock()
-	commands := make([]*wire.Command, 0, len(judge.wanted))
-	for _, command := range judge.wanted {
+func (tracker *crashTracker) sendWanted(ctx context.Context) {
+	tracker.mu.Lock()
+	commands := make([]*wire.Command, 0, len(tracker.wanted))
+	for _, command := range tracker.wanted {
 		commands = append(commands, command)
 	}
-	judge.mu.Unlock()
+	tracker.mu.Unlock()
 	for _, command := range commands {
-		if err := judge.send(ctx, command); err != nil {
-			judge.entry.log.Write(event.BlockNotAccepted, "command", command.GetId(), "error", err)
+		if err := tracker.send(ctx, command); err != nil {
+			tracker.entry.log.Write(event.BlockNotAccepted, "command", command.GetId(), "error", err)
 			continue
 		}
-		judge.mu.Lock()
-		delete(judge.wanted, command.GetId())
-		judge.mu.Unlock()
+		tracker.mu.Lock()
+		delete(tracker.wanted, command.GetId())
+		tracker.mu.Unlock()
 	}
 }
 
-func (judge *judge) send(ctx context.Context, command *wire.Command) error {
+func (tracker *crashTracker) send(ctx context.Context, command *wire.Command) error {
 	failure := fmt.Errorf("no control VM is set")
-	for _, address := range judge.entry.settings.Entry.Control {
+	for _, address := range tracker.entry.settings.Entry.Control {
 		limited, cancel := context.WithTimeout(ctx, proposeLimit)
-		reply, err := wire.NewDRPCOperateClient(judge.entry.pool.Conn(limited, address)).Execute(limited, command)
+		reply, err := wire.NewDRPCOperateClient(tracker.entry.pool.Conn(limited, address)).Execute(limited, command)
 		cancel()
 		switch {
 		case err != nil:
-			judge.entry.pool.Discard(address)
+			tracker.entry.pool.Discard(address)
 			failure = err
 		case reply.GetCode() == codeUnavailable:
 			failure = fmt.Errorf("control VM %s: %s", address, reply.GetError())
--- a/internal/entry/judge.go
+++ b/internal/entry/crashes.go
@@ -17,7 +17,7 @@
 )
 
 const (
-	judgeEvery = 250 * clock.Millis(1)
+	shareEvery = 250 * clock.Millis(1)
 	// shareLimit bounds how long a caller's answer waits until the other entry
 	// VMs know of a crash, so that a resend finds them informed.
 	shareLimit = 300 * time.Millisecond
@@ -28,8 +28,8 @@
 	maxReports = 64
 )
 
-// judge keeps the suspicions of this entry VM and shares them with the others.
-type judge struct {
+// crashTracker keeps the suspicions of this entry VM and shares them with the others.
+type crashTracker struct {
 	entry *Entry
 	work  conc.WaitGroup
 
@@ -64,23 +64,23 @@
 	return guard.next.Do(ctx, request, sink)
 }
 
-func newJudge(entry *Entry) *judge {
-	return &judge{
+func newCrashTracker(entry *Entry) *crashTracker {
+	return &crashTracker{
 		entry: entry, flights: map[post]map[*route.Flight]struct{}{},
 		blocks: map[uint64]*wire.Block{}, wanted: map[string]*wire.Command{},
 	}
 }
 
 // Verdict tells how a request may run.
-func (judge *judge) Verdict(request call.Call) blame.Verdict {
-	config := judge.entry.view.State()
-	judge.mu.Lock()
-	core := judge.core
-	judge.mu.Unlock()
+func (tracker *crashTracker) Verdict(request call.Call) blame.Verdict {
+	config := tracker.entry.view.State()
+	tracker.mu.Lock()
+	core := tracker.core
+	tracker.mu.Unlock()
 	if core.Idle() && len(config.Blocks()) == 0 {
 		return blame.Verdict{}
 	}
-	fingerprint, now := request.Fingerprint(), judge.entry.clock.Now()
+	fingerprint, now := request.Fingerprint(), tracker.entry.clock.Now()
 	verdict := core.Verdict(fingerprint, now)
 	if block, ok := config.Block(fingerprint); ok && now < clock.Millis(block.GetUntil()) {
 		return blame.Verdict{
@@ -92,24 +92,24 @@
 }
 
 // Begin notes an attempt that is sent.
-func (judge *judge) Begin(flight *route.Flight) {
+func (tracker *crashTracker) Begin(flight *route.Flight) {
 	at := placeOf(flight)
-	judge.mu.Lock()
-	defer judge.mu.Unlock()
-	if judge.flights[at] == nil {
-		judge.flights[at] = map[*route.Flight]struct{}{}
+	tracker.mu.Lock()
+	defer tracker.mu.Unlock()
+	if tracker.flights[at] == nil {
+		tracker.flights[at] = map[*route.Flight]struct{}{}
 	}
-	judge.flights[at][flight] = struct{}{}
+	tracker.flights[at][flight] = struct{}{}
 }
 
 // End notes that an attempt is over.
-func (judge *judge) End(flight *route.Flight) {
+func (tracker *crashTracker) End(flight *route.Flight) {
 	at := placeOf(flight)
-	judge.mu.Lock()
-	defer judge.mu.Unlock()
-	delete(judge.flights[at], flight)
-	if len(judge.flights[at]) == 0 {
-		delete(judge.flights, at)
+	tracker.mu.Lock()
+	defer tracker.mu.Unlock()
+	delete(tracker.flights[at], flight)
+	if len(tracker.flights[at]) == 0 {
+		delete(tracker.flights, at)
 	}
 }
 
@@ -119,38 +119,38 @@
 
 // Crashed suspects the requests that ran on a crashed endpoint process and
 // returns when the other entry VMs know of it.
-func (judge *judge) Crashed(flight *route.Flight) {
-	if known, ok := judge.entry.members.Node(flight.Candidate.Endpoint); ok &&
+func (tracker *crashTracker) Crashed(flight *route.Flight) {
+	if known, ok := tracker.entry.members.Node(flight.Candidate.Endpoint); ok &&
 		known.GetIncarnation() == flight.Candidate.Incarnation && known.GetState() == wire.NodeState_NODE_STATE_LEAVING {
 		// It reached its shutdown limit with requests running.
 		return
 	}
-	judge.step(blame.Crashed{Crash: judge.crash(flight)})
+	tracker.step(blame.Crashed{Crash: tracker.crash(flight)})
 }
 
 // Silent notes the requests on an endpoint that answers nothing.
-func (judge *judge) Silent(flight *route.Flight) {
-	judge.step(blame.Silent{Crash: judge.crash(flight)})
+func (tracker *crashTracker) Silent(flight *route.Flight) {
+	tracker.step(blame.Silent{Crash: tracker.crash(flight)})
 }
 
 // Cleared notes that a request ran to its end in quarantine.
-func (judge *judge) Cleared(request call.Call) {
-	judge.step(blame.Cleared{Fingerprint: request.Fingerprint(), At: judge.entry.clock.Now()})
+func (tracker *crashTracker) Cleared(request call.Call) {
+	tracker.step(blame.Cleared{Fingerprint: request.Fingerprint(), At: tracker.entry.clock.Now()})
 }
 
 // crash describes the loss of a flight's endpoint process, with all of this
 // entry VM's requests that ran there.
-func (judge *judge) crash(flight *route.Flight) blame.Crash {
-	now, at := judge.entry.clock.Now(), placeOf(flight)
+func (tracker *crashTracker) crash(flight *route.Flight) blame.Crash {
+	now, at := tracker.entry.clock.Now(), placeOf(flight)
 	crash := blame.Crash{Endpoint: at.endpoint, Incarnation: at.incarnation, At: now}
 	suspects := []*route.Flight{}
-	if judge.ran(flight, now) {
+	if tracker.ran(flight, now) {
 		suspects = append(suspects, flight)
 	}
-	judge.mu.Lock()
-	defer judge.mu.Unlock()
-	for other := range judge.flights[at] {
-		if other != flight && judge.ran(other, now) {
+	tracker.mu.Lock()
+	defer tracker.mu.Unlock()
+	for other := range tracker.flights[at] {
+		if other != flight && tracker.ran(other, now) {
 			suspects = append(suspects, other)
 		}
 	}
@@ -166,101 +166,101 @@
 	return crash
 }
 
-func (judge *judge) ran(flight *route.Flight, now clock.Millis) bool {
+func (tracker *crashTracker) ran(flight *route.Flight, now clock.Millis) bool {
 	// Detection takes up to the silence limit after the crash.
-	return flight.Begun() || now-flight.Sent < justSent+judge.entry.settings.Entry.SilenceLimit
+	return flight.Begun() || now-flight.Sent < justSent+tracker.entry.settings.Entry.SilenceLimit
 }
 
 // step takes an event through the core and does what follows from it.
-func (judge *judge) step(taken blame.Event) {
-	judge.sharing.Lock()
-	defer judge.sharing.Unlock()
-	now := judge.entry.clock.Now()
-	judge.mu.Lock()
-	next, actions := judge.core.Step(taken, now)
-	judge.core = next
-	judge.mu.Unlock()
+func (tracker *crashTracker) step(taken blame.Event) {
+	tracker.sharing.Lock()
+	defer tracker.sharing.Unlock()
+	now := tracker.entry.clock.Now()
+	tracker.mu.Lock()
+	next, actions := tracker.core.Step(taken, now)
+	tracker.core = next
+	tracker.mu.Unlock()
 	for _, action := range actions {
 		switch action := action.(type) {
 		case blame.Share:
-			judge.entry.log.Write(event.CrashSuspected, "endpoint", action.Crash.Endpoint, "suspects", len(action.Crash.Suspects), "alone", action.Crash.Alone, "alive", action.Crash.Alive)
-			judge.share(action.Crash)
+			tracker.entry.log.Write(event.CrashSuspected, "endpoint", action.Crash.Endpoint, "suspects", len(action.Crash.Suspects), "alone", action.Crash.Alone, "alive", action.Crash.Alive)
+			tracker.share(action.Crash)
 		case blame.Propose:
-			judge.entry.log.Write(event.RequestBlocked, "request", action.Suspect.RequestID, "crashes", action.Crashes)
-			judge.propose(action)
+			tracker.entry.log.Write(event.RequestBlocked, "request", action.Suspect.RequestID, "crashes", action.Crashes)
+			tracker.propose(action)
 		}
 	}
 }
 
 // share tells all known entry VMs of a crash at once. Those that miss it learn
 // of it by the exchange of digests.
-func (judge *judge) share(crash blame.Crash) {
+func (tracker *crashTracker) share(crash blame.Crash) {
 	ctx, cancel := context.WithTimeout(context.Background(), shareLimit)
 	defer cancel()
 	var sending conc.WaitGroup
 	digest := &wire.Digest{Crashes: []*wire.CrashReport{reportOf(crash)}}
-	for _, peer := range judge.entry.members.Role(wire.NodeRole_NODE_ROLE_ENTRY) {
-		if peer.GetNode() == judge.entry.settings.Node.Name {
+	for _, peer := range tracker.entry.members.Role(wire.NodeRole_NODE_ROLE_ENTRY) {
+		if peer.GetNode() == tracker.entry.settings.Node.Name {
 			continue
 		}
 		sending.Go(func() {
 			// An error means that the peer learns of the crash later.
-			_, _ = wire.NewDRPCMemberClient(judge.entry.pool.Conn(ctx, peer.GetAddress())).Exchange(ctx, digest)
+			_, _ = wire.NewDRPCMemberClient(tracker.entry.pool.Conn(ctx, peer.GetAddress())).Exchange(ctx, digest)
 		})
 	}
 	sending.Wait()
 }
 
 // run follows the time and the configuration until the context ends.
-func (judge *judge) run(ctx context.Context) {
-	for judge.entry.clock.Sleep(ctx, judgeEvery) == nil {
-		judge.follow()
-		judge.step(blame.Tick{})
-		judge.sendWanted(ctx)
+func (tracker *crashTracker) run(ctx context.Context) {
+	for tracker.entry.clock.Sleep(ctx, shareEvery) == nil {
+		tracker.follow()
+		tracker.step(blame.Tick{})
+		tracker.sendWanted(ctx)
 	}
 }
 
 // seen takes an announcement of an endpoint process.
-func (judge *judge) seen(announcement *wire.Announcement) {
-	judge.mu.Lock()
-	idle := judge.core.Idle()
-	judge.mu.Unlock()
+func (tracker *crashTracker) seen(announcement *wire.Announcement) {
+	tracker.mu.Lock()
+	idle := tracker.core.Idle()
+	tracker.mu.Unlock()
 	if !idle {
 		// Sharing must not hold up the answer to the announcement.
-		judge.work.Go(func() {
-			judge.step(blame.Seen{Endpoint: announcement.GetNode(), Incarnation: announcement.GetIncarnation()})
+		tracker.work.Go(func() {
+			tracker.step(blame.Seen{Endpoint: announcement.GetNode(), Incarnation: announcement.GetIncarnation()})
 		})
 	}
 }
 
 // absorb takes what another entry VM knows.
-func (judge *judge) absorb(digest *wire.Digest) {
+func (tracker *crashTracker) absorb(digest *wire.Digest) {
 	for _, cleared := range digest.GetCleared() {
-		judge.heard(blame.Cleared{Fingerprint: cleared.GetFingerprint(), At: clock.Millis(cleared.GetAt())})
+		tracker.heard(blame.Cleared{Fingerprint: cleared.GetFingerprint(), At: clock.Millis(cleared.GetAt())})
 	}
 	for _, report := range digest.GetCrashes() {
-		judge.heard(blame.Crashed{Crash: crashOf(report)})
+		tracker.heard(blame.Crashed{Crash: crashOf(report)})
 	}
 }
 
 // heard takes an event that others know already, so that nothing is shared.
-func (judge *judge) heard(taken blame.Event) {
-	judge.mu.Lock()
-	next, actions := judge.core.Step(taken, judge.entry.clock.Now())
-	judge.core = next
-	judge.mu.Unlock()
+func (tracker *crashTracker) heard(taken blame.Event) {
+	tracker.mu.Lock()
+	next, actions := tracker.core.Step(taken, tracker.entry.clock.Now())
+	tracker.core = next
+	tracker.mu.Unlock()
 	for _, action := range actions {
 		if proposal, ok := action.(blame.Propose); ok {
-			judge.propose(proposal)
+			tracker.propose(proposal)
 		}
 	}
 }
 
 // describe adds what this entry VM knows to a digest.
-func (judge *judge) describe(digest *wire.Digest) *wire.Digest {
-	judge.mu.Lock()
-	core := judge.core
-	judge.mu.Unlock()
+func (tracker *crashTracker) describe(digest *wire.Digest) *wire.Digest {
+	tracker.mu.Lock()
+	core := tracker.core
+	tracker.mu.Unlock()
 	if core.Idle() {
 		return digest
 	}
--- a/internal/entry/engines.go
+++ b/internal/entry/engines.go
@@ -100,7 +100,7 @@
 // connections are refused. A later announcement brings it back.
 func (fleet *engines) Gone(candidate place.Candidate) {
 	if known, ok := fleet.members.Node(candidate.Endpoint); ok && known.GetState() == wire.NodeState_NODE_STATE_LEAVING {
-		// It gets no new work, and the judge must know that it did not crash.
+		// It gets no new work, and the tracker must know that it did not crash.
 		return
 	}
 	fleet.members.Remove(candidate.Endpoint, candidate.Incarnation)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -50,21 +50,21 @@
 	view        *feed.View
 	pool        *link.Pool
 	// relays carries requests; control traffic keeps to pool, so that it can be counted.
-	relays  *link.Pool
-	tracer  *span.Tracer
-	meter   *meter.Meter
-	server  *link.Server
-	members *member.Table
-	fleet   *engines
-	ledger  *ledger.Ledger
-	front   *front.Front
-	once    *once.Once
-	keeper  *keeper
-	judge   *judge
-	flights *flights
-	leaving atomic.Bool
-	loops   conc.WaitGroup
-	cancel  context.CancelFunc
+	relays    *link.Pool
+	tracer    *span.Tracer
+	meter     *meter.Meter
+	server    *link.Server
+	members   *member.Table
+	fleet     *engines
+	ledger    *ledger.Ledger
+	front     *front.Front
+	once      *once.Once
+	admission *admission
+	tracker   *crashTracker
+	flights   *flights
+	leaving   atomic.Bool
+	loops     conc.WaitGroup
+	cancel    context.CancelFunc
 }
 
 // New starts an entry process.
@@ -82,13 +82,13 @@
 	if err := entry.register(); err != nil {
 		return nil, err
 	}
-	entry.judge = newJudge(entry)
+	entry.tracker = newCrashTracker(entry)
 	placer := place.New(settings.Node.Zone, rand.IntN)
 	router := route.New(route.Settings{Node: settings.Node.Name, SilenceLimit: settings.Entry.SilenceLimit},
-		entry.relays, placer, entry.fleet, entry.judge, entry.ledger, ticker, log)
-	entry.keeper = newKeeper(router, entry.fleet, func() int { return len(entry.peers()) }, ticker, log)
+		entry.relays, placer, entry.fleet, entry.tracker, entry.ledger, ticker, log)
+	entry.admission = newAdmission(router, entry.fleet, func() int { return len(entry.peers()) }, ticker, log)
 	entry.once = once.New(once.Settings{
-		Router: entry.keeper, Claims: once.NewClaims(entry.pool, ticker, settings.Entry.Control), Pool: entry.relays,
+		Router: entry.admission, Claims: once.NewClaims(entry.pool, ticker, settings.Entry.Control), Pool: entry.relays,
 		Endpoints: entry.members.Node, Clock: ticker, Log: log, SilenceLimit: settings.Entry.SilenceLimit,
 	})
 	if entry.tracer, err = span.New(settings.Node, "entry"); err != nil {
@@ -124,9 +124,9 @@
 	follower := feed.NewFollower(entry.view, entry.settings.Node.Name, entry.pool, entry.clock, entry.log, entry.sources)
 	entry.loops.Go(func() { follower.Run(ctx) })
 	entry.loops.Go(func() { entry.expire(ctx) })
-	entry.loops.Go(func() { entry.keeper.refresh(ctx) })
+	entry.loops.Go(func() { entry.admission.refresh(ctx) })
 	entry.loops.Go(func() { entry.exchange(ctx) })
-	entry.loops.Go(func() { entry.judge.run(ctx) })
+	entry.loops.Go(func() { entry.tracker.run(ctx) })
 	entry.log.Write(event.Started, "role", "entry", "address", entry.server.Address(), "http", entry.front.Address())
 }
 
@@ -194,7 +194,7 @@
 	}
 	entry.cancel()
 	entry.loops.Wait()
-	entry.judge.work.Wait()
+	entry.tracker.work.Wait()
 	if err := entry.server.Close(); err != nil {
 		return err
 	}
--- a/internal/entry/member.go
+++ b/internal/entry/member.go
@@ -30,7 +30,7 @@
 	case member.Refreshed, member.Dropped:
 	}
 	entry.fleet.report(announcement)
-	entry.judge.seen(announcement)
+	entry.tracker.seen(announcement)
 	peers := entry.peers()
 	if version := peersVersion(peers); version != announcement.GetPeersVersion() {
 		reply.Peers, reply.PeersVersion = peers, version
@@ -81,11 +81,11 @@
 			reply.Nodes = append(reply.Nodes, member.Brief(peer))
 		}
 	}
-	return entry.judge.describe(reply), nil
+	return entry.tracker.describe(reply), nil
 }
 
 func (entry *Entry) absorb(digest *wire.Digest) {
-	entry.judge.absorb(digest)
+	entry.tracker.absorb(digest)
 	now := entry.clock.Now()
 	for _, node := range digest.GetNodes() {
 		if node.GetNode() != entry.settings.Node.Name {
@@ -104,7 +104,7 @@
 		}
 		digest.Nodes = append(digest.Nodes, peer)
 	}
-	return entry.judge.describe(digest)
+	return entry.tracker.describe(digest)
 }
 
 // exchange meets one peer at random at a time, so that entry VMs learn of each
--- a/internal/feed/watchdog.go
+++ b/internal/feed/watchdog.go
@@ -12,10 +12,10 @@
 	span  time.Duration
 }
 
-func newWatchdog(span clock.Millis, bark func()) *watchdog {
-	return &watchdog{timer: time.AfterFunc(span.Duration(), bark), span: span.Duration()}
+func newWatchdog(span clock.Millis, expired func()) *watchdog {
+	return &watchdog{timer: time.AfterFunc(span.Duration(), expired), span: span.Duration()}
 }
 
-func (dog *watchdog) reset() { dog.timer.Reset(dog.span) }
+func (guard *watchdog) reset() { guard.timer.Reset(guard.span) }
 
-func (dog *watchdog) stop() { dog.timer.Stop() }
+func (guard *watchdog) stop() { guard.timer.Stop() }
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -88,8 +88,8 @@
 		return placer.settle(fit, tried), true
 	}
 	mean := meanLoad(fit)
-	if home, ok := placer.home(request, fresh, now, mean); ok {
-		return home, true
+	if cached, ok := placer.affine(request, fresh, now, mean); ok {
+		return cached, true
 	}
 	best := placer.sample(fresh, now, mean)
 	reason := fmt.Sprintf("least loaded of %d samples among %d engines", samples, len(fresh))
@@ -111,9 +111,9 @@
 	return Choice{Candidate: best, Reason: fmt.Sprintf("all of %d engines tried are full; least loaded of them", len(tried)), Queue: true}
 }
 
-// home returns the engine that has most likely cached the prompt's prefix,
+// affine returns the engine that has most likely cached the prompt's prefix,
 // unless it has much more to do than the mean.
-func (placer *Placer) home(request call.Call, fresh []Candidate, now clock.Millis, mean float64) (Choice, bool) {
+func (placer *Placer) affine(request call.Call, fresh []Candidate, now clock.Millis, mean float64) (Choice, bool) {
 	if request.Kind != wire.Kind_KIND_MODEL || request.PrefixHash == 0 {
 		return Choice{}, false
 	}
--- a/internal/rebal/planner.go
+++ b/internal/rebal/planner.go
@@ -49,7 +49,7 @@
 // layer improves one layer until it is good enough, a copy saves too little,
 // or the copies are used up.
 func (planner *Planner) layer(plan expert.Map, layer int, load []float64) []uint16 {
-	work := newBoard(plan, layer, load)
+	work := newLayout(plan, layer, load)
 	copies := 0
 	for copies < planner.settings.MaxCopies && work.skew() > planner.settings.Stop {
 		best := work.best()
@@ -62,8 +62,8 @@
 	return work.slots
 }
 
-// board is one layer with its loads while it is being changed.
-type board struct {
+// layout is one layer with its loads while it is being changed.
+type layout struct {
 	slots    []uint16
 	perRank  int
 	load     []float64
@@ -83,8 +83,8 @@
 	gain     float64
 }
 
-func newBoard(plan expert.Map, layer int, load []float64) *board {
-	work := &board{
+func newLayout(plan expert.Map, layer int, load []float64) *layout {
+	work := &layout{
 		slots: append([]uint16(nil), plan.Slots(layer)...), perRank: plan.SlotsPerRank(), load: load,
 		replicas: counts(plan, layer, len(load)), ranks: rankLoads(plan, layer, load),
 	}
@@ -94,13 +94,13 @@
 	return work
 }
 
-func (work *board) rank(slot int) int { return slot / work.perRank }
+func (work *layout) rank(slot int) int { return slot / work.perRank }
 
-func (work *board) share(held uint16) float64 {
+func (work *layout) share(held uint16) float64 {
 	return work.load[held] / float64(work.replicas[held])
 }
 
-func (work *board) hottest() int {
+func (work *layout) hottest() int {
 	hot := 0
 	for rank, load := range work.ranks {
 		if load > work.ranks[hot] {
@@ -110,11 +110,11 @@
 	return hot
 }
 
-func (work *board) skew() float64 { return work.ranks[work.hottest()] / work.mean }
+func (work *layout) skew() float64 { return work.ranks[work.hottest()] / work.mean }
 
 // best returns the move that takes the most from the busiest rank for each copy
 // without making another rank as busy.
-func (work *board) best() move {
+func (work *layout) best() move {
 	hot := work.hottest()
 	found := move{}
 	for slot := hot * work.perRank; slot < (hot+1)*work.perRank; slot++ {
@@ -133,7 +133,7 @@
 	return found
 }
 
-func (work *board) gain(hot int, tried move) float64 {
+func (work *layout) gain(hot int, tried move) float64 {
 	before := work.ranks[hot]
 	from, into := work.slots[tried.slot], work.slots[tried.other]
 	if from == into || work.holds(work.rank(tried.other), from) {
@@ -149,7 +149,7 @@
 }
 
 // holds tells whether a rank has a replica of an expert already.
-func (work *board) holds(rank int, held uint16) bool {
+func (work *layout) holds(rank int, held uint16) bool {
 	for slot := rank * work.perRank; slot < (rank+1)*work.perRank; slot++ {
 		if work.slots[slot] == held {
 			return true
@@ -158,7 +158,7 @@
 	return false
 }
 
-func (work *board) exchangeGain(before float64, tried move, from, into uint16) float64 {
+func (work *layout) exchangeGain(before float64, tried move, from, into uint16) float64 {
 	if work.holds(work.rank(tried.slot), into) {
 		return 0
 	}
@@ -169,7 +169,7 @@
 
 // copyGain is what one more replica of an expert saves; the replica that it
 // replaces sends its tokens to the expert's other slots.
-func (work *board) copyGain(before float64, tried move, from, into uint16) float64 {
+func (work *layout) copyGain(before float64, tried move, from, into uint16) float64 {
 	fewer := work.load[into] / float64(work.replicas[into]-1)
 	more := work.load[from] / float64(work.replicas[from]+1)
 	cold := work.rank(tried.other)
@@ -186,7 +186,7 @@
 	return before - after
 }
 
-func (work *board) count(rank int, held uint16) int {
+func (work *layout) count(rank int, held uint16) int {
 	found := 0
 	for slot := rank * work.perRank; slot < (rank+1)*work.perRank; slot++ {
 		if work.slots[slot] == held {
@@ -196,7 +196,7 @@
 	return found
 }
 
-func (work *board) do(chosen move) {
+func (work *layout) do(chosen move) {
 	from, into := work.slots[chosen.slot], work.slots[chosen.other]
 	work.slots[chosen.other] = from
 	if chosen.exchange {
--- a/internal/route/trip.go
+++ b/internal/route/dispatch.go
@@ -29,8 +29,8 @@
 	quarantineShare = 4
 )
 
-// trip is one call on its way through its attempts.
-type trip struct {
+// dispatch is one call on its way through its attempts.
+type dispatch struct {
 	router   *Router
 	request  call.Call
 	delivery *delivery
@@ -50,42 +50,42 @@
 	held *held
 }
 
-func newTrip(router *Router, request call.Call, sink Sink) *trip {
-	return &trip{
+func newDispatch(router *Router, request call.Call, sink Sink) *dispatch {
+	return &dispatch{
 		router: router, request: request, delivery: newDelivery(sink),
 		full: map[string]*wire.EngineLoad{}, failed: map[string]uint64{}, pause: leastPause,
 	}
 }
 
-func (trip *trip) run(ctx context.Context) Result {
+func (dispatch *dispatch) run(ctx context.Context) Result {
 	for {
-		choice, alone, refusal := trip.next(ctx)
+		choice, alone, refusal := dispatch.next(ctx)
 		if refusal != nil {
 			if refusal.Outcome == wire.Outcome_OUTCOME_FAILED {
 				// The refusal is the answer, not an earlier error of an engine.
-				trip.held = nil
+				dispatch.held = nil
 			}
-			return trip.close(*refusal)
+			return dispatch.close(*refusal)
 		}
-		result := trip.attempt(ctx, choice, alone)
-		if !trip.again(ctx, result) {
-			return trip.close(result)
+		result := dispatch.attempt(ctx, choice, alone)
+		if !dispatch.again(ctx, result) {
+			return dispatch.close(result)
 		}
 	}
 }
 
 // next waits until the call may run and an engine can be had for it.
-func (trip *trip) next(ctx context.Context) (place.Choice, bool, *Result) {
+func (dispatch *dispatch) next(ctx context.Context) (place.Choice, bool, *Result) {
 	leave := func() {}
 	defer func() { leave() }()
 	for waiting := false; ; waiting = true {
-		verdict := trip.router.judge.Verdict(trip.request)
+		verdict := dispatch.router.crashes.Verdict(dispatch.request)
 		if verdict.Standing == blame.Refuse {
 			return place.Choice{}, false, blocked(verdict)
 		}
 		alone := verdict.Standing == blame.Quarantine
 		if verdict.Standing != blame.Hold {
-			choice, found, known := trip.choose(alone)
+			choice, found, known := dispatch.choose(alone)
 			if found {
 				return choice, alone, nil
 			}
@@ -93,42 +93,42 @@
 				return place.Choice{}, false, &Result{Outcome: wire.Outcome_OUTCOME_NOT_RUN, Err: errNoEngine}
 			}
 		}
-		if trip.router.clock.Now() >= trip.deadline() {
+		if dispatch.router.clock.Now() >= dispatch.deadline() {
 			return place.Choice{}, false, &Result{Outcome: wire.Outcome_OUTCOME_NOT_RUN, Err: errDeadline}
 		}
 		if !waiting {
-			leave = trip.router.room.enter(trip.request)
+			leave = dispatch.router.room.enter(dispatch.request)
 		}
-		if err := trip.router.clock.Sleep(ctx, waitPoll); err != nil {
+		if err := dispatch.router.clock.Sleep(ctx, waitPoll); err != nil {
 			return place.Choice{}, false, &Result{Outcome: wire.Outcome_OUTCOME_NOT_RUN, Err: errDeadline}
 		}
 	}
 }
 
 // deadline is when the caller stops waiting for an engine.
-func (trip *trip) deadline() clock.Millis {
-	if trip.delivery.started() {
-		return max(trip.request.Deadline, trip.router.clock.Now()+continueLimit)
+func (dispatch *dispatch) deadline() clock.Millis {
+	if dispatch.delivery.started() {
+		return max(dispatch.request.Deadline, dispatch.router.clock.Now()+continueLimit)
 	}
-	return trip.request.Deadline
+	return dispatch.request.Deadline
 }
 
 // choose returns an engine if one can be had now, and tells whether one can be
 // expected at all.
-func (trip *trip) choose(alone bool) (choice place.Choice, found, known bool) {
-	router, now, of := trip.router, trip.router.clock.Now(), classOf(trip.request)
-	fit := fitting(trip.request, router.source.Candidates())
+func (dispatch *dispatch) choose(alone bool) (choice place.Choice, found, known bool) {
+	router, now, of := dispatch.router, dispatch.router.clock.Now(), classOf(dispatch.request)
+	fit := fitting(dispatch.request, router.source.Candidates())
 	if len(fit) == 0 {
 		return place.Choice{}, false, router.room.expected(of, now)
 	}
 	router.room.note(of, now)
-	if !router.room.turn(trip.request) {
+	if !router.room.turn(dispatch.request) {
 		return place.Choice{}, false, true
 	}
 	if alone && !router.enterQuarantine(len(fit)) {
 		return place.Choice{}, false, true
 	}
-	choice, found = router.placer.Choose(trip.request, trip.fresh(router.healthy(fit)), now, trip.full)
+	choice, found = router.placer.Choose(dispatch.request, dispatch.fresh(router.healthy(fit)), now, dispatch.full)
 	if alone && !found {
 		router.leaveQuarantine()
 	}
@@ -136,14 +136,14 @@
 }
 
 // fresh leaves out the engines that failed the call, unless none would be left.
-func (trip *trip) fresh(candidates []place.Candidate) []place.Candidate {
-	if len(trip.failed) == 0 && len(trip.used) == 0 {
+func (dispatch *dispatch) fresh(candidates []place.Candidate) []place.Candidate {
+	if len(dispatch.failed) == 0 && len(dispatch.used) == 0 {
 		return candidates
 	}
 	kept := make([]place.Candidate, 0, len(candidates))
 	for _, candidate := range candidates {
 		name := candidate.Engine.GetName()
-		if trip.failed[name] != candidate.Incarnation && !slices.Contains(trip.used, name) {
+		if dispatch.failed[name] != candidate.Incarnation && !slices.Contains(dispatch.used, name) {
 			kept = append(kept, candidate)
 		}
 	}
@@ -164,50 +164,50 @@
 }
 
 // again tells whether a call is tried once more, after the pause that is due.
-func (trip *trip) again(ctx context.Context, result Result) bool {
+func (dispatch *dispatch) again(ctx context.Context, result Result) bool {
 	if ctx.Err() != nil || errors.Is(result.Err, errStopped) {
 		return false
 	}
 	switch result.Outcome {
 	case wire.Outcome_OUTCOME_NOT_RUN:
-		return trip.rest(ctx, result)
+		return dispatch.rest(ctx, result)
 	case wire.Outcome_OUTCOME_UNKNOWN:
 	case wire.Outcome_OUTCOME_FAILED:
-		if trip.held == nil || trip.held.status < http.StatusInternalServerError {
+		if dispatch.held == nil || dispatch.held.status < http.StatusInternalServerError {
 			return false
 		}
 	default:
 		return false
 	}
-	_, resumable := trip.delivery.progress(trip.request.Kind)
-	return trip.request.Idempotent && resumable && trip.router.payRetry(trip.started)
+	_, resumable := dispatch.delivery.progress(dispatch.request.Kind)
+	return dispatch.request.Idempotent && resumable && dispatch.router.payRetry(dispatch.started)
 }
 
 // rest waits before an attempt that was refused is sent again. An engine that
 // is full names its load at once, so another one is tried without a wait.
-func (trip *trip) rest(ctx context.Context, result Result) bool {
-	if errors.Is(result.Err, errFull) && len(trip.full) <= place.Tries {
+func (dispatch *dispatch) rest(ctx context.Context, result Result) bool {
+	if errors.Is(result.Err, errFull) && len(dispatch.full) <= place.Tries {
 		return true
 	}
-	if trip.router.clock.Now() >= trip.deadline() {
+	if dispatch.router.clock.Now() >= dispatch.deadline() {
 		return false
 	}
-	if err := trip.router.clock.Sleep(ctx, trip.pause); err != nil {
+	if err := dispatch.router.clock.Sleep(ctx, dispatch.pause); err != nil {
 		return false
 	}
-	trip.pause = min(2*trip.pause, mostPause)
+	dispatch.pause = min(2*dispatch.pause, mostPause)
 	return true
 }
 
 // close gives the caller what is left. A call of which any attempt may have
 // run is never reported as not run.
-func (trip *trip) close(result Result) Result {
-	if result.Outcome == wire.Outcome_OUTCOME_NOT_RUN && trip.started > 0 {
-		result.Outcome = trip.worst.Outcome
-		result.Err = errors.CombineErrors(trip.worst.Err, result.Err)
+func (dispatch *dispatch) close(result Result) Result {
+	if result.Outcome == wire.Outcome_OUTCOME_NOT_RUN && dispatch.started > 0 {
+		result.Outcome = dispatch.worst.Outcome
+		result.Err = errors.CombineErrors(dispatch.worst.Err, result.Err)
 	}
-	if result.Outcome == wire.Outcome_OUTCOME_FAILED && trip.held != nil && !trip.delivery.started() {
-		if err := trip.held.pass(trip.delivery); err != nil {
+	if result.Outcome == wire.Outcome_OUTCOME_FAILED && dispatch.held != nil && !dispatch.delivery.started() {
+		if err := dispatch.held.pass(dispatch.delivery); err != nil {
 			result.Err = err
 		}
 	}
@@ -224,7 +224,7 @@
 	return &Result{Outcome: wire.Outcome_OUTCOME_FAILED, Err: &call.StatusError{Status: http.StatusUnprocessableEntity, Text: text}}
 }
 
-func (trip *trip) logFailure(candidate place.Candidate, number uint32, result Result) {
-	trip.router.log.Write(event.AttemptFailed, "request", trip.request.ID, "attempt", number,
+func (dispatch *dispatch) logFailure(candidate place.Candidate, number uint32, result Result) {
+	dispatch.router.log.Write(event.AttemptFailed, "request", dispatch.request.ID, "attempt", number,
 		"engine", candidate.Engine.GetName(), "outcome", result.Outcome, "error", result.Err)
 }
--- a/internal/route/router.go
+++ b/internal/route/router.go
@@ -49,7 +49,7 @@
 	Gone(candidate place.Candidate)
 }
 
-// Flight is an attempt as the judge sees it.
+// Flight is an attempt as the crash tracker sees it.
 type Flight struct {
 	Candidate place.Candidate
 	Request   call.Call
@@ -59,8 +59,8 @@
 	Begun func() bool
 }
 
-// Judge keeps requests that crash endpoints from running on more of them.
-type Judge interface {
+// CrashTracker keeps requests that crash endpoints from running on more of them.
+type CrashTracker interface {
 	Verdict(request call.Call) blame.Verdict
 	Begin(flight *Flight)
 	End(flight *Flight)
@@ -82,7 +82,7 @@
 	pool     *link.Pool
 	placer   *place.Placer
 	source   Source
-	judge    Judge
+	crashes  CrashTracker
 	ledger   *ledger.Ledger
 	clock    *clock.Clock
 	log      *event.Log
@@ -96,9 +96,9 @@
 }
 
 // New returns a router.
-func New(settings Settings, pool *link.Pool, placer *place.Placer, source Source, judge Judge, book *ledger.Ledger, ticker *clock.Clock, log *event.Log) *Router {
+func New(settings Settings, pool *link.Pool, placer *place.Placer, source Source, crashes CrashTracker, book *ledger.Ledger, ticker *clock.Clock, log *event.Log) *Router {
 	return &Router{
-		settings: settings, pool: pool, placer: placer, source: source, judge: judge, ledger: book,
+		settings: settings, pool: pool, placer: placer, source: source, crashes: crashes, ledger: book,
 		clock: ticker, log: log, room: newRoom(ticker.Now()), policy: retry.NewPolicy(),
 	}
 }
@@ -112,7 +112,7 @@
 
 // Do runs a call and passes its answer to the sink.
 func (router *Router) Do(ctx context.Context, request call.Call, sink Sink) Result {
-	return newTrip(router, request, sink).run(ctx)
+	return newDispatch(router, request, sink).run(ctx)
 }
 
 // change replaces the retry policy.
--- a/internal/route/single.go
+++ b/internal/route/single.go
@@ -15,7 +15,7 @@
 
 // Refused returns the answer to a request that is blocked, or nil.
 func (router *Router) Refused(request call.Call) *Result {
-	if verdict := router.judge.Verdict(request); verdict.Standing == blame.Refuse {
+	if verdict := router.crashes.Verdict(request); verdict.Standing == blame.Refuse {
 		return blocked(verdict)
 	}
 	return nil
@@ -24,25 +24,25 @@
 // Place chooses an engine for an attempt that the caller records before it is
 // sent. Engines named in used are left out unless no other is left.
 func (router *Router) Place(request call.Call, used []string) (place.Choice, bool) {
-	if standing := router.judge.Verdict(request).Standing; standing == blame.Refuse || standing == blame.Hold {
+	if standing := router.crashes.Verdict(request).Standing; standing == blame.Refuse || standing == blame.Hold {
 		return place.Choice{}, false
 	}
-	trip := newTrip(router, request, nil)
-	trip.used = used
-	choice, found, _ := trip.choose(false)
+	dispatch := newDispatch(router, request, nil)
+	dispatch.used = used
+	choice, found, _ := dispatch.choose(false)
 	return choice, found
 }
 
 // Attempt sends one attempt to the engine chosen for it and never tries again.
 func (router *Router) Attempt(ctx context.Context, request call.Call, number uint32, choice place.Choice, sink Sink) Result {
-	standing := router.judge.Verdict(request).Standing
+	standing := router.crashes.Verdict(request).Standing
 	alone := standing == blame.Quarantine
 	if alone && !router.enterQuarantine(len(fitting(request, router.source.Candidates()))) {
 		return Result{Outcome: wire.Outcome_OUTCOME_NOT_RUN, Err: errQuarantines}
 	}
-	trip := newTrip(router, request, sink)
-	trip.number = number - 1
+	dispatch := newDispatch(router, request, sink)
+	dispatch.number = number - 1
 	// Each refusal costs the recorder a claim, so a full engine queues the attempt.
 	choice.Queue = true
-	return trip.close(trip.attempt(ctx, choice, alone))
+	return dispatch.close(dispatch.attempt(ctx, choice, alone))
 }
