front: close before serving, and answer 503 without a configuration

Cause: a test hung in Close: a server that has not begun to serve when it is shut down goes on with its listener. An entry VM that has just started answered 401 to every caller until it had learned a configuration. Conclusion: a caller is never told that its token is unknown by a process that knows no tokens.

--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -88,6 +88,9 @@
 func (front *Front) Close(limit time.Duration) error {
 	front.leaving.Store(true)
 	err := front.app.ShutdownWithTimeout(limit)
+	// A server that has not begun to serve when it is shut down would go on
+	// with the listener; a listener that is closed twice does no harm.
+	_ = front.listener.Close()
 	front.running.Wait()
 	front.work.Wait()
 	return err
--- a/internal/front/request.go
+++ b/internal/front/request.go
@@ -36,6 +36,11 @@
 		Body: append([]byte(nil), ctx.Request().Body()...), Arrived: front.clock.Now(),
 	}
 	config := front.view.State()
+	if config.Revision() == 0 {
+		// Without a configuration no customer is known, which says nothing of the caller.
+		ctx.Set(fiber.HeaderRetryAfter, "1")
+		return call.Call{}, fiber.NewError(fiber.StatusServiceUnavailable, "this entry VM has no configuration yet; send the request again")
+	}
 	if _, ok := config.ByToken(class.TokenHash(input.Token)); !ok {
 		return call.Call{}, fiber.NewError(fiber.StatusUnauthorized, "bearer token is missing or belongs to no customer")
 	}
