ctrl: let a later reply replace the one that waits

Change: a reply that covers the one before it replaces it; suite claim runs with three control VMs behind proxies that add the latency.

--- a/bench/claim/suite.go
+++ b/bench/claim/suite.go
@@ -16,12 +16,14 @@
 	rate       = 100
 	length     = 10 * time.Second
 	warmLength = 2 * time.Second
+	// zoneDelay is the latency one way between availability zones.
+	zoneDelay = 500 * time.Microsecond
 )
 
 // Run measures the suite's figures: bookings and idempotent calls to the same
 // desk, side by side.
 func Run(report *figure.Report) (err error) {
-	fleet, err := small.Start(small.Settings{Kind: "order", Engines: 1})
+	fleet, err := small.Start(small.Settings{Kind: "order", Engines: 1, ZoneDelay: zoneDelay})
 	if err != nil {
 		return err
 	}
--- a/bench/small/fleet.go
+++ b/bench/small/fleet.go
@@ -5,14 +5,17 @@
 
 import (
 	"context"
+	"fmt"
 	"os"
 	"os/exec"
+	"path/filepath"
 	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
 
+	"github.com/hibiscuslug/hibiscuslug/internal/fault"
 	"github.com/hibiscuslug/hibiscuslug/internal/procs"
 )
 
@@ -20,6 +23,7 @@
 	readyLimit = 20 * time.Second
 	readyPoll  = 50 * time.Millisecond
 	clientIdle = 4096
+	groupSize  = 3
 )
 
 // Fleet is a running fleet.
@@ -30,6 +34,7 @@
 	// Control lists the control VMs' addresses.
 	Control []string
 	started []*procs.Process
+	proxies []*fault.Proxy
 	folder  string
 }
 
@@ -42,6 +47,9 @@
 	Engines int
 	// OneCore gives the entry VM's process one core.
 	OneCore bool
+	// ZoneDelay starts three control VMs, each reached by every other process
+	// with this latency one way; one control VM without latency when zero.
+	ZoneDelay time.Duration
 }
 
 // Start starts a fleet and waits until it serves.
@@ -58,11 +66,10 @@
 }
 
 func (fleet *Fleet) start(settings Settings) error {
-	control, err := fleet.run("control1", "hibiscuslug", "control", "--name", "control1", "--zone", "zone1", "--data", fleet.folder)
-	if err != nil {
+	if err := fleet.control(settings.ZoneDelay); err != nil {
 		return err
 	}
-	fleet.Control = []string{control.Address}
+	var err error
 	if fleet.Entry, err = fleet.entry(settings.OneCore); err != nil {
 		return err
 	}
@@ -83,6 +90,53 @@
 	return fleet.ready(settings.Kind)
 }
 
+func (fleet *Fleet) control(delay time.Duration) error {
+	if delay > 0 {
+		return fleet.group(delay)
+	}
+	control, err := fleet.run("control1", "hibiscuslug", "control", "--name", "control1", "--zone", "zone1", "--data", fleet.folder)
+	if err != nil {
+		return err
+	}
+	fleet.Control = []string{control.Address}
+	return nil
+}
+
+// group starts control VMs behind proxies that add a latency.
+func (fleet *Fleet) group(delay time.Duration) error {
+	listens, first := make([]string, groupSize), []string{}
+	for at := range listens {
+		listen, err := procs.FreeAddress()
+		if err != nil {
+			return err
+		}
+		proxy, err := fault.New(listen)
+		if err != nil {
+			return err
+		}
+		listens[at] = listen
+		fleet.proxies = append(fleet.proxies, proxy)
+		fleet.Control = append(fleet.Control, proxy.Address())
+		first = append(first, "--group", fmt.Sprintf("control%d@%s", at+1, proxy.Address()))
+	}
+	for at, listen := range listens {
+		name := fmt.Sprintf("control%d", at+1)
+		arguments := append([]string{
+			"control", "--name", name, "--zone", fmt.Sprintf("zone%d", at+1), "--listen", listen,
+			"--advertise", fleet.Control[at], "--data", filepath.Join(fleet.folder, name),
+		}, first...)
+		if _, err := fleet.run(name, "hibiscuslug", arguments...); err != nil {
+			return err
+		}
+		// The proxy refuses connections since nobody listened behind it.
+		if err := fleet.proxies[at].Retarget(listen); err != nil {
+			return err
+		}
+		fleet.proxies[at].Delay(fault.Both, delay)
+	}
+	return nil
+}
+
 func (fleet *Fleet) entry(oneCore bool) (*procs.Process, error) {
 	if oneCore {
 		if err := os.Setenv("GOMAXPROCS", "1"); err != nil {
@@ -90,8 +144,11 @@
 		}
 		defer func() { _ = os.Unsetenv("GOMAXPROCS") }()
 	}
-	return fleet.run("entry1", "hibiscuslug", "entry", "--name", "entry1", "--zone", "zone1",
-		"--http-listen", "127.0.0.1:0", "--control", fleet.Control[0])
+	arguments := []string{"entry", "--name", "entry1", "--zone", "zone1", "--http-listen", "127.0.0.1:0"}
+	for _, address := range fleet.Control {
+		arguments = append(arguments, "--control", address)
+	}
+	return fleet.run("entry1", "hibiscuslug", arguments...)
 }
 
 func (fleet *Fleet) endpoint(settings Settings, number string) error {
@@ -160,6 +217,9 @@
 	for at := len(fleet.started) - 1; at >= 0; at-- {
 		failure = errors.CombineErrors(failure, fleet.started[at].Kill())
 	}
+	for _, proxy := range fleet.proxies {
+		failure = errors.CombineErrors(failure, proxy.Close())
+	}
 	return errors.CombineErrors(failure, os.RemoveAll(fleet.folder))
 }
 
--- a/internal/ctrl/peers.go
+++ b/internal/ctrl/peers.go
@@ -7,6 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/sourcegraph/conc"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/hibiscuslug/hibiscuslug/internal/link"
 	"github.com/hibiscuslug/hibiscuslug/internal/quorum"
@@ -103,7 +104,7 @@
 	}
 }
 
-// deliver sends a message together with the appends that continue it. It
+// deliver sends a message together with those that continue or replace it. It
 // returns the first message that could not be merged.
 func (others *peers) deliver(ctx context.Context, name string, message *wire.PeerMessage, queue chan *wire.PeerMessage) *wire.PeerMessage {
 	var next *wire.PeerMessage
@@ -131,8 +132,15 @@
 	}
 }
 
-// merge adds an append to the one before it.
+// merge adds an append to the one before it, or replaces a reply by a later
+// one. One message is on its way at a time, so without this a group whose
+// members are apart would fall behind under load.
 func merge(message, next *wire.PeerMessage) bool {
+	if replaces(message, next) {
+		proto.Reset(message)
+		proto.Merge(message, next)
+		return true
+	}
 	both := message.GetType() == wire.PeerMessage_TYPE_APPEND && next.GetType() == wire.PeerMessage_TYPE_APPEND
 	follows := message.GetIndex()+uint64(len(message.GetEntries())) == next.GetIndex()
 	if !both || !follows || message.GetTerm() != next.GetTerm() || message.GetToDisk() != next.GetToDisk() {
@@ -153,6 +161,15 @@
 	return true
 }
 
+// replaces tells whether a reply says everything that the one before it said:
+// both accept, and the later one covers at least as much of the log.
+func replaces(message, next *wire.PeerMessage) bool {
+	both := message.GetType() == wire.PeerMessage_TYPE_APPEND_REPLY && next.GetType() == wire.PeerMessage_TYPE_APPEND_REPLY
+	same := message.GetTerm() == next.GetTerm() && message.GetToDisk() == next.GetToDisk() && message.GetFromDisk() == next.GetFromDisk()
+	accepted := !message.GetReject() && !next.GetReject()
+	return both && same && accepted && next.GetIndex() >= message.GetIndex() && next.GetRound() >= message.GetRound()
+}
+
 func (others *peers) wait() { others.loops.Wait() }
 
 // parseGroup reads --group.
