--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -94,3 +94,25 @@
 	Expect(ended).NotTo(Receive())
 	Eventually(ended).WithTimeout(limit).Should(Receive(MatchError(ContainSubstring("timeout"))))
 })
+
+// Guards against one peer's oversized message ending the calls of others.
+var _ = It("closes only the connection on which a frame over the size limit arrives", func() {
+	server, err := link.Listen("127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	Expect(wire.DRPCRegisterMember(server.Mux(), &member{})).To(Succeed())
+	server.Start()
+	DeferCleanup(server.Close)
+	pool := link.NewPool()
+	DeferCleanup(pool.Close)
+	Expect(exchange(pool, server.Address(), limit)).To(Succeed())
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
+	conn, err := pool.Fresh(ctx, server.Address())
+	Expect(err).NotTo(HaveOccurred())
+	oversized := &wire.Digest{Nodes: []*wire.Announcement{{Node: string(make([]byte, link.MaxFrame+1))}}}
+	_, err = wire.NewDRPCMemberClient(conn).Exchange(ctx, oversized)
+	Expect(err).To(HaveOccurred())
+	Expect(ctx.Err()).NotTo(HaveOccurred(), "the oversized call was never answered")
+	Expect(conn.Close()).To(Succeed())
+	Expect(exchange(pool, server.Address(), limit)).To(Succeed())
+})
