--- a/bench/scale/process.go
+++ b/bench/scale/process.go
@@ -135,7 +135,7 @@
 
 // used reads processor time in milliseconds and resident memory in bytes.
 func used(process *procs.Process) (usage, error) {
-	folder := "/proc/" + strconv.Itoa(process.PID())
+	folder := "/proc/" + strconv.Itoa(process.ID())
 	stat, err := os.ReadFile(folder + "/stat")
 	if err != nil {
 		return usage{}, err
--- a/internal/fault/proxy.go
+++ b/internal/fault/proxy.go
@@ -11,6 +11,8 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/sourcegraph/conc"
+
+	"github.com/hibiscuslug/hibiscuslug/internal/ports"
 )
 
 const dialLimit = 500 * time.Millisecond
@@ -49,8 +51,7 @@
 // New starts a proxy on a free loopback port. An empty target refuses
 // connections until Retarget.
 func New(target string) (*Proxy, error) {
-	var config net.ListenConfig
-	listener, err := config.Listen(context.Background(), "tcp", "127.0.0.1:0")
+	listener, err := ports.Listen()
 	if err != nil {
 		return nil, errors.Wrap(err, "listen for the fault proxy")
 	}
--- a/internal/procs/fleet.go
+++ b/internal/procs/fleet.go
@@ -128,6 +128,3 @@
 	process.done <- <-process.done
 	return nil
 }
-
-// PID returns the process id.
-func (process *Process) PID() int { return process.command.Process.Pid }
--- a/internal/procs/group.go
+++ b/internal/procs/group.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"os"
 	"path/filepath"
 	"syscall"
@@ -53,13 +52,12 @@
 
 // Add prepares one more control VM, which is not in the list of the first group.
 func (group *Group) Add(data string) error {
-	var config net.ListenConfig
-	listener, err := config.Listen(context.Background(), "tcp", "127.0.0.1:0")
+	address, err := FreeAddress()
 	if err != nil {
 		return err
 	}
-	group.members = append(group.members, &groupMember{name: filepath.Base(data), address: listener.Addr().String(), data: data})
-	return listener.Close()
+	group.members = append(group.members, &groupMember{name: filepath.Base(data), address: address, data: data})
+	return nil
 }
 
 // Start starts a member, or starts it again.
--- a/internal/procs/site.go
+++ b/internal/procs/site.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"path/filepath"
 	"strings"
 
@@ -59,11 +58,11 @@
 		return site, err
 	}
 	for at := range settings.Entries {
-		address, err := freeAddress()
+		address, err := FreeAddress()
 		if err != nil {
 			return site, err
 		}
-		http, err := freeAddress()
+		http, err := FreeAddress()
 		if err != nil {
 			return site, err
 		}
@@ -85,16 +84,6 @@
 	return starting.Wait()
 }
 
-// freeAddress returns a loopback address that is free now.
-func freeAddress() (string, error) {
-	var config net.ListenConfig
-	listener, err := config.Listen(context.Background(), "tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
-	}
-	return listener.Addr().String(), listener.Close()
-}
-
 func zone(at int) string { return fmt.Sprintf("zone%d", at%zoneCount+1) }
 
 // StartEntry starts an entry VM, or starts it again at the same addresses.
--- a/test/history/world_test.go
+++ b/test/history/world_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
-	"net"
 	"os"
 	"path/filepath"
 	"sync"
@@ -74,17 +73,8 @@
 	desk      *fake.Desk
 }
 
-func freeAddress() (string, error) {
-	var config net.ListenConfig
-	listener, err := config.Listen(context.Background(), "tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
-	}
-	return listener.Addr().String(), listener.Close()
-}
-
 func newMember(role string, at int) (*member, error) {
-	listen, err := freeAddress()
+	listen, err := procs.FreeAddress()
 	if err != nil {
 		return nil, err
 	}
@@ -157,7 +147,7 @@
 		}
 	}
 	for at, member := range world.entries {
-		address, err := freeAddress()
+		address, err := procs.FreeAddress()
 		if err != nil {
 			panic(err)
 		}
