--- a/Makefile
+++ b/Makefile
@@ -25,7 +25,7 @@
 	$(GO) run ./cmd/hibbench
 
 history: build
-	HIB_HISTORY_SEEDS=$(SEEDS) $(GO) test -count=1 -timeout 60m ./test/history/...
+	HIB_HISTORY_SEEDS=$(SEEDS) $(GO) test -v -count=1 -timeout 60m ./test/history/...
 
 fuzz:
 	./.ci/fuzz
