--- a/bench/path/path_test.go
+++ b/bench/path/path_test.go
@@ -68,7 +68,7 @@
 	check(view.Apply(&wire.FeedItem{Revision: 1, Snapshot: &wire.Snapshot{
 		Revision: 1, Tiers: []*wire.TierRecord{{Name: "paid", Level: wire.Tier_TIER_PAID, Patience: 60_000}},
 		Customers: []*wire.Customer{{Name: "bench", Tier: "paid", TokenHash: class.TokenHash("benchtoken")}},
-	}}))
+	}}, clock.NewSystem().Now()))
 	control, err := link.Listen("127.0.0.1:0")
 	check(err)
 	check(wire.DRPCRegisterFeed(control.Mux(), feed.NewServer(view, clock.NewSystem())))
--- a/internal/ctrl/block.go
+++ b/internal/ctrl/block.go
@@ -1,6 +1,8 @@
 package ctrl
 
 import (
+	"fmt"
+
 	"google.golang.org/protobuf/proto"
 
 	"github.com/hibiscuslug/hibiscuslug/internal/state"
@@ -14,10 +16,12 @@
 	switch {
 	case change.GetBlock() != nil:
 		change.Text = "block request " + change.GetBlock().GetRequestId()
+	case change.GetDeployment() != nil:
+		change.Text = fmt.Sprintf("deployment version %d", change.GetDeployment().GetVersion())
 	case change.GetDrop().GetWhat() == "block":
 		change.Text = "unblock request " + change.GetDrop().GetName()
 	default:
-		return nil, &state.RefusedError{Code: state.CodeInvalid, Message: "an entry VM may only block a request or end a block"}
+		return nil, &state.RefusedError{Code: state.CodeInvalid, Message: "another process may only deploy a configuration, block a request or end a block"}
 	}
 	change.CommandId, change.At = command.GetId(), int64(control.clock.Now())
 	return change, nil
--- a/internal/ctrl/control.go
+++ b/internal/ctrl/control.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 
@@ -17,6 +18,7 @@
 	"github.com/hibiscuslug/hibiscuslug/internal/link"
 	"github.com/hibiscuslug/hibiscuslug/internal/meter"
 	"github.com/hibiscuslug/hibiscuslug/internal/opts"
+	"github.com/hibiscuslug/hibiscuslug/internal/poll"
 	"github.com/hibiscuslug/hibiscuslug/internal/quorum"
 	"github.com/hibiscuslug/hibiscuslug/internal/state"
 	"github.com/hibiscuslug/hibiscuslug/internal/store"
@@ -30,6 +32,9 @@
 	Control opts.Control
 	// Disk replaces the machine's file system in tests.
 	Disk store.Disk
+	// Seeds returns the seeds as the settings have them now; nil takes those at
+	// the start.
+	Seeds func() []string
 }
 
 const (
@@ -37,6 +42,9 @@
 	// handoverLimit bounds the wait for another leader at shutdown.
 	handoverLimit = clock.Second
 	handoverPoll  = 5 * clock.Millis(1)
+	// replaceAfter is how long a voter may be silent before a process that
+	// waits takes its place. A restart takes about a second.
+	replaceAfter = 3 * clock.Second
 )
 
 // Control is a running control process.
@@ -51,8 +59,14 @@
 	writer   *writer
 	meter    *meter.Meter
 	peers    *peers
-	inbox    chan input
-	status   atomic.Pointer[quorum.Status]
+	fleet    *poll.Poller
+	// incarnation tells this start of the process from earlier ones.
+	incarnation uint64
+	// self names this member of the group: the node, or the address when the
+	// group is made of seeds.
+	self   string
+	inbox  chan input
+	status atomic.Pointer[quorum.Status]
 	// moved is closed and replaced when another leader is known.
 	moved atomic.Pointer[chan struct{}]
 
@@ -77,6 +91,10 @@
 	machine *state.Machine
 	claims  *claim.Table
 
+	// reportsMu guards reports, the loads of gateways by node. It is a leaf lock.
+	reportsMu sync.Mutex
+	reports   map[string]report
+
 	cancel context.CancelFunc
 	loops  conc.WaitGroup
 }
@@ -101,8 +119,18 @@
 	control := &Control{
 		settings: settings, disk: contents.Disk, clock: ticker, log: log, view: feed.NewView(ticker), pool: link.NewPool(), server: server,
 		inbox: make(chan input, inboxSize), waiters: map[uint64]waiter{}, asked: map[uint64][]chan<- outcome{},
-		machine: state.NewMachine(), claims: claim.NewTable(),
+		machine: state.NewMachine(), claims: claim.NewTable(), self: settings.Node.Name,
+		incarnation: rand.Uint64(), reports: map[string]report{},
+	}
+	seeded := len(settings.Control.Seed) > 0
+	if seeded {
+		addresses, err := ParseSeeds(settings.Control.Seed, control.advertised())
+		if err != nil {
+			return nil, errors.CombineErrors(err, opened.Close())
+		}
+		first, control.self = byAddress(addresses), control.advertised()
 	}
+	control.fleet = newFleet(control, control.seeds)
 	if contents.Cut > 0 {
 		log.Write(event.TailCut, "bytes", contents.Cut, "damaged", contents.Damaged)
 	}
@@ -110,7 +138,9 @@
 		control.restore(contents.Image)
 	}
 	control.core = quorum.New(quorum.Settings{
-		Self: quorum.Peer{Name: settings.Node.Name, Disk: contents.Disk}, Address: control.advertised(), First: first,
+		Self: quorum.Peer{Name: control.self, Disk: contents.Disk}, Address: control.advertised(), First: first,
+		JoinOnly: seeded && !settings.Control.Bootstrap && !contents.Known, Voters: voters(seeded, settings.Control.Tolerance),
+		ReplaceAfter:    replaceAfter,
 		ElectionTimeout: settings.Control.ElectionTimeout, Seed: contents.Disk,
 		KeptBehind: quorum.DefaultKeptBehind, PieceBytes: quorum.DefaultPieceBytes,
 	}, contents.Stored, ticker.Now())
@@ -140,9 +170,34 @@
 	if err := wire.DRPCRegisterClaims(mux, control); err != nil {
 		return err
 	}
+	if err := wire.DRPCRegisterFleet(mux, control); err != nil {
+		return err
+	}
 	return wire.DRPCRegisterGroup(mux, control)
 }
 
+// seeds returns the addresses of control VMs that the settings name.
+func (control *Control) seeds() []string {
+	seeds := control.settings.Control.Seed
+	if control.settings.Seeds != nil {
+		seeds = control.settings.Seeds()
+	}
+	addresses, err := ParseSeeds(seeds, control.advertised())
+	if err != nil {
+		control.log.Write(event.SettingsRefused, "error", err)
+	}
+	return addresses
+}
+
+// voters is the size of a group that keeps a majority when as many members as
+// tolerated are lost; 0 for a group whose members are listed.
+func voters(seeded bool, tolerance int) int {
+	if !seeded {
+		return 0
+	}
+	return 2*tolerance + 1
+}
+
 func (control *Control) start() {
 	ctx, cancel := context.WithCancel(context.Background())
 	control.cancel = cancel
@@ -151,6 +206,9 @@
 	control.loops.Go(func() { control.writer.run(ctx) })
 	control.peers.start(ctx)
 	control.server.Start()
+	if len(control.settings.Control.Seed) > 0 {
+		control.fleet.Start()
+	}
 	control.log.Write(event.Started, "role", "control", "address", control.server.Address())
 }
 
@@ -169,6 +227,7 @@
 	control.log.Write(event.Stopping)
 	control.handOver()
 	failure := control.server.Close()
+	control.fleet.Close()
 	control.cancel()
 	control.loops.Wait()
 	control.peers.wait()
@@ -190,7 +249,7 @@
 	defer cancel()
 	for control.clock.Sleep(ctx, handoverPoll) == nil {
 		leader := control.status.Load().Leader
-		if leader.Name != "" && leader.Name != control.settings.Node.Name {
+		if leader.Name != "" && leader.Name != control.self {
 			return
 		}
 	}
--- a/internal/ctrl/loop.go
+++ b/internal/ctrl/loop.go
@@ -161,7 +161,7 @@
 		case quorum.Refused:
 			control.refused(action)
 		case quorum.Confirmed:
-			control.view.Confirm(control.view.State().Revision(), action.Age)
+			control.confirmed(action)
 		case quorum.RoleChanged:
 			control.log.Write(event.RoleChanged, "now", action.Role, "term", action.Term)
 			if action.Role != quorum.Leader {
@@ -171,6 +171,16 @@
 	}
 }
 
+// confirmed notes that the applied state is current. With seeds, only the
+// leader takes this from its own lease: what a follower hears may have been
+// held back on the way, so followers ask the leader instead.
+func (control *Control) confirmed(action quorum.Confirmed) {
+	if len(control.settings.Control.Seed) > 0 && control.core.Status().Role != quorum.Leader {
+		return
+	}
+	control.view.Confirm(control.view.State().Revision(), action.Age)
+}
+
 func (control *Control) accepted(action quorum.Accepted) {
 	for at, reply := range control.asked[action.ID] {
 		control.waiters[action.Index+uint64(at)] = waiter{term: action.Term, reply: reply}
@@ -207,7 +217,7 @@
 	control.mu.Unlock()
 	if len(numbered) > 0 {
 		// A gap is impossible here: the machine numbers the changes one by one.
-		if err := control.view.Apply(&wire.FeedItem{Changes: numbered}); err != nil {
+		if err := control.view.Apply(&wire.FeedItem{Changes: numbered}, control.clock.Now()); err != nil {
 			control.log.Write(event.RevisionRefused, "error", err)
 		}
 	}
@@ -272,7 +282,7 @@
 	control.claims = claim.Restore(image.GetClaims())
 	control.mu.Unlock()
 	control.sinceLast, control.imageSize = 0, image.SizeVT()
-	if err := control.view.Apply(&wire.FeedItem{Snapshot: image.GetSettings()}); err != nil {
+	if err := control.view.Apply(&wire.FeedItem{Snapshot: image.GetSettings()}, control.clock.Now()); err != nil {
 		control.log.Write(event.RevisionRefused, "error", err)
 	}
 }
--- a/internal/ctrl/members.go
+++ b/internal/ctrl/members.go
@@ -86,7 +86,7 @@
 func (control *Control) row() *wire.Row {
 	status := control.status.Load()
 	return &wire.Row{Cells: []string{
-		control.settings.Node.Name, control.advertised(), formatDisk(control.disk), string(status.Role), number(status.Term),
+		control.self, control.advertised(), formatDisk(control.disk), string(status.Role), number(status.Term),
 		number(status.Last), number(status.Commit), number(control.view.State().Revision()),
 	}}
 }
@@ -106,7 +106,7 @@
 }
 
 func (control *Control) rowOf(ctx context.Context, member *wire.ControlMember) *wire.Row {
-	if member.GetName() == control.settings.Node.Name && member.GetDisk() == control.disk {
+	if member.GetName() == control.self && member.GetDisk() == control.disk {
 		return control.row()
 	}
 	address := control.peers.address(member.GetName(), member.GetAddress())
--- a/internal/ctrl/peers.go
+++ b/internal/ctrl/peers.go
@@ -187,7 +187,7 @@
 
 // Step takes a message of another control VM.
 func (control *Control) Step(ctx context.Context, message *wire.PeerMessage) (*wire.PeerReply, error) {
-	if message.GetAddress() != "" && message.GetFrom() != control.settings.Node.Name {
+	if message.GetAddress() != "" && message.GetFrom() != control.self {
 		control.peers.learn(message.GetFrom(), message.GetAddress())
 	}
 	select {
--- a/internal/ctrl/propose.go
+++ b/internal/ctrl/propose.go
@@ -72,8 +72,11 @@
 			}
 		case forwarded:
 			return
-		case status.Leader.Name != "":
-			address := control.peers.address(status.Leader.Name, addressOf(status.Members, status.Leader))
+		case status.Leader.Name != "" || control.leader() != "":
+			address := control.leader()
+			if status.Leader.Name != "" {
+				address = control.peers.address(status.Leader.Name, addressOf(status.Members, status.Leader))
+			}
 			if !forwardUntil(ctx, moved, address, forward) {
 				return
 			}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -43,7 +43,8 @@
 type controlCommand struct {
 	opts.Node
 	opts.Control
-	out io.Writer
+	out  io.Writer
+	file *settingsFile
 }
 
 type embeddedCommand struct {
@@ -84,13 +85,23 @@
 	if err := bounds.First(command.Node.Check(), command.Control.Check()); err != nil {
 		return err
 	}
-	log := event.New(os.Stderr, command.Name, command.Zone)
-	running, err := ctrl.New(ctrl.Settings{Node: command.Node, Control: command.Control}, clock.NewSystem(), log)
+	out := os.Stderr
+	if command.APIListen != "" {
+		out = os.Stdout
+	}
+	log := event.New(out, command.Name, command.Zone)
+	control, err := ctrl.New(ctrl.Settings{
+		Node: command.Node, Control: command.Control, Seeds: command.file.seeds(command.Seed),
+	}, clock.NewSystem(), log)
+	if err != nil {
+		return err
+	}
+	running, err := serveAPI(control, command.APIListen, log)
 	if err != nil {
 		return err
 	}
 	fmt.Fprintln(command.out, "ready", running.Address())
-	return wait(running)
+	return command.file.watch(log, func() error { return wait(running) })
 }
 
 // Execute runs the embedded fleet, or its demo.
@@ -125,20 +136,25 @@
 	data              any
 }
 
-func subcommands(out io.Writer) []subcommand {
+func subcommands(out io.Writer, file *settingsFile) []subcommand {
 	return []subcommand{
 		{"entry", "Run an entry VM's process", entryHelp, &entryCommand{out: out}},
 		{"endpoint", "Run an endpoint process", endpointHelp, &endpointCommand{out: out}},
-		{"control", "Run a control VM's process", controlHelp, &controlCommand{out: out}},
+		{"control", "Run a control VM's process", controlHelp, &controlCommand{out: out, file: file}},
+		{"gateway", "Run a gateway process", gatewayHelp, &gatewayCommand{out: out, file: file}},
 		{"embedded", "Run a small fleet of three zones in one process", embeddedHelp, &embeddedCommand{out: out}},
 	}
 }
 
 // Run parses the command line and runs the role until it is told to stop.
 func Run(arguments []string, out io.Writer) error {
+	arguments, file, err := openSettings(arguments)
+	if err != nil {
+		return err
+	}
 	parser := flags.NewNamedParser("hibiscuslug", flags.HelpFlag|flags.PassDoubleDash)
 	parser.LongDescription = help
-	for _, command := range subcommands(out) {
+	for _, command := range subcommands(out, file) {
 		if _, err := parser.AddCommand(command.name, command.short, command.long, command.data); err != nil {
 			return err
 		}
@@ -149,7 +165,7 @@
 		}
 		return command.Execute(rest)
 	}
-	_, err := parser.ParseArgs(arguments)
+	_, err = parser.ParseArgs(arguments)
 	if flags.WroteHelp(err) {
 		fmt.Fprintln(out, err)
 		return nil
--- /dev/null
+++ b/internal/daemon/gateway.go
@@ -0,0 +1,149 @@
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sourcegraph/conc"
+
+	"github.com/hibiscuslug/hibiscuslug/internal/bounds"
+	"github.com/hibiscuslug/hibiscuslug/internal/ctrl"
+	"github.com/hibiscuslug/hibiscuslug/internal/envset"
+	"github.com/hibiscuslug/hibiscuslug/internal/event"
+	"github.com/hibiscuslug/hibiscuslug/internal/gate"
+	"github.com/hibiscuslug/hibiscuslug/internal/opts"
+	"github.com/hibiscuslug/hibiscuslug/pkg/clock"
+	"github.com/hibiscuslug/hibiscuslug/platform"
+)
+
+const (
+	settingsFlag = "--settings"
+	seedVariable = "HIB_SEED"
+	// apiReadLimit bounds the time of a call's header.
+	apiReadLimit = 5 * time.Second
+	// apiCloseLimit bounds the wait for calls in progress at shutdown.
+	apiCloseLimit = time.Second
+)
+
+type gatewayCommand struct {
+	opts.Node
+	opts.Gateway
+	out  io.Writer
+	file *settingsFile
+}
+
+// Execute runs a gateway process.
+func (command *gatewayCommand) Execute([]string) error {
+	if err := bounds.First(command.Node.Check(), command.Gateway.Check()); err != nil {
+		return err
+	}
+	log := event.New(os.Stdout, command.Name, command.Zone)
+	running, err := gate.New(gate.Settings{
+		Node: command.Node, Gateway: command.Gateway, Dialect: platform.Dialect{}, Seeds: command.file.seeds(command.Seed),
+	}, clock.NewSystem(), log)
+	if err != nil {
+		return err
+	}
+	fmt.Fprintln(command.out, "ready", running.Address())
+	return command.file.watch(log, func() error { return wait(running) })
+}
+
+// settingsFile is the file of --settings, if there is one.
+type settingsFile struct{ file *envset.File }
+
+// openSettings takes --settings from the arguments and exports the file's
+// values, so that flags and the environment go before them.
+func openSettings(arguments []string) ([]string, *settingsFile, error) {
+	for at, argument := range arguments {
+		path, ok := strings.CutPrefix(argument, settingsFlag+"=")
+		rest := arguments[min(at+1, len(arguments)):]
+		if argument == settingsFlag && len(rest) > 0 {
+			path, rest, ok = rest[0], rest[1:], true
+		}
+		if !ok {
+			continue
+		}
+		file, err := envset.Open(path)
+		if err != nil {
+			return nil, nil, err
+		}
+		return append(append([]string(nil), arguments[:at]...), rest...), &settingsFile{file}, file.Export()
+	}
+	return arguments, &settingsFile{}, nil
+}
+
+// seeds returns the seeds as the file has them now, or those of the start.
+func (settings *settingsFile) seeds(first []string) func() []string {
+	return func() []string {
+		if settings.file == nil {
+			return first
+		}
+		if seeds := settings.file.List(seedVariable); len(seeds) > 0 {
+			return seeds
+		}
+		return first
+	}
+}
+
+// watch follows the settings file while a role runs. Without a file a request
+// to reload has nothing to do, and must not end the process.
+func (settings *settingsFile) watch(log *event.Log, run func() error) error {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGHUP)
+	defer signal.Stop(signals)
+	if settings.file == nil {
+		return run()
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	var watching conc.WaitGroup
+	defer watching.Wait()
+	defer cancel()
+	watching.Go(func() { settings.file.Watch(ctx, signals, clock.NewSystem(), log) })
+	return run()
+}
+
+// controlAPI is a control process with the deployment's HTTP interface.
+type controlAPI struct {
+	*ctrl.Control
+	server  *http.Server
+	running conc.WaitGroup
+}
+
+func serveAPI(control *ctrl.Control, address string, log *event.Log) (role, error) {
+	if address == "" {
+		return control, nil
+	}
+	var config net.ListenConfig
+	listener, err := config.Listen(context.Background(), "tcp", address)
+	if err != nil {
+		return nil, errors.CombineErrors(errors.Wrap(err, "setting --api-listen"), control.Close())
+	}
+	api := &controlAPI{Control: control, server: &http.Server{Handler: platform.NewControlHandler(control), ReadHeaderTimeout: apiReadLimit}}
+	api.running.Go(func() {
+		if err := api.server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			log.Write(event.ServeFailed, "error", err)
+		}
+	})
+	return api, nil
+}
+
+// Close lets calls in progress end, then closes the control process.
+func (api *controlAPI) Close() error {
+	ctx, cancel := context.WithTimeout(context.Background(), apiCloseLimit)
+	defer cancel()
+	failure := api.server.Shutdown(ctx)
+	if errors.Is(failure, context.DeadlineExceeded) {
+		failure = api.server.Close()
+	}
+	api.running.Wait()
+	return errors.CombineErrors(failure, api.Control.Close())
+}
--- a/internal/daemon/help.go
+++ b/internal/daemon/help.go
@@ -1,6 +1,7 @@
 package daemon
 
 const help = `Runs one role of the load balancer. Every setting is a flag and an environment variable.
+With --settings FILE, lines HIB_NAME=value in the file set what neither of them does.
 
 Examples:
   hibiscuslug embedded --demo
@@ -23,6 +24,12 @@
 Example:
   hibiscuslug control --name control1 --zone zone1 --listen 127.0.0.1:7100 --data /var/lib/hibiscuslug`
 
+const gatewayHelp = `Takes callers' HTTP requests and forwards them to endpoints.
+
+Examples:
+  hibiscuslug gateway --name gateway1 --zone zone1 --listen 127.0.0.1:7000 --http-listen 127.0.0.1:8080 --seed 127.0.0.1
+  hibiscuslug gateway --settings /etc/hibiscuslug.env`
+
 const embeddedHelp = `Runs control, entry and endpoint processes of three availability zones with fake engines in one process.
 
 Examples:
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -48,6 +48,17 @@
 	MembersChanged     = Event{409, "members of the control group changed"}
 	SnapshotWritten    = Event{410, "snapshot made"}
 	SnapshotInstalled  = Event{411, "snapshot from the leader installed"}
+	FeedRegained       = Event{412, "configuration feed regained"}
+	SettingsReloaded   = Event{413, "settings file read again"}
+	SettingsRefused    = Event{414, "settings file could not be used"}
+	DeploymentAccepted = Event{415, "configuration of request forwarding accepted"}
+	DeploymentRefused  = Event{416, "configuration of request forwarding not accepted"}
+	DeploymentInForce  = Event{417, "configuration of request forwarding in force"}
+	ReadinessChanged   = Event{305, "readiness changed"}
+	EndpointChanged    = Event{306, "endpoint changed"}
+	RequestEnded       = Event{240, "request ended"}
+	SendEnded          = Event{241, "attempt at an endpoint ended"}
+	LinesDropped       = Event{106, "log lines dropped"}
 	EngineUnreachable  = Event{501, "engine does not answer"}
 	InstructionRefused = Event{502, "instruction with an old fencing number refused"}
 )
--- a/internal/feed/follow.go
+++ b/internal/feed/follow.go
@@ -78,7 +78,7 @@
 			return errors.CombineErrors(context.Cause(ctx), err)
 		}
 		watchdog.reset()
-		if err := follower.view.Apply(item); err != nil {
+		if err := follower.view.Apply(item, follower.clock.Now()); err != nil {
 			follower.log.Write(event.RevisionRefused, "source", address, "error", err)
 			return err
 		}
--- a/internal/feed/follow_test.go
+++ b/internal/feed/follow_test.go
@@ -28,7 +28,7 @@
 	view := feed.NewView(ticker)
 	for next := uint64(1); next <= revision; next++ {
 		change := &wire.Change{Body: &wire.Change_Drain{Drain: &wire.Drain{Endpoint: "endpoint1"}}}
-		Expect(view.Apply(&wire.FeedItem{Changes: []*wire.Numbered{{Revision: next, Change: change}}})).To(Succeed())
+		Expect(view.Apply(&wire.FeedItem{Changes: []*wire.Numbered{{Revision: next, Change: change}}}, ticker.Now())).To(Succeed())
 	}
 	server, err := link.Listen("127.0.0.1:0")
 	Expect(err).NotTo(HaveOccurred())
--- a/internal/feed/server.go
+++ b/internal/feed/server.go
@@ -26,7 +26,7 @@
 func (server *Server) Watch(request *wire.WatchRequest, stream wire.DRPCFeed_WatchStream) error {
 	revision := request.GetRevision()
 	for {
-		item, changed := server.view.since(revision)
+		item, changed := server.view.Since(revision)
 		if err := stream.Send(item); err != nil {
 			return err
 		}
--- a/internal/feed/view.go
+++ b/internal/feed/view.go
@@ -62,9 +62,9 @@
 	}
 }
 
-// Apply takes an item of a feed. It skips revisions it has, and returns an
-// error for a gap.
-func (view *View) Apply(item *wire.FeedItem) error {
+// Apply takes an item of a feed that was made at an instant or later. It skips
+// revisions it has, and returns an error for a gap.
+func (view *View) Apply(item *wire.FeedItem, made clock.Millis) error {
 	view.mu.Lock()
 	defer view.mu.Unlock()
 	before := view.state.Revision()
@@ -83,7 +83,7 @@
 		view.changed = make(chan struct{})
 	}
 	if item.GetRevision() == view.state.Revision() {
-		view.confirmed = max(view.confirmed, view.clock.Now()-clock.Millis(item.GetAge()))
+		view.confirmed = max(view.confirmed, made-clock.Millis(item.GetAge()))
 	}
 	return nil
 }
@@ -106,8 +106,16 @@
 	return nil
 }
 
-// since returns what a watcher at a revision is missing.
-func (view *View) since(revision uint64) (*wire.FeedItem, <-chan struct{}) {
+// Confirmed returns the instant at which control last stood behind the revision.
+func (view *View) Confirmed() clock.Millis {
+	view.mu.Lock()
+	defer view.mu.Unlock()
+	return view.confirmed
+}
+
+// Since returns what a watcher at a revision is missing, and a channel that is
+// closed at the next revision.
+func (view *View) Since(revision uint64) (*wire.FeedItem, <-chan struct{}) {
 	view.mu.Lock()
 	defer view.mu.Unlock()
 	item := &wire.FeedItem{Revision: view.state.Revision(), Age: int64(view.clock.Now() - view.confirmed)}
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -107,7 +107,7 @@
 				{Name: "clinic", Tier: "paid", TokenHash: class.TokenHash("paid"), MaxConcurrent: 2},
 				{Name: "walkin", Tier: "free", TokenHash: class.TokenHash("free")},
 			},
-		}})).To(Succeed())
+		}}, 0)).To(Succeed())
 		fake = &router{hold: make(chan struct{})}
 		var ids atomic.Int64
 		var err error
--- /dev/null
+++ b/internal/gate/forward.go
@@ -0,0 +1,218 @@
+package gate
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/hibiscuslug/hibiscuslug/internal/choose"
+	"github.com/hibiscuslug/hibiscuslug/internal/event"
+	"github.com/hibiscuslug/hibiscuslug/internal/plan"
+	"github.com/hibiscuslug/hibiscuslug/internal/retry"
+	"github.com/hibiscuslug/hibiscuslug/internal/roster"
+	"github.com/hibiscuslug/hibiscuslug/pkg/clock"
+)
+
+const (
+	// mostUnrun bounds the attempts of one request that endpoints refused or
+	// that found no connection; they do not count as runs.
+	mostUnrun = 3
+	// staleAfter is the age of a heartbeat from which an endpoint is avoided;
+	// heartbeats come about every 1.2 s and may be late.
+	staleAfter = 4 * clock.Second
+	// leastLeft is the time below which an attempt is not worth starting.
+	leastLeft = 5 * clock.Millis(1)
+)
+
+// result is how an attempt ended.
+type result int
+
+const (
+	// delivered attempts gave the caller its final answer, or what there is of it.
+	delivered result = iota
+	// notSent attempts found no connection.
+	notSent
+	// notRun attempts were refused by the endpoint.
+	notRun
+	// unknown attempts may have run and gave no whole answer.
+	unknown
+	// failed attempts ran and have an error as answer, which is kept.
+	failed
+	// callerGone is the end of the request itself.
+	callerGone
+)
+
+var resultNames = map[result]string{
+	delivered: "delivered", notSent: "notSent", notRun: "notRun", unknown: "unknown", failed: "failed", callerGone: "callerGone",
+}
+
+// journey is a request on its way through endpoints.
+type journey struct {
+	*call
+	gateway *Gateway
+	w       http.ResponseWriter
+	tried   map[string]bool
+	// runs counts attempts that may have run, unrun those that have not.
+	runs, unrun int
+	// kept is an endpoint's error, delivered when no other attempt does better.
+	kept *answer
+	// stream is set once the head of a stream was sent to the caller.
+	stream *relayed
+}
+
+// forward sends the request to endpoints until one answers or none may.
+func (gateway *Gateway) forward(ctx context.Context, w http.ResponseWriter, asked *call) {
+	on := &journey{call: asked, gateway: gateway, w: w, tried: map[string]bool{}}
+	gateway.window(asked.service.Name).Request(asked.arrived)
+	for {
+		endpoint, ok := on.choose()
+		if !ok {
+			on.end(ctx, "no endpoint takes the request")
+			return
+		}
+		on.tried[endpoint.ID] = true
+		began := gateway.clock.Now()
+		ended, err := on.attempt(ctx, endpoint)
+		gateway.log.Write(event.SendEnded, "id", asked.task.ID, "endpoint", endpoint.ID, "address", endpoint.Address,
+			"result", resultNames[ended], "heartbeatAge", began-endpoint.Heard, "took", gateway.clock.Now()-began, "runs", on.runs, "error", err)
+		if ended == delivered {
+			return
+		}
+		if ctx.Err() != nil || ended == callerGone {
+			on.end(ctx, "time is over")
+			return
+		}
+		if reason := on.stop(ended); reason != "" {
+			on.end(ctx, reason)
+			return
+		}
+	}
+}
+
+// stop counts an attempt and returns why there may be no other, or nothing.
+func (on *journey) stop(ended result) string {
+	switch ended {
+	case notSent, notRun:
+		on.unrun++
+		if on.unrun >= mostUnrun {
+			return "endpoints refused the request"
+		}
+	default:
+		on.runs++
+		if !on.route.Repeatable() {
+			return "the attempt may have run"
+		}
+		if on.runs >= on.route.Attempts {
+			return "no attempt is left"
+		}
+	}
+	if on.due-on.gateway.clock.Now() < leastLeft {
+		return "no time is left"
+	}
+	if ended != notSent && !on.gateway.mayRepeat(on.service.Name) {
+		return "the retry budget is used up"
+	}
+	return ""
+}
+
+// end gives the final answer of a request that no attempt answered.
+func (on *journey) end(ctx context.Context, reason string) {
+	gateway := on.gateway
+	switch {
+	case errors.Is(ctx.Err(), context.Canceled) && on.stream == nil:
+		gateway.log.Write(event.RequestEnded, "id", on.task.ID, "outcome", "callerGone", "took", gateway.clock.Now()-on.arrived)
+		panic(http.ErrAbortHandler)
+	case on.stream != nil:
+		gateway.log.Write(event.RequestEnded, "id", on.task.ID, "outcome", "brokenOff", "reason", reason, "lastEvent", on.stream.events.Last(),
+			"took", gateway.clock.Now()-on.arrived)
+		// An answer that breaks off must not look complete.
+		panic(http.ErrAbortHandler)
+	case on.kept != nil:
+		on.deliver(on.kept)
+	case on.runs > 0 && ctx.Err() != nil:
+		gateway.refuse(on.w, on.call, refusal{http.StatusGatewayTimeout, reason, 0})
+	case on.runs > 0:
+		gateway.refuse(on.w, on.call, refusal{http.StatusBadGateway, reason, 0})
+	default:
+		gateway.refuse(on.w, on.call, refusal{http.StatusServiceUnavailable, reason, busyRetry})
+	}
+}
+
+// choose picks the endpoint for the next attempt.
+func (on *journey) choose() (roster.Record, bool) {
+	gateway := on.gateway
+	records := gateway.poller.Endpoints(on.service.Name)
+	loads := gateway.poller.Loads()
+	now := gateway.clock.Now()
+	gateway.mu.Lock()
+	defer gateway.mu.Unlock()
+	var candidates []choose.Candidate
+	var open []roster.Record
+	for _, record := range records {
+		if on.tried[record.ID] {
+			continue
+		}
+		open = append(open, record)
+		candidates = append(candidates, choose.Candidate{
+			ID: record.ID, Work: loads[record.ID] + gateway.work[record.ID], Slots: slots(record, on.service),
+			Local: record.Zone == gateway.settings.Node.Zone,
+			Avoid: now-record.Heard > staleAfter || gateway.detector.Use(incarnation(record), now) == retry.Avoid,
+			Cold:  now < record.ColdUntil,
+		})
+	}
+	at := choose.Best(candidates, gateway.random)
+	if at < 0 {
+		return roster.Record{}, false
+	}
+	gateway.detector = gateway.detector.WithSent(incarnation(open[at]), now)
+	return open[at], true
+}
+
+func slots(record roster.Record, service plan.Service) int {
+	if record.Slots > 0 || service.Engine == nil {
+		return record.Slots
+	}
+	return service.Engine.Slots
+}
+
+// incarnation names one start of an endpoint: what an earlier one did wrong
+// tells nothing of it.
+func incarnation(record roster.Record) string { return record.ID + "@" + record.Address }
+
+func (gateway *Gateway) window(service string) *retry.Window {
+	gateway.mu.Lock()
+	defer gateway.mu.Unlock()
+	known := gateway.windows[service]
+	if known == nil {
+		known = retry.NewWindow(gateway.settings.Gateway.RetryRatio, gateway.settings.Gateway.RetryWindow)
+		gateway.windows[service] = known
+	}
+	return known
+}
+
+// mayRepeat takes one repeat from this gateway's part of the retry budget.
+func (gateway *Gateway) mayRepeat(service string) bool {
+	window := gateway.window(service)
+	slack := float64(gateway.settings.Gateway.RetrySlack) / float64(gateway.poller.Gateways())
+	gateway.mu.Lock()
+	defer gateway.mu.Unlock()
+	return window.Repeat(gateway.clock.Now(), slack)
+}
+
+// judge notes what an attempt tells of the endpoint.
+func (gateway *Gateway) judge(endpoint roster.Record, ended result) {
+	gateway.mu.Lock()
+	defer gateway.mu.Unlock()
+	name, now := incarnation(endpoint), gateway.clock.Now()
+	switch ended {
+	case delivered:
+		gateway.detector = gateway.detector.WithSuccess(name)
+	case notSent:
+		gateway.detector = gateway.detector.WithFailure(name, now).WithFailure(name, now)
+	case unknown, failed:
+		gateway.detector = gateway.detector.WithFailure(name, now)
+	default:
+		gateway.detector = gateway.detector.WithNeutral(name)
+	}
+}
--- /dev/null
+++ b/internal/gate/gate.go
@@ -0,0 +1,244 @@
+// Package gate is the gateway process: it takes callers' HTTP requests and
+// forwards them to endpoints.
+package gate
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sourcegraph/conc"
+
+	"github.com/hibiscuslug/hibiscuslug/internal/conns"
+	"github.com/hibiscuslug/hibiscuslug/internal/ctrl"
+	"github.com/hibiscuslug/hibiscuslug/internal/event"
+	"github.com/hibiscuslug/hibiscuslug/internal/feed"
+	"github.com/hibiscuslug/hibiscuslug/internal/link"
+	"github.com/hibiscuslug/hibiscuslug/internal/opts"
+	"github.com/hibiscuslug/hibiscuslug/internal/plan"
+	"github.com/hibiscuslug/hibiscuslug/internal/poll"
+	"github.com/hibiscuslug/hibiscuslug/internal/retry"
+	"github.com/hibiscuslug/hibiscuslug/internal/task"
+	"github.com/hibiscuslug/hibiscuslug/pkg/clock"
+	"github.com/hibiscuslug/hibiscuslug/pkg/wire"
+)
+
+const (
+	// controlSources is how many control VMs are asked at a time, so that the
+	// loss of one or two is not noticed.
+	controlSources = 3
+	// headerBytes bounds a request's header on top of what net/http adds; the
+	// configuration's own limit is lower.
+	headerBytes = 64 << 10
+	// readLimit bounds the time in which a caller must send its header.
+	readLimit = 10 * time.Second
+	// idleLimit is longer than callers keep a connection idle.
+	idleLimit = 2 * time.Minute
+	// rotation is how long the platform may still send new connections after
+	// the readiness check fails: two checks, a second apart, and some slack.
+	rotation = 2500 * clock.Millis(1)
+	// graceMargin is left of the grace for closing down.
+	graceMargin = 400 * clock.Millis(1)
+	// watchEvery bounds how late a change of readiness is seen without events.
+	watchEvery = 200 * clock.Millis(1)
+)
+
+// Settings of a gateway.
+type Settings struct {
+	Node    opts.Node
+	Gateway opts.Gateway
+	Dialect task.Dialect
+	// Seeds returns the seeds as the settings have them now.
+	Seeds func() []string
+}
+
+// Gateway is a running gateway process.
+type Gateway struct {
+	settings Settings
+	clock    *clock.Clock
+	log      *event.Log
+	view     *feed.View
+	links    *link.Pool
+	poller   *poll.Poller
+	conns    *conns.Pool
+	plan     atomic.Pointer[plan.Plan]
+	stopping atomic.Bool
+	http     *http.Server
+	ready    *http.Server
+	listener net.Listener
+	cancel   context.CancelFunc
+	loops    conc.WaitGroup
+
+	// mu guards the fields below. It is a leaf lock.
+	mu       sync.Mutex
+	random   *rand.Rand
+	work     map[string]int
+	heard    map[string]clock.Millis
+	detector retry.Detector
+	windows  map[string]*retry.Window
+}
+
+// New starts a gateway.
+func New(settings Settings, ticker *clock.Clock, log *event.Log) (*Gateway, error) {
+	gateway := &Gateway{
+		settings: settings, clock: ticker, log: log, view: feed.NewView(ticker), links: link.NewPool(), conns: conns.New(ticker),
+		random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), work: map[string]int{}, heard: map[string]clock.Millis{},
+		windows: map[string]*retry.Window{},
+	}
+	gateway.poller = poll.New(poll.Settings{
+		Node: settings.Node.Name, Zone: settings.Node.Zone, Sources: controlSources, Seeds: gateway.seeds, Loads: gateway.loads,
+	}, gateway.view, gateway.links, ticker, log)
+	if err := gateway.listen(); err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	gateway.cancel = cancel
+	gateway.poller.Start()
+	gateway.loops.Go(func() { gateway.follow(ctx) })
+	log.Write(event.Started, "role", "gateway", "address", gateway.Address())
+	return gateway, nil
+}
+
+func (gateway *Gateway) listen() error {
+	var config net.ListenConfig
+	listener, err := config.Listen(context.Background(), "tcp", gateway.settings.Gateway.HTTPListen)
+	if err != nil {
+		return errors.Wrap(err, "setting --http-listen")
+	}
+	gateway.listener = listener
+	gateway.http = &http.Server{
+		Handler: gateway, MaxHeaderBytes: headerBytes, ReadHeaderTimeout: readLimit, IdleTimeout: idleLimit,
+	}
+	gateway.serve(gateway.http, listener)
+	if gateway.settings.Gateway.ReadyListen == "" {
+		return nil
+	}
+	ready, err := config.Listen(context.Background(), "tcp", gateway.settings.Gateway.ReadyListen)
+	if err != nil {
+		return errors.CombineErrors(errors.Wrap(err, "setting --ready-listen"), gateway.http.Close())
+	}
+	gateway.ready = &http.Server{Handler: http.HandlerFunc(gateway.answerReady), ReadHeaderTimeout: readLimit}
+	gateway.serve(gateway.ready, ready)
+	return nil
+}
+
+func (gateway *Gateway) serve(server *http.Server, listener net.Listener) {
+	gateway.loops.Go(func() {
+		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			gateway.log.Write(event.ServeFailed, "error", err)
+		}
+	})
+}
+
+// Address returns the address for callers.
+func (gateway *Gateway) Address() string { return gateway.listener.Addr().String() }
+
+func (gateway *Gateway) seeds() []string {
+	seeds := gateway.settings.Gateway.Seed
+	if gateway.settings.Seeds != nil {
+		seeds = gateway.settings.Seeds()
+	}
+	addresses, err := ctrl.ParseSeeds(seeds, gateway.settings.Node.Listen)
+	if err != nil {
+		gateway.log.Write(event.SettingsRefused, "error", err)
+	}
+	return addresses
+}
+
+// loads reports the work at endpoints to control VMs.
+func (gateway *Gateway) loads() []*wire.EndpointLoad {
+	gateway.mu.Lock()
+	defer gateway.mu.Unlock()
+	list := make([]*wire.EndpointLoad, 0, len(gateway.work))
+	for id, running := range gateway.work {
+		list = append(list, &wire.EndpointLoad{Id: id, Running: uint32(running)})
+	}
+	return list
+}
+
+// follow takes each new configuration into force and logs readiness.
+func (gateway *Gateway) follow(ctx context.Context) {
+	was := false
+	for ctx.Err() == nil {
+		changed := gateway.view.Changed()
+		gateway.apply()
+		if is, reason := gateway.isReady(); is != was {
+			was = is
+			gateway.log.Write(event.ReadinessChanged, "ready", is, "reason", reason)
+		}
+		wait, cancel := context.WithTimeout(ctx, watchEvery.Duration())
+		select {
+		case <-changed:
+		case <-wait.Done():
+		}
+		cancel()
+	}
+}
+
+func (gateway *Gateway) apply() {
+	held := gateway.view.State().Deployment()
+	if now := gateway.plan.Load(); held == nil || now != nil && now.Version() >= held.GetVersion() {
+		return
+	}
+	decoded, err := gateway.settings.Dialect.Plan(held.GetDocument())
+	if err != nil {
+		// Control checked the document before it accepted it.
+		gateway.log.Write(event.DeploymentRefused, "version", held.GetVersion(), "error", err)
+		return
+	}
+	gateway.plan.Store(decoded)
+	gateway.log.Write(event.DeploymentInForce, "version", decoded.Version(), "revision", gateway.view.State().Revision(), "age", gateway.view.Age())
+}
+
+// isReady tells whether the gateway takes requests, and if not, why.
+func (gateway *Gateway) isReady() (bool, string) {
+	switch {
+	case gateway.stopping.Load():
+		return false, "stopping"
+	case gateway.plan.Load() == nil:
+		return false, "no configuration"
+	}
+	return true, ""
+}
+
+func (gateway *Gateway) answerReady(w http.ResponseWriter, _ *http.Request) {
+	if is, reason := gateway.isReady(); !is {
+		http.Error(w, reason, http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+// Close stops taking requests, lets those in flight end, and waits.
+func (gateway *Gateway) Close() error {
+	began := gateway.clock.Now()
+	gateway.stopping.Store(true)
+	gateway.log.Write(event.Stopping)
+	// New connections arrive until the platform has noticed.
+	if err := gateway.clock.Sleep(context.Background(), rotation); err != nil {
+		gateway.log.Write(event.ServeFailed, "error", err)
+	}
+	rest := gateway.settings.Gateway.Grace - graceMargin - (gateway.clock.Now() - began)
+	ctx, cancel := context.WithTimeout(context.Background(), rest.Duration())
+	defer cancel()
+	failure := gateway.http.Shutdown(ctx)
+	if errors.Is(failure, context.DeadlineExceeded) {
+		gateway.log.Write(event.ShutdownLimit)
+		failure = gateway.http.Close()
+	}
+	if gateway.ready != nil {
+		failure = errors.CombineErrors(failure, gateway.ready.Close())
+	}
+	gateway.cancel()
+	gateway.poller.Close()
+	gateway.loops.Wait()
+	gateway.conns.Close()
+	failure = errors.CombineErrors(failure, gateway.links.Close())
+	gateway.log.Write(event.Stopped)
+	return failure
+}
--- /dev/null
+++ b/internal/gate/relay.go
@@ -0,0 +1,72 @@
+package gate
+
+import (
+	"context"
+	"io"
+	"net/http"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/hibiscuslug/hibiscuslug/internal/stream"
+)
+
+// pieceSize holds several events; it is what one read takes at most, in bytes.
+const pieceSize = 8 << 10
+
+// relayed is what the caller has of a stream.
+type relayed struct {
+	events  stream.Splitter
+	control *http.ResponseController
+}
+
+// relay passes a stream's whole events on as they come. An event that broke off
+// is dropped, so that another endpoint can go on after the last whole one.
+func (on *journey) relay(ctx context.Context, response *http.Response) (result, bool, error) {
+	events := stream.Splitter{}
+	if on.stream != nil {
+		events = on.stream.events.Next()
+	}
+	buffer := make([]byte, pieceSize)
+	for {
+		size, err := response.Body.Read(buffer)
+		if whole := events.Events(buffer[:size]); len(whole) > 0 {
+			on.open(response)
+			on.stream.events = events
+			if failure := on.write(whole); failure != nil {
+				return callerGone, false, failure
+			}
+		}
+		switch {
+		case errors.Is(err, io.EOF) && !events.Partial():
+			return on.complete(response), true, nil
+		case err != nil:
+			return unknown, false, errors.Wrap(err, "stream broke off")
+		case ctx.Err() != nil:
+			return callerGone, false, ctx.Err()
+		}
+	}
+}
+
+// complete ends the stream that the caller gets.
+func (on *journey) complete(response *http.Response) result {
+	on.open(response)
+	on.logAnswered(response.StatusCode)
+	return delivered
+}
+
+// open sends the head of the first endpoint's answer, once.
+func (on *journey) open(response *http.Response) {
+	if on.stream != nil {
+		return
+	}
+	on.stream = &relayed{control: http.NewResponseController(on.w)}
+	copyHeader(on.w.Header(), response.Header)
+	on.w.WriteHeader(response.StatusCode)
+}
+
+func (on *journey) write(events []byte) error {
+	if _, err := on.w.Write(events); err != nil {
+		return err
+	}
+	return on.stream.control.Flush()
+}
--- /dev/null
+++ b/internal/gate/serve.go
@@ -0,0 +1,176 @@
+package gate
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/hibiscuslug/hibiscuslug/internal/event"
+	"github.com/hibiscuslug/hibiscuslug/internal/plan"
+	"github.com/hibiscuslug/hibiscuslug/internal/task"
+	"github.com/hibiscuslug/hibiscuslug/pkg/clock"
+)
+
+const (
+	// keyMargin is kept to the limit on keys for the time between the check and
+	// the start of the work.
+	keyMargin = 500 * clock.Millis(1)
+	// startRetry is when a caller may return to a process that has just
+	// started and has no configuration yet.
+	startRetry = 300 * clock.Millis(1)
+	// busyRetry is when a caller may return after no endpoint took its request.
+	busyRetry = 250 * clock.Millis(1)
+	// defaultBody bounds a body when the configuration gives no limit, in bytes.
+	defaultBody = 4 << 20
+	// defaultPatience is that of a caller that names none.
+	defaultPatience = clock.Minute
+)
+
+// refusal is an answer of the gateway's own.
+type refusal struct {
+	status int
+	reason string
+	retry  clock.Millis
+}
+
+// call is a request while the gateway has it.
+type call struct {
+	task     task.Task
+	route    plan.Route
+	service  plan.Service
+	customer string
+	urgency  int
+	arrived  clock.Millis
+	// due is when the caller or the route gives up.
+	due clock.Millis
+	// version is that of the configuration which decided.
+	version uint64
+}
+
+// ServeHTTP takes a caller's request.
+func (gateway *Gateway) ServeHTTP(w http.ResponseWriter, request *http.Request) {
+	asked := &call{arrived: gateway.clock.Now(), task: gateway.settings.Dialect.Task(request)}
+	if gateway.stopping.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	refused := gateway.classify(asked)
+	if refused == nil {
+		refused = gateway.read(w, request, asked)
+	}
+	if refused != nil {
+		gateway.refuse(w, asked, *refused)
+		return
+	}
+	ctx, cancel := context.WithTimeout(request.Context(), (asked.due - gateway.clock.Now()).Duration())
+	defer cancel()
+	gateway.forward(ctx, w, asked)
+}
+
+// classify finds the route and the customer.
+func (gateway *Gateway) classify(asked *call) *refusal {
+	now := gateway.plan.Load()
+	if now == nil {
+		return &refusal{http.StatusServiceUnavailable, "no configuration yet", startRetry}
+	}
+	asked.version = now.Version()
+	path, _, _ := strings.Cut(asked.task.Target, "?")
+	route, ok := now.Route(hostOnly(asked.task.Host), path)
+	if !ok {
+		return &refusal{http.StatusNotFound, "no route for this host and path", 0}
+	}
+	asked.route, asked.urgency = route, route.Priority
+	patience := asked.task.Patience
+	if patience <= 0 {
+		patience = defaultPatience
+	}
+	asked.due = asked.arrived + min(patience, route.Timeout)
+	if now.HasCustomers() && !route.Keyless {
+		if refused := gateway.identify(asked, now); refused != nil {
+			return refused
+		}
+	}
+	asked.service, _ = now.Service(gateway.pickService(route))
+	return nil
+}
+
+// identify finds the customer by its key. Without a recent confirmation the key
+// may have been taken away meanwhile.
+func (gateway *Gateway) identify(asked *call, now *plan.Plan) *refusal {
+	if age := gateway.view.Age(); age > gateway.settings.Gateway.RevokeLimit-keyMargin {
+		return &refusal{http.StatusServiceUnavailable, "keys were not confirmed for " + age.String(), clock.Second}
+	}
+	customer, ok := now.ByKey(asked.task.Key)
+	if !ok {
+		return &refusal{http.StatusUnauthorized, "unknown key", 0}
+	}
+	asked.customer = customer.Name
+	if customer.Priority != nil {
+		asked.urgency = *customer.Priority
+	}
+	return nil
+}
+
+// pickService draws a service by the weights of the route.
+func (gateway *Gateway) pickService(route plan.Route) string {
+	if len(route.Shares) == 1 {
+		return route.Shares[0].Service
+	}
+	total := 0.0
+	for _, share := range route.Shares {
+		total += share.Weight
+	}
+	gateway.mu.Lock()
+	drawn := gateway.random.Float64() * total
+	gateway.mu.Unlock()
+	for _, share := range route.Shares {
+		if drawn < share.Weight {
+			return share.Service
+		}
+		drawn -= share.Weight
+	}
+	return route.Shares[len(route.Shares)-1].Service
+}
+
+func hostOnly(host string) string {
+	if name, _, err := net.SplitHostPort(host); err == nil {
+		return name
+	}
+	return host
+}
+
+// read takes the body. The caller's end of the connection is watched only after
+// the whole body was read.
+func (gateway *Gateway) read(w http.ResponseWriter, request *http.Request, asked *call) *refusal {
+	limit := defaultBody
+	if now := gateway.plan.Load(); now != nil && now.Limits().Body > 0 {
+		limit = now.Limits().Body
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(w, request.Body, int64(limit)))
+	if err == nil {
+		asked.task.Body = body
+		return nil
+	}
+	var large *http.MaxBytesError
+	if errors.As(err, &large) {
+		return &refusal{http.StatusRequestEntityTooLarge, "body is too large", 0}
+	}
+	gateway.log.Write(event.RequestEnded, "id", asked.task.ID, "outcome", "notRead", "error", err)
+	panic(http.ErrAbortHandler)
+}
+
+// refuse answers a request that no endpoint answered.
+func (gateway *Gateway) refuse(w http.ResponseWriter, asked *call, refused refusal) {
+	gateway.log.Write(event.RequestEnded, "id", asked.task.ID, "outcome", "refused", "status", refused.status, "reason", refused.reason,
+		"customer", asked.customer, "route", asked.route.Name, "version", asked.version, "configAge", gateway.view.Age(),
+		"took", gateway.clock.Now()-asked.arrived, "retryAfter", refused.retry)
+	gateway.settings.Dialect.Refuse(w.Header(), asked.task, refused.retry)
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(refused.status)
+	// The error is for people; a caller that is gone does not need it.
+	_ = json.NewEncoder(w).Encode(map[string]string{"error": refused.reason})
+}
--- a/internal/opts/opts.go
+++ b/internal/opts/opts.go
@@ -89,6 +89,10 @@
 type Control struct {
 	Data            string       `long:"data" env:"HIB_DATA" description:"Data folder on the disk (required)"`
 	Group           []string     `long:"group" env:"HIB_GROUP" description:"Control VM of the first group as name@IP:port, this one included; may be repeated" env-delim:","`
+	Seed            []string     `long:"seed" env:"HIB_SEED" description:"IP or IP:port of a control VM, in place of --group: members are then named by address, and the port is that of --listen; may be repeated" env-delim:","`
+	Bootstrap       bool         `long:"bootstrap" env:"HIB_BOOTSTRAP" description:"With --seed: the deployment starts for the first time, so the seeds may form a group"`
+	Tolerance       int          `long:"tolerance" env:"HIB_TOLERANCE" description:"With --seed: control VMs that may be lost at once; the group has twice as many voters and one more, in VMs (0 to 7)" default:"1"`
+	APIListen       string       `long:"api-listen" env:"HIB_API_LISTEN" description:"IP:port of the deployment's HTTP interface for operators and endpoints; off when empty"`
 	ElectionTimeout clock.Millis `long:"election-timeout" env:"HIB_ELECTION_TIMEOUT" description:"Time without a leader after which an election starts; the same on all control VMs (50ms to 1m)" default:"600ms"`
 	CommitLimit     clock.Millis `long:"commit-limit" env:"HIB_COMMIT_LIMIT" description:"Longest wait for a change to be synced by a majority (100ms to 1m)" default:"2s"`
 	SnapshotBytes   int          `long:"snapshot-bytes" env:"HIB_SNAPSHOT_BYTES" description:"Growth of the log after which a snapshot is written, at least twice the last snapshot's size, in bytes (4096 to 1073741824)" default:"8388608"`
@@ -99,12 +103,40 @@
 	return bounds.First(
 		bounds.Required("data", set.Data),
 		bounds.Members("group", set.Group),
+		bounds.Int("tolerance", set.Tolerance, 0, 7, "VMs"),
+		bounds.Optional(bounds.Listen, "api-listen", set.APIListen),
 		bounds.Span("election-timeout", set.ElectionTimeout, "50ms", "1m"),
 		bounds.Span("commit-limit", set.CommitLimit, "100ms", "1m"),
 		bounds.Int("snapshot-bytes", set.SnapshotBytes, 4096, 1073741824, "bytes"),
 	)
 }
 
+// Gateway holds the settings of a gateway process, which forwards requests to endpoints over HTTP.
+type Gateway struct {
+	HTTPListen  string       `long:"http-listen" env:"HIB_HTTP_LISTEN" description:"IP:port for callers" default:"127.0.0.1:8080"`
+	ReadyListen string       `long:"ready-listen" env:"HIB_READY_LISTEN" description:"IP:port of the readiness check; off when empty"`
+	Seed        []string     `long:"seed" env:"HIB_SEED" description:"IP or IP:port of a control VM; the port is that of --listen when left out or when --listen has a port; may be repeated (required)" env-delim:","`
+	RevokeLimit clock.Millis `long:"revoke-limit" env:"HIB_REVOKE_LIMIT" description:"Longest time for which a customer's key is taken without a control VM having confirmed the configuration (100ms to 1h)" default:"5s"`
+	Grace       clock.Millis `long:"grace" env:"HIB_GRACE" description:"Time between the signal to stop and the end of the process (1s to 1h)" default:"8s"`
+	RetryRatio  float64      `long:"retry-ratio" env:"HIB_RETRY_RATIO" description:"Repeated requests allowed for each request of a service (0 to 1)" default:"0.2"`
+	RetrySlack  int          `long:"retry-slack" env:"HIB_RETRY_SLACK" description:"Repeated requests allowed besides, in all gateways together, in each retry window, in requests (0 to 100000)" default:"100"`
+	RetryWindow clock.Millis `long:"retry-window" env:"HIB_RETRY_WINDOW" description:"Time over which repeated requests are counted (1s to 10m)" default:"10s"`
+}
+
+// Check reports the first setting that is missing or out of range.
+func (set *Gateway) Check() error {
+	return bounds.First(
+		bounds.Listen("http-listen", set.HTTPListen),
+		bounds.Optional(bounds.Listen, "ready-listen", set.ReadyListen),
+		bounds.RequiredList("seed", set.Seed),
+		bounds.Span("revoke-limit", set.RevokeLimit, "100ms", "1h"),
+		bounds.Span("grace", set.Grace, "1s", "1h"),
+		bounds.Float("retry-ratio", set.RetryRatio, 0, 1, ""),
+		bounds.Int("retry-slack", set.RetrySlack, 0, 100000, "requests"),
+		bounds.Span("retry-window", set.RetryWindow, "1s", "10m"),
+	)
+}
+
 // Embedded holds the settings of the embedded fleet.
 type Embedded struct {
 	Demo      bool         `long:"demo" env:"HIB_DEMO" description:"Send a mixed load, make one operator change, print what was seen, and end"`
--- a/internal/quorum/join.go
+++ b/internal/quorum/join.go
@@ -14,6 +14,9 @@
 		return
 	}
 	core.beatDue = core.now + core.settings.ElectionTimeout/heartbeatsPerTimeout + clock.Millis(1)
+	if core.settings.JoinOnly {
+		core.beatDue = core.now + core.settings.ElectionTimeout
+	}
 	core.form()
 	if core.formed() {
 		return
@@ -41,6 +44,9 @@
 // late message from before a disk was emptied lists the old disk and so does
 // not count.
 func (core *Core) form() {
+	if core.settings.JoinOnly {
+		return
+	}
 	members := core.metMembers()
 	if len(core.settings.First) == 0 {
 		core.found(members)
@@ -153,13 +159,64 @@
 		return
 	}
 	known := func(member *wire.ControlMember) bool { return member.GetName() == peer.Name }
-	if !core.membersSettled() || find(core.members, peer) != nil || !slices.ContainsFunc(core.members, known) {
+	if !core.membersSettled() || find(core.members, peer) != nil {
+		return
+	}
+	if !slices.ContainsFunc(core.members, known) && !core.hasPlace() {
 		return
 	}
 	kept := without(core.members, func(member *wire.ControlMember) bool { return known(member) && !member.GetVoter() })
 	core.setMembers(append(kept, &wire.ControlMember{Name: peer.Name, Disk: peer.Disk, Address: address}), "")
 }
 
+// hasPlace tells whether an open group lacks a voter and no learner is on its
+// way to become one.
+func (core *Core) hasPlace() bool {
+	if core.settings.Voters == 0 {
+		return false
+	}
+	voters := 0
+	for _, member := range core.members {
+		if !member.GetVoter() {
+			return false
+		}
+		if !core.lost(member) {
+			voters++
+		}
+	}
+	return voters < core.settings.Voters
+}
+
+// lost tells whether a member has not answered for so long that another may
+// take its place.
+func (core *Core) lost(member *wire.ControlMember) bool {
+	peer := peerOf(member)
+	known := core.progress[peer]
+	if peer == core.self || known == nil {
+		return false
+	}
+	return core.now-max(known.heard, core.ledSince) > core.settings.ReplaceAfter
+}
+
+// removeLost takes a lost voter out of an open group that has enough others.
+func (core *Core) removeLost() {
+	if core.settings.Voters == 0 || !core.membersSettled() {
+		return
+	}
+	voters := 0
+	for _, member := range core.members {
+		if member.GetVoter() {
+			voters++
+		}
+	}
+	for _, member := range core.members {
+		if core.lost(member) && (!member.GetVoter() || voters > core.settings.Voters) {
+			core.setMembers(without(core.members, func(other *wire.ControlMember) bool { return other == member }), "")
+			return
+		}
+	}
+}
+
 func (core *Core) forwardJoin(message *wire.PeerMessage) {
 	member := find(core.members, core.leader)
 	if member == nil {
--- a/internal/quorum/lease.go
+++ b/internal/quorum/lease.go
@@ -35,6 +35,7 @@
 	if core.now >= core.beatDue {
 		core.heartbeat()
 		core.repairMembers()
+		core.removeLost()
 	}
 }
 
--- a/internal/quorum/quorum.go
+++ b/internal/quorum/quorum.go
@@ -47,7 +47,14 @@
 	Address string
 	// First lists the members of the first group by name; it may include this
 	// one. Without it the member is a group of one.
-	First           []*wire.ControlMember
+	First []*wire.ControlMember
+	// JoinOnly is set for a member that joins a group which exists already.
+	JoinOnly bool
+	// Voters is how many voters an open group should have: a process that asks
+	// to join becomes one while there are fewer, or in the place of one that
+	// has not answered for ReplaceAfter. 0 keeps the group closed.
+	Voters          int
+	ReplaceAfter    clock.Millis
 	ElectionTimeout clock.Millis
 	Seed            uint64
 	// KeptBehind is the number of entries that stay in memory behind an image,
--- a/internal/state/change.go
+++ b/internal/state/change.go
@@ -66,6 +66,8 @@
 		return state.putGroup(body.Group)
 	case *wire.Change_Placement:
 		return state.putPlacement(body.Placement)
+	case *wire.Change_Deployment:
+		return state.putDeployment(body.Deployment)
 	case *wire.Change_Drop:
 		return state.drop(body.Drop)
 	default:
@@ -134,6 +136,16 @@
 	return nil
 }
 
+// putDeployment takes the highest version; a lower or equal one is a conflict
+// and leaves the configuration as it is.
+func (state *State) putDeployment(deployment *wire.Deployment) error {
+	if held := state.deployment; held != nil && deployment.GetVersion() <= held.GetVersion() {
+		return refuse(CodeConflict, "deployment is at version %d; version %d is not newer", held.GetVersion(), deployment.GetVersion())
+	}
+	state.deployment = deployment
+	return nil
+}
+
 func (state *State) putPlacement(placement *wire.Placement) error {
 	if old, ok := state.placements[placement.GetEngine()]; ok && placement.GetEpoch() <= old.GetEpoch() {
 		return refuse(CodeConflict, "placement of engine %s is at epoch %d; epoch %d is not newer", placement.GetEngine(), old.GetEpoch(), placement.GetEpoch())
--- a/internal/state/snapshot.go
+++ b/internal/state/snapshot.go
@@ -15,6 +15,7 @@
 		Blocks:     state.Blocks(),
 		Groups:     state.Groups(),
 		Placements: state.Placements(),
+		Deployment: state.deployment,
 	}
 }
 
@@ -23,6 +24,7 @@
 	state := New()
 	state.revision = snapshot.GetRevision()
 	state.rules = snapshot.GetRules()
+	state.deployment = snapshot.GetDeployment()
 	clear(state.tiers)
 	for _, tier := range snapshot.GetTiers() {
 		state.tiers[tier.GetName()] = tier
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -31,6 +31,7 @@
 	blocks     map[uint64]*wire.Block
 	groups     map[string]*wire.GroupRecord
 	placements map[string]*wire.Placement
+	deployment *wire.Deployment
 }
 
 // New returns the empty configuration at revision 0, with the built-in tiers.
@@ -91,6 +92,10 @@
 // Blocks returns the blocked requests.
 func (state *State) Blocks() []*wire.Block { return sorted(state.blocks) }
 
+// Deployment returns the configuration of request forwarding, or nil before
+// the first one was accepted.
+func (state *State) Deployment() *wire.Deployment { return state.deployment }
+
 // Drained tells whether new work is kept from an endpoint.
 func (state *State) Drained(endpoint string) bool {
 	_, ok := state.drains[endpoint]
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -32,6 +32,8 @@
 	quorum.Stored
 	// Disk is the folder's disk id, a new one if the folder was empty.
 	Disk uint64
+	// Known is set when the folder had a disk id before it was opened.
+	Known bool
 	// Cut counts the bytes that were no intact records.
 	Cut int64
 }
@@ -65,7 +67,7 @@
 	if err := kept.UnmarshalVT(text); err != nil {
 		return errors.Wrap(err, "read vote and term")
 	}
-	store.diskID = kept.GetDisk()
+	store.diskID, contents.Known = kept.GetDisk(), true
 	contents.Hard = quorum.HardState{Term: kept.GetTerm(), Vote: quorum.Peer{Name: kept.GetVote(), Disk: kept.GetVoteDisk()}}
 	return nil
 }
--- a/pkg/clock/clock.go
+++ b/pkg/clock/clock.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"golang.org/x/sys/unix"
 )
 
 // Millis is an instant since the Unix epoch, or a span, in milliseconds.
@@ -49,7 +50,7 @@
 type Clock struct {
 	// base and start keep system time monotonic: later wall clock steps are ignored.
 	base  Millis
-	start time.Time
+	start Millis
 
 	// mu guards the fields of a manual clock.
 	mu      sync.Mutex
@@ -63,10 +64,21 @@
 	done chan struct{}
 }
 
-// NewSystem returns a clock that follows the machine's monotonic time.
+// NewSystem returns a clock that follows the time since the machine's boot. It
+// counts the time for which the machine was suspended, so a lease that ran out
+// meanwhile is seen to have ended.
 func NewSystem() *Clock {
-	now := time.Now()
-	return &Clock{base: Millis(now.UnixMilli()), start: now}
+	return &Clock{base: Millis(time.Now().UnixMilli()), start: sinceBoot()}
+}
+
+func sinceBoot() Millis {
+	var now unix.Timespec
+	// The call fails only for a clock that the kernel does not have; every
+	// kernel that Go supports has this one.
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &now); err != nil {
+		panic(err)
+	}
+	return Millis(now.Nano() / int64(time.Millisecond))
 }
 
 // NewManual returns a clock that moves only by Advance.
@@ -77,7 +89,7 @@
 // Now returns the current instant.
 func (clock *Clock) Now() Millis {
 	if !clock.manual {
-		return clock.base + Millis(time.Since(clock.start).Milliseconds())
+		return clock.base + sinceBoot() - clock.start
 	}
 	clock.mu.Lock()
 	defer clock.mu.Unlock()
--- a/schema/gen/main.go
+++ b/schema/gen/main.go
@@ -60,8 +60,8 @@
 func (entry setting) Field() string {
 	var field strings.Builder
 	for _, part := range strings.Split(entry.Name, "-") {
-		if part == "http" {
-			field.WriteString("HTTP")
+		if part == "http" || part == "api" {
+			field.WriteString(strings.ToUpper(part))
 			continue
 		}
 		field.WriteString(strings.ToUpper(part[:1]) + part[1:])
--- a/test/history/clients_test.go
+++ b/test/history/clients_test.go
@@ -264,7 +264,7 @@
 		return nil, err
 	}
 	view := feed.NewView(clock.NewSystem())
-	if err := view.Apply(item); err != nil {
+	if err := view.Apply(item, clock.NewSystem().Now()); err != nil {
 		return nil, err
 	}
 	return view.State(), nil
