Drive expert maps through agents beside the engines

Change: role agent reads a rank's engine and gives it orders from its own VM; package swap brings a group to a map by prepare, hold, arm and go; package steer plans maps on the control leader with rebal, which now knows free slots and a bound on experts new to a rank. Copies are priced, so the effort follows how full the group is.

--- a/internal/ctrl/fleet.go
+++ b/internal/ctrl/fleet.go
@@ -179,5 +179,18 @@
 // Heard takes what an endpoint says of itself.
 func (control *Control) Heard(record roster.Record) { control.fleet.Heard(record) }
 
+// Endpoints returns the endpoints of a service that are not gone.
+func (control *Control) Endpoints(service string) []roster.Record {
+	return control.fleet.Present(service)
+}
+
+// Deployment returns the configuration of request forwarding known here, or nil.
+func (control *Control) Deployment() *wire.Deployment { return control.view.State().Deployment() }
+
+// Leads tells whether this process leads, as a majority confirmed lately.
+func (control *Control) Leads() bool {
+	return control.status.Load().Role == quorum.Leader && control.view.Age() < control.settings.Control.ElectionTimeout
+}
+
 // Now returns the instant of the process's clock.
 func (control *Control) Now() clock.Millis { return control.clock.Now() }
--- /dev/null
+++ b/internal/daemon/agent.go
@@ -0,0 +1,80 @@
+package daemon
+
+import (
+	"fmt"
+	"io"
+	"os"
+	"sync"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/hibiscuslug/hibiscuslug/internal/agent"
+	"github.com/hibiscuslug/hibiscuslug/internal/bounds"
+	"github.com/hibiscuslug/hibiscuslug/internal/ctrl"
+	"github.com/hibiscuslug/hibiscuslug/internal/event"
+	"github.com/hibiscuslug/hibiscuslug/internal/opts"
+	"github.com/hibiscuslug/hibiscuslug/internal/plan"
+	"github.com/hibiscuslug/hibiscuslug/internal/steer"
+	"github.com/hibiscuslug/hibiscuslug/pkg/clock"
+	"github.com/hibiscuslug/hibiscuslug/platform"
+)
+
+type agentCommand struct {
+	opts.Node
+	opts.Agent
+	out  io.Writer
+	file *settingsFile
+}
+
+// Execute runs the agent beside an engine.
+func (command *agentCommand) Execute([]string) error {
+	if err := bounds.First(command.Node.Check(), command.Agent.Check()); err != nil {
+		return err
+	}
+	log := event.New(os.Stdout, command.Name, command.Zone)
+	running, err := agent.New(command.Node, platform.NewEngine(command.EngineAddress), log)
+	if err != nil {
+		return err
+	}
+	fmt.Fprintln(command.out, "ready", running.Address())
+	return command.file.watch(log, func() error { return wait(running) })
+}
+
+// steered is a control process with the coordinator of its rank groups.
+type steered struct {
+	role
+	steer *steer.Steer
+}
+
+// newSteered starts the coordinator beside a control process.
+func newSteered(running role, control *ctrl.Control, node opts.Node, ticker *clock.Clock, log *event.Log) role {
+	return &steered{role: running, steer: steer.New(steer.Settings{
+		Listen: node.Listen, Plan: latestPlan(control, log), Endpoints: control.Endpoints, Leads: control.Leads,
+	}, ticker, log)}
+}
+
+// latestPlan decodes each configuration once.
+func latestPlan(control *ctrl.Control, log *event.Log) func() *plan.Plan {
+	var mu sync.Mutex
+	var last *plan.Plan
+	return func() *plan.Plan {
+		mu.Lock()
+		defer mu.Unlock()
+		held := control.Deployment()
+		if held == nil || last != nil && last.Version() == held.GetVersion() {
+			return last
+		}
+		decoded, err := platform.Dialect{}.Plan(held.GetDocument())
+		if err != nil {
+			log.Write(event.DeploymentRefused, "version", held.GetVersion(), "error", err)
+			return last
+		}
+		last = decoded
+		return last
+	}
+}
+
+// Close stops the coordinator before the control process.
+func (running *steered) Close() error {
+	return errors.CombineErrors(running.steer.Close(), running.role.Close())
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -90,9 +90,10 @@
 		out = os.Stdout
 	}
 	log := event.New(out, command.Name, command.Zone)
+	ticker := clock.NewSystem()
 	control, err := ctrl.New(ctrl.Settings{
 		Node: command.Node, Control: command.Control, Seeds: command.file.seeds(command.Seed),
-	}, clock.NewSystem(), log)
+	}, ticker, log)
 	if err != nil {
 		return err
 	}
@@ -100,6 +101,9 @@
 	if err != nil {
 		return err
 	}
+	if command.APIListen != "" {
+		running = newSteered(running, control, command.Node, ticker, log)
+	}
 	fmt.Fprintln(command.out, "ready", running.Address())
 	return command.file.watch(log, func() error { return wait(running) })
 }
@@ -142,6 +146,7 @@
 		{"endpoint", "Run an endpoint process", endpointHelp, &endpointCommand{out: out}},
 		{"control", "Run a control VM's process", controlHelp, &controlCommand{out: out, file: file}},
 		{"gateway", "Run a gateway process", gatewayHelp, &gatewayCommand{out: out, file: file}},
+		{"agent", "Run the agent beside a rank's engine", agentHelp, &agentCommand{out: out, file: file}},
 		{"embedded", "Run a small fleet of three zones in one process", embeddedHelp, &embeddedCommand{out: out}},
 	}
 }
--- a/internal/daemon/help.go
+++ b/internal/daemon/help.go
@@ -30,6 +30,11 @@
   hibiscuslug gateway --name gateway1 --zone zone1 --listen 127.0.0.1:7000 --http-listen 127.0.0.1:8080 --seed 127.0.0.1
   hibiscuslug gateway --settings /etc/hibiscuslug.env`
 
+const agentHelp = `Lets the control leader read the engine on the same VM and give it orders.
+
+Example:
+  hibiscuslug agent --name agent1 --zone zone1 --listen 127.0.0.1:7000 --engine-address 127.0.0.1:9000`
+
 const embeddedHelp = `Runs control, entry and endpoint processes of three availability zones with fake engines in one process.
 
 Examples:
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -59,6 +59,11 @@
 	RequestEnded       = Event{240, "request ended"}
 	SendEnded          = Event{241, "attempt at an endpoint ended"}
 	LinesDropped       = Event{106, "log lines dropped"}
+	RankOrdered        = Event{601, "order to a rank's engine"}
+	MapWanted          = Event{602, "expert map planned"}
+	MapInForce         = Event{603, "expert map in force"}
+	GroupUnread        = Event{604, "ranks of a group cannot all be read"}
+	GroupRead          = Event{605, "ranks of a group can all be read again"}
 	EngineUnreachable  = Event{501, "engine does not answer"}
 	InstructionRefused = Event{502, "instruction with an old fencing number refused"}
 )
--- a/internal/expert/map.go
+++ b/internal/expert/map.go
@@ -21,6 +21,9 @@
 	layers [][]uint16
 }
 
+// Free marks a slot that holds no expert.
+const Free = uint16(1<<16 - 1)
+
 // NewMap returns a map over layers of slots.
 func NewMap(ranks, slotsPerRank int, layers [][]uint16) (Map, error) {
 	for at, slots := range layers {
@@ -69,7 +72,7 @@
 		for rank := range plan.ranks {
 			before := old.rankSlots(layer, rank)
 			for _, expert := range plan.rankSlots(layer, rank) {
-				if !slices.Contains(before, expert) {
+				if expert != Free && !slices.Contains(before, expert) {
 					copies++
 				}
 			}
--- a/internal/opts/opts.go
+++ b/internal/opts/opts.go
@@ -137,6 +137,19 @@
 	)
 }
 
+// Agent holds the settings of the agent beside a rank's engine.
+type Agent struct {
+	EngineAddress string `long:"engine-address" env:"HIB_ENGINE_ADDRESS" description:"IP:port of the engine on the same VM (required)"`
+}
+
+// Check reports the first setting that is missing or out of range.
+func (set *Agent) Check() error {
+	return bounds.First(
+		bounds.Required("engine-address", set.EngineAddress),
+		bounds.Address("engine-address", set.EngineAddress),
+	)
+}
+
 // Embedded holds the settings of the embedded fleet.
 type Embedded struct {
 	Demo      bool         `long:"demo" env:"HIB_DEMO" description:"Send a mixed load, make one operator change, print what was seen, and end"`
--- a/internal/plan/plan.go
+++ b/internal/plan/plan.go
@@ -3,6 +3,7 @@
 package plan
 
 import (
+	"maps"
 	"slices"
 	"strings"
 
@@ -186,6 +187,15 @@
 	return service, ok
 }
 
+// Services returns all services, ordered by name.
+func (plan *Plan) Services() []Service {
+	list := make([]Service, 0, len(plan.services))
+	for _, name := range slices.Sorted(maps.Keys(plan.services)) {
+		list = append(list, plan.services[name])
+	}
+	return list
+}
+
 // HasCustomers tells whether requests need a key.
 func (plan *Plan) HasCustomers() bool { return plan.customers > 0 }
 
--- a/internal/poll/poll.go
+++ b/internal/poll/poll.go
@@ -267,6 +267,13 @@
 	return poller.table.Usable(service)
 }
 
+// Present returns the endpoints of a service that are not gone.
+func (poller *Poller) Present(service string) []roster.Record {
+	poller.mu.Lock()
+	defer poller.mu.Unlock()
+	return poller.table.Present(service)
+}
+
 // Since returns the records updated after a position, the new position, and a
 // channel that is closed at the next change of where work may go.
 func (poller *Poller) Since(position uint64) ([]roster.Record, uint64, <-chan struct{}) {
--- a/internal/rebal/load.go
+++ b/internal/rebal/load.go
@@ -55,7 +55,9 @@
 func counts(plan expert.Map, layer, experts int) []int {
 	replicas := make([]int, experts)
 	for _, held := range plan.Slots(layer) {
-		replicas[held]++
+		if held != expert.Free {
+			replicas[held]++
+		}
 	}
 	return replicas
 }
@@ -64,7 +66,9 @@
 	replicas := counts(plan, layer, len(load))
 	ranks := make([]float64, plan.Ranks())
 	for slot, held := range plan.Slots(layer) {
-		ranks[plan.RankOf(slot)] += load[held] / float64(replicas[held])
+		if held != expert.Free {
+			ranks[plan.RankOf(slot)] += load[held] / float64(replicas[held])
+		}
 	}
 	return ranks
 }
--- a/internal/rebal/planner.go
+++ b/internal/rebal/planner.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 
 	"github.com/hibiscuslug/hibiscuslug/internal/expert"
 )
@@ -14,6 +15,8 @@
 	Stop  float64
 	// MaxCopies bounds the experts copied for one layer at a time.
 	MaxCopies int
+	// PerRank bounds the experts that are new to a rank in one layer; 0 for no bound.
+	PerRank int
 	// LeastGain is the skew that one copied expert has to save: the time saved
 	// until the next plan against the steps slowed by copying.
 	LeastGain float64
@@ -50,6 +53,7 @@
 // or the copies are used up.
 func (planner *Planner) layer(plan expert.Map, layer int, load []float64) []uint16 {
 	work := newLayout(plan, layer, load)
+	work.perRankNew = planner.settings.PerRank
 	copies := 0
 	for copies < planner.settings.MaxCopies && work.skew() > planner.settings.Stop {
 		best := work.best()
@@ -64,7 +68,12 @@
 
 // layout is one layer with its loads while it is being changed.
 type layout struct {
-	slots    []uint16
+	slots []uint16
+	// before holds the slots as they are now; perRankNew bounds what a rank may
+	// hold beyond them, unless it is 0.
+	before     []uint16
+	perRankNew int
+
 	perRank  int
 	load     []float64
 	replicas []int
@@ -85,7 +94,7 @@
 
 func newLayout(plan expert.Map, layer int, load []float64) *layout {
 	work := &layout{
-		slots: append([]uint16(nil), plan.Slots(layer)...), perRank: plan.SlotsPerRank(), load: load,
+		slots: append([]uint16(nil), plan.Slots(layer)...), before: plan.Slots(layer), perRank: plan.SlotsPerRank(), load: load,
 		replicas: counts(plan, layer, len(load)), ranks: rankLoads(plan, layer, load),
 	}
 	for _, rank := range work.ranks {
@@ -97,6 +106,9 @@
 func (work *layout) rank(slot int) int { return slot / work.perRank }
 
 func (work *layout) share(held uint16) float64 {
+	if held == expert.Free {
+		return 0
+	}
 	return work.load[held] / float64(work.replicas[held])
 }
 
@@ -136,18 +148,35 @@
 func (work *layout) gain(hot int, tried move) float64 {
 	before := work.ranks[hot]
 	from, into := work.slots[tried.slot], work.slots[tried.other]
-	if from == into || work.holds(work.rank(tried.other), from) {
+	if from == into || from == expert.Free || work.holds(work.rank(tried.other), from) || !work.fits(tried.other, from) {
 		return 0
 	}
 	if tried.exchange {
 		return work.exchangeGain(before, tried, from, into)
 	}
-	if work.replicas[into] < 2 {
+	if into != expert.Free && work.replicas[into] < 2 {
 		return 0
 	}
 	return work.copyGain(before, tried, from, into)
 }
 
+// fits tells whether an expert may come into a slot within the bound on experts
+// that are new to the rank.
+func (work *layout) fits(slot int, held uint16) bool {
+	first := work.rank(slot) * work.perRank
+	before := work.before[first : first+work.perRank]
+	if work.perRankNew == 0 || slices.Contains(before, held) {
+		return true
+	}
+	added := 1
+	for at := first; at < first+work.perRank; at++ {
+		if at != slot && work.slots[at] != expert.Free && !slices.Contains(before, work.slots[at]) {
+			added++
+		}
+	}
+	return added <= work.perRankNew
+}
+
 // holds tells whether a rank has a replica of an expert already.
 func (work *layout) holds(rank int, held uint16) bool {
 	for slot := rank * work.perRank; slot < (rank+1)*work.perRank; slot++ {
@@ -159,7 +188,7 @@
 }
 
 func (work *layout) exchangeGain(before float64, tried move, from, into uint16) float64 {
-	if work.holds(work.rank(tried.slot), into) {
+	if into == expert.Free || work.holds(work.rank(tried.slot), into) || !work.fits(tried.slot, into) {
 		return 0
 	}
 	shift := work.share(from) - work.share(into)
@@ -170,14 +199,19 @@
 // copyGain is what one more replica of an expert saves; the replica that it
 // replaces sends its tokens to the expert's other slots.
 func (work *layout) copyGain(before float64, tried move, from, into uint16) float64 {
-	fewer := work.load[into] / float64(work.replicas[into]-1)
+	fewer := 0.0
+	if into != expert.Free {
+		fewer = work.load[into] / float64(work.replicas[into]-1)
+	}
 	more := work.load[from] / float64(work.replicas[from]+1)
 	cold := work.rank(tried.other)
 	after := 0.0
 	for rank, load := range work.ranks {
 		// Replicas on the same rank count each.
 		load += float64(work.count(rank, from)) * (more - work.share(from))
-		load += float64(work.count(rank, into)) * (fewer - work.share(into))
+		if into != expert.Free {
+			load += float64(work.count(rank, into)) * (fewer - work.share(into))
+		}
 		if rank == cold {
 			load += more - fewer
 		}
@@ -203,7 +237,9 @@
 		work.slots[chosen.slot] = into
 	} else {
 		work.replicas[from]++
-		work.replicas[into]--
+		if into != expert.Free {
+			work.replicas[into]--
+		}
 	}
 	clear(work.ranks)
 	for slot, held := range work.slots {
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -160,9 +160,18 @@
 
 // Usable returns the endpoints of a service that take new work.
 func (table *Table) Usable(service string) []Record {
+	return table.list(service, Record.Usable)
+}
+
+// Present returns the endpoints of a service that are not gone.
+func (table *Table) Present(service string) []Record {
+	return table.list(service, func(record Record) bool { return !record.Gone })
+}
+
+func (table *Table) list(service string, fits func(Record) bool) []Record {
 	var list []Record
 	for _, known := range table.records {
-		if known.Service == service && known.Usable() {
+		if known.Service == service && fits(known.Record) {
 			list = append(list, known.Record)
 		}
 	}
--- /dev/null
+++ b/internal/steer/maps.go
@@ -0,0 +1,191 @@
+package steer
+
+import (
+	"context"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/hibiscuslug/hibiscuslug/internal/event"
+	"github.com/hibiscuslug/hibiscuslug/internal/expert"
+	"github.com/hibiscuslug/hibiscuslug/internal/rebal"
+	"github.com/hibiscuslug/hibiscuslug/internal/roster"
+	"github.com/hibiscuslug/hibiscuslug/internal/swap"
+	"github.com/hibiscuslug/hibiscuslug/pkg/wire"
+)
+
+// effort is how much skew is worth copies. A group with free slots loses little
+// by a longer pass; a full one loses requests.
+type effort struct {
+	// fill is the share of slots taken from which the effort counts.
+	fill float64
+	// start, stop and gain are those of rebal.Settings.
+	start, stop, gain float64
+}
+
+// efforts go from a full group to an idle one. The figures come from the runs
+// in journal/ with the reason "effort by fill".
+var efforts = []effort{
+	{fill: 0.55, start: 1.10, stop: 1.03, gain: 0.001},
+	{fill: 0.35, start: 1.25, stop: 1.10, gain: 0.004},
+	{fill: 0, start: 1.50, stop: 1.20, gain: 0.008},
+}
+
+// planner returns the settings for a group as full as it is.
+func planner(known *group, states []*wire.RankState) rebal.Settings {
+	taken := 0
+	for _, state := range states {
+		taken += int(state.GetRunning() + state.GetWaiting())
+	}
+	fill := float64(taken) / float64(max(len(states)*known.engine.Slots, 1))
+	settings := rebal.Settings{MaxCopies: known.engine.Spare * known.held.Ranks(), PerRank: known.engine.Spare}
+	for _, level := range efforts {
+		if fill >= level.fill {
+			settings.Start, settings.Stop, settings.LeastGain = level.start, level.stop, level.gain
+			break
+		}
+	}
+	return settings
+}
+
+// measure takes the choices since the last read into the loads.
+func (known *group) measure(states []*wire.RankState) {
+	sets, experts := known.engine.Sets, known.engine.Experts
+	measured := make(rebal.Loads, sets)
+	for set := range measured {
+		measured[set] = make([]float64, experts)
+	}
+	counts, born := make([][]uint64, len(states)), make([]int64, len(states))
+	first := len(known.counts) != len(states)
+	for at, state := range states {
+		counts[at], born[at] = state.GetCounts(), state.GetBorn()
+		if len(counts[at]) != sets*experts {
+			return
+		}
+		var before []uint64
+		if at < len(known.counts) && known.born[at] == born[at] {
+			before = known.counts[at]
+		}
+		for index, count := range counts[at] {
+			if before != nil && count >= before[index] {
+				measured[index/experts][index%experts] += float64(count - before[index])
+			}
+		}
+	}
+	if first {
+		known.counts, known.born = counts, born
+		return
+	}
+	if !normalize(measured) {
+		return
+	}
+	known.counts, known.born = counts, born
+	known.loads = known.loads.With(measured)
+}
+
+// normalize turns counts into shares. It returns false when there are too few;
+// the next read then covers a longer time.
+func normalize(measured rebal.Loads) bool {
+	for _, set := range measured {
+		sum := 0.0
+		for _, count := range set {
+			sum += count
+		}
+		if sum < leastChoices {
+			return false
+		}
+		for at := range set {
+			set[at] /= sum
+		}
+	}
+	return len(measured) > 0
+}
+
+// plan keeps the map in use known and asks for a better one.
+func (steer *Steer) plan(ctx context.Context, known *group, ranks []roster.Record, states []*wire.RankState) {
+	now := rankStates(states)
+	if !swap.Uniform(now) {
+		return
+	}
+	version, epoch := now[0].Map, now[0].Epoch
+	if !known.known || version != known.version || epoch != known.epoch {
+		if err := steer.learn(ctx, known, ranks, version, epoch); err != nil {
+			steer.note(known, err)
+			return
+		}
+	}
+	if known.swap.Busy() || known.loads == nil {
+		return
+	}
+	next, changed := rebal.New(planner(known, states)).Plan(known.held, known.loads)
+	if !changed {
+		return
+	}
+	known.wanted = next
+	wanted := swap.Newest(now) + 1
+	known.swap.Want(wanted, epoch, steer.clock.Now())
+	steer.log.Write(event.MapWanted, "group", known.name, "version", wanted, "epoch", epoch, "copies", next.Copies(known.held),
+		"skewNow", rebal.MeanSkew(known.held, known.loads), "skewPlanned", rebal.MeanSkew(next, known.loads))
+}
+
+// learn takes the map in use from the one that was wanted, or from the ranks.
+func (steer *Steer) learn(ctx context.Context, known *group, ranks []roster.Record, version, epoch uint64) error {
+	states, err := steer.read(ctx, ranks, &wire.RankRead{Maps: true})
+	if err != nil {
+		return err
+	}
+	read, err := decode(states, known.engine.Places)
+	if err != nil {
+		return err
+	}
+	known.held, known.version, known.epoch, known.known = read, version, epoch, true
+	skew := 0.0
+	if known.loads != nil {
+		skew = rebal.MeanSkew(read, known.loads)
+	}
+	steer.log.Write(event.MapInForce, "group", known.name, "version", version, "epoch", epoch, "skew", skew)
+	return nil
+}
+
+// decode puts the experts of all ranks together.
+func decode(states []*wire.RankState, places int) (expert.Map, error) {
+	sets := len(states[0].GetExperts())
+	layers := make([][]uint16, sets)
+	for set := range layers {
+		layers[set] = make([]uint16, len(states)*places)
+		for slot := range layers[set] {
+			layers[set][slot] = expert.Free
+		}
+	}
+	for rank, state := range states {
+		if len(state.GetExperts()) != sets {
+			return expert.Map{}, errors.Newf("rank %d has %d sets and rank 0 has %d", rank, len(state.GetExperts()), sets)
+		}
+		for set, held := range state.GetExperts() {
+			if len(held.GetExperts()) > places {
+				return expert.Map{}, errors.Newf("rank %d holds %d experts in set %d; there are %d places", rank, len(held.GetExperts()), set, places)
+			}
+			for at, number := range held.GetExperts() {
+				layers[set][rank*places+at] = uint16(number)
+			}
+		}
+	}
+	return expert.NewMap(len(states), places, layers)
+}
+
+// encode lists the experts set by set and rank by rank.
+func encode(wanted expert.Map) []*wire.RankMap {
+	sets := make([]*wire.RankMap, wanted.Layers())
+	for set := range sets {
+		sets[set] = &wire.RankMap{Ranks: make([]*wire.RankSet, wanted.Ranks())}
+		for rank := range sets[set].Ranks {
+			sets[set].Ranks[rank] = &wire.RankSet{}
+		}
+		for slot, held := range wanted.Slots(set) {
+			if held != expert.Free {
+				rank := sets[set].Ranks[wanted.RankOf(slot)]
+				rank.Experts = append(rank.Experts, uint32(held))
+			}
+		}
+	}
+	return sets
+}
