Refuse at once while a group of ranks is stalled; take farewells without a birth

Stages of three new experts a rank and set took 1.2 s to copy. Change: gate keeps stalled groups and probes them every 300 ms; poll keeps the highest count of gateways for a minute; roster ends the known incarnation; one new expert a rank, set and stage.

--- a/internal/gate/attempt.go
+++ b/internal/gate/attempt.go
@@ -46,9 +46,12 @@
 		}
 		return ended, err
 	}
-	ended, whole, err := on.take(ctx, exchange.Response)
+	ended, whole, err := on.take(ctx, endpoint, exchange.Response)
 	facts := gateway.settings.Dialect.Answer(exchange.Response.Header)
 	exchange.Close(whole, facts.Idle)
+	if ended == delivered {
+		gateway.resume(endpoint.Group.Name)
+	}
 	if ctx.Err() == nil || ended == delivered {
 		gateway.judge(endpoint, ended)
 	}
@@ -79,9 +82,12 @@
 
 // take reads an answer. It returns how the attempt ended and whether the
 // answer was read to its end.
-func (on *journey) take(ctx context.Context, response *http.Response) (result, bool, error) {
+func (on *journey) take(ctx context.Context, endpoint roster.Record, response *http.Response) (result, bool, error) {
 	facts := on.gateway.settings.Dialect.Answer(response.Header)
 	if facts.NotRun {
+		if facts.Fault != "" {
+			on.gateway.stall(endpoint.Group.Name)
+		}
 		return notRun, discard(response), nil
 	}
 	success := response.StatusCode < http.StatusMultipleChoices
--- a/internal/gate/forward.go
+++ b/internal/gate/forward.go
@@ -71,6 +71,10 @@
 			on.end(ctx, "no endpoint takes the request")
 			return
 		}
+		if group := endpoint.Group.Name; gateway.isStalled(group) {
+			on.end(ctx, "the group of ranks is stalled")
+			return
+		}
 		on.tried[endpoint.ID] = true
 		began := gateway.clock.Now()
 		ended, err := on.attempt(ctx, endpoint)
@@ -83,6 +87,11 @@
 			on.end(ctx, "time is over")
 			return
 		}
+		if ended == notRun && gateway.isStalled(endpoint.Group.Name) {
+			on.unrun++
+			on.end(ctx, "the group of ranks is stalled")
+			return
+		}
 		if reason := on.stop(ended); reason != "" {
 			on.end(ctx, reason)
 			return
@@ -135,7 +144,7 @@
 	case on.runs > 0:
 		gateway.refuse(on.w, on.call, refusal{http.StatusBadGateway, reason, 0})
 	default:
-		gateway.refuse(on.w, on.call, refusal{http.StatusServiceUnavailable, reason, busyRetry})
+		gateway.refuse(on.w, on.call, refusal{http.StatusServiceUnavailable, reason, on.comeBack()})
 	}
 }
 
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -81,6 +81,8 @@
 	heard    map[string]clock.Millis
 	detector retry.Detector
 	windows  map[string]*retry.Window
+	// stalls holds groups that refused work because a rank is missing.
+	stalls map[string]stall
 }
 
 // New starts a gateway.
@@ -88,7 +90,7 @@
 	gateway := &Gateway{
 		settings: settings, clock: ticker, log: log, view: feed.NewView(ticker), links: link.NewPool(), conns: conns.New(ticker),
 		random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), work: map[string]int{}, heard: map[string]clock.Millis{},
-		windows: map[string]*retry.Window{},
+		windows: map[string]*retry.Window{}, stalls: map[string]stall{},
 	}
 	gateway.poller = poll.New(poll.Settings{
 		Node: settings.Node.Name, Zone: settings.Node.Zone, Sources: controlSources, Seeds: gateway.seeds, Loads: gateway.loads,
--- /dev/null
+++ b/internal/gate/stall.go
@@ -0,0 +1,68 @@
+package gate
+
+import (
+	"github.com/hibiscuslug/hibiscuslug/pkg/clock"
+)
+
+const (
+	// probeEvery is the time between requests that find out whether a stalled
+	// group is back; each costs one refused request.
+	probeEvery = 300 * clock.Millis(1)
+	// stallRetry is when a caller may return to a group that has just stalled.
+	// A rank takes seconds to come back, and callers wait a third of their
+	// time at most.
+	stallRetry = 2500 * clock.Millis(1)
+	// stallSpread is drawn on top, so that callers do not return all at once.
+	stallSpread = 500 * clock.Millis(1)
+)
+
+// stall is a group of ranks that takes no work because one of them is missing.
+type stall struct {
+	// probe is when the next request may find out whether the group is back.
+	probe clock.Millis
+}
+
+// stall notes that a group refused work for the fault of another rank.
+func (gateway *Gateway) stall(group string) {
+	if group == "" {
+		return
+	}
+	gateway.mu.Lock()
+	defer gateway.mu.Unlock()
+	gateway.stalls[group] = stall{probe: gateway.clock.Now() + probeEvery}
+}
+
+// resume notes that a group works.
+func (gateway *Gateway) resume(group string) {
+	gateway.mu.Lock()
+	defer gateway.mu.Unlock()
+	delete(gateway.stalls, group)
+}
+
+// isStalled tells whether a group takes no work. It lets one request through
+// from time to time.
+func (gateway *Gateway) isStalled(group string) bool {
+	gateway.mu.Lock()
+	defer gateway.mu.Unlock()
+	known, ok := gateway.stalls[group]
+	if !ok {
+		return false
+	}
+	now := gateway.clock.Now()
+	if now < known.probe {
+		return true
+	}
+	gateway.stalls[group] = stall{probe: now + probeEvery}
+	return false
+}
+
+// comeBack is when the caller of a request that was not run may return.
+func (on *journey) comeBack() clock.Millis {
+	gateway := on.gateway
+	gateway.mu.Lock()
+	defer gateway.mu.Unlock()
+	if on.service.Engine == nil || len(gateway.stalls) == 0 {
+		return busyRetry
+	}
+	return stallRetry + clock.Millis(gateway.random.Int64N(int64(stallSpread)))
+}
--- a/internal/poll/poll.go
+++ b/internal/poll/poll.go
@@ -29,6 +29,9 @@
 	pause = 50 * clock.Millis(1)
 	// retryPause is the wait before the next control VM after a failure.
 	retryPause = 100 * clock.Millis(1)
+	// countLifetime is how long a count of gateways holds when later ones are
+	// lower; partitions and restarts are shorter.
+	countLifetime = clock.Minute
 	// expireEvery is the time between searches for endpoints to forget.
 	expireEvery = 10 * clock.Second
 )
@@ -65,8 +68,10 @@
 	leader  string
 	inUse   map[string]bool
 	loads   map[string]int
-	// gateways is how many processes share the load, as a control VM counts them.
+	// gateways is the most processes that a control VM counted to share the load
+	// since counted; a partition hides some.
 	gateways int
+	counted  clock.Millis
 	expired  clock.Millis
 }
 
@@ -223,7 +228,9 @@
 	if reply.GetLeader() != "" {
 		poller.leader = reply.GetLeader()
 	}
-	poller.gateways = int(reply.GetGateways())
+	if now := poller.clock.Now(); int(reply.GetGateways()) >= poller.gateways || now-poller.counted > countLifetime {
+		poller.gateways, poller.counted = int(reply.GetGateways()), now
+	}
 	poller.loads = make(map[string]int, len(reply.GetLoads()))
 	for _, load := range reply.GetLoads() {
 		poller.loads[load.GetId()] = int(load.GetRunning())
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -87,6 +87,10 @@
 // holds it.
 func (table *Table) Put(record Record) Update {
 	known, ok := table.records[record.ID]
+	if ok && record.Gone && record.Born == 0 {
+		// A farewell may leave out which start of the endpoint it ends.
+		record.Born, record.Sequence = known.Born, known.Sequence
+	}
 	if ok && !newer(record, known.Record) {
 		return Stale
 	}
--- a/internal/steer/maps.go
+++ b/internal/steer/maps.go
@@ -13,6 +13,10 @@
 	"github.com/hibiscuslug/hibiscuslug/pkg/wire"
 )
 
+// perStage is how many experts may be new to a rank in one set at a time. Copies
+// take about 0.1 s each, and a stage that copies few is in force sooner.
+const perStage = 1
+
 // effort is how much skew is worth copies. A group with free slots loses little
 // by a longer pass; a full one loses requests.
 type effort struct {
@@ -37,7 +41,7 @@
 		taken += int(state.GetRunning() + state.GetWaiting())
 	}
 	fill := float64(taken) / float64(max(len(states)*known.engine.Slots, 1))
-	settings := rebal.Settings{MaxCopies: known.engine.Spare * known.held.Ranks(), PerRank: known.engine.Spare}
+	settings := rebal.Settings{MaxCopies: perStage * known.held.Ranks(), PerRank: perStage}
 	for _, level := range efforts {
 		if fill >= level.fill {
 			settings.Start, settings.Stop, settings.LeastGain = level.start, level.stop, level.gain
--- a/internal/steer/steer.go
+++ b/internal/steer/steer.go
@@ -159,8 +159,11 @@
 		if round == 0 {
 			known.measure(states)
 		}
-		steer.plan(ctx, known, ranks, states)
 		sends := known.swap.Next(rankStates(states), steer.clock.Now())
+		if len(sends) == 0 && !known.swap.Busy() {
+			steer.plan(ctx, known, ranks, states)
+			sends = known.swap.Next(rankStates(states), steer.clock.Now())
+		}
 		if len(sends) == 0 || !steer.settings.Leads() {
 			break
 		}
--- a/internal/swap/swap.go
+++ b/internal/swap/swap.go
@@ -12,7 +12,7 @@
 const (
 	// lead is how many steps after the last one known the switch happens. It
 	// covers the orders of a calm try, so that the hold stops nobody.
-	lead = 4
+	lead = 2
 	// prepareAgain is when a rank that has not copied its experts is ordered
 	// again; copies take about a second.
 	prepareAgain = 1500 * clock.Millis(1)
