--- a/internal/ctrl/control.go
+++ b/internal/ctrl/control.go
@@ -142,7 +142,7 @@
 		JoinOnly: seeded && !settings.Control.Bootstrap && !contents.Known, Voters: voters(seeded, settings.Control.Tolerance),
 		ReplaceAfter:    replaceAfter,
 		ElectionTimeout: settings.Control.ElectionTimeout, Seed: contents.Disk,
-		KeptBehind: quorum.DefaultKeptBehind, PieceBytes: quorum.DefaultPieceBytes,
+		KeptBehind: keptBehind(seeded), PieceBytes: quorum.DefaultPieceBytes,
 	}, contents.Stored, ticker.Now())
 	control.publish()
 	control.peers = newPeers(control.pool, settings.Control.ElectionTimeout, first)
@@ -189,6 +189,15 @@
 	return addresses
 }
 
+// keptBehind is how many entries stay in memory. Those of a seeded group are
+// whole documents, so fewer are kept.
+func keptBehind(seeded bool) uint64 {
+	if seeded {
+		return 64
+	}
+	return quorum.DefaultKeptBehind
+}
+
 // voters is the size of a group that keeps a majority when as many members as
 // tolerated are lost; 0 for a group whose members are listed.
 func voters(seeded bool, tolerance int) int {
--- a/internal/ctrl/deploy.go
+++ b/internal/ctrl/deploy.go
@@ -32,13 +32,17 @@
 	if held := control.view.State().Deployment(); held != nil && held.GetVersion() >= version {
 		return nil
 	}
+	deployment, err := state.NewDeployment(version, document)
+	if err != nil {
+		return err
+	}
 	sum := fnv.New64a()
 	// A hash never fails to write.
 	_, _ = sum.Write(document)
 	reply, err := control.Execute(ctx, &wire.Command{
 		Id: fmt.Sprintf("deployment-%d-%x", version, sum.Sum64()),
 		Change: &wire.Change{Body: &wire.Change_Deployment{
-			Deployment: &wire.Deployment{Version: version, Document: document},
+			Deployment: deployment,
 		}},
 	})
 	if err != nil {
@@ -65,7 +69,7 @@
 	if held == nil {
 		return nil, errNoDeployment
 	}
-	return held.GetDocument(), nil
+	return state.Document(held)
 }
 
 // confirm waits until a majority stands behind the configuration known here, at
--- a/internal/daemon/agent.go
+++ b/internal/daemon/agent.go
@@ -14,6 +14,7 @@
 	"github.com/hibiscuslug/hibiscuslug/internal/event"
 	"github.com/hibiscuslug/hibiscuslug/internal/opts"
 	"github.com/hibiscuslug/hibiscuslug/internal/plan"
+	"github.com/hibiscuslug/hibiscuslug/internal/state"
 	"github.com/hibiscuslug/hibiscuslug/internal/steer"
 	"github.com/hibiscuslug/hibiscuslug/pkg/clock"
 	"github.com/hibiscuslug/hibiscuslug/platform"
@@ -64,7 +65,11 @@
 		if held == nil || last != nil && last.Version() == held.GetVersion() {
 			return last
 		}
-		decoded, err := platform.Dialect{}.Plan(held.GetDocument())
+		document, err := state.Document(held)
+		var decoded *plan.Plan
+		if err == nil {
+			decoded, err = platform.Dialect{}.Plan(document)
+		}
 		if err != nil {
 			log.Write(event.DeploymentRefused, "version", held.GetVersion(), "error", err)
 			return last
--- a/internal/feed/view.go
+++ b/internal/feed/view.go
@@ -11,10 +11,6 @@
 	"github.com/hibiscuslug/hibiscuslug/pkg/wire"
 )
 
-// keptChanges bounds the changes that a view can send one by one; a watcher
-// further behind gets a snapshot.
-const keptChanges = 1024
-
 // View is the newest configuration a process knows. It never goes back.
 type View struct {
 	clock *clock.Clock
@@ -22,7 +18,7 @@
 	// mu guards all fields below and is held only for short updates.
 	mu        sync.Mutex
 	state     *state.State
-	recent    []*wire.Numbered
+	recent    state.Recent
 	confirmed clock.Millis
 	changed   chan struct{}
 }
@@ -98,10 +94,7 @@
 			return err
 		}
 		view.state = next
-		view.recent = append(view.recent, numbered)
-	}
-	if len(view.recent) > 2*keptChanges {
-		view.recent = append([]*wire.Numbered(nil), view.recent[len(view.recent)-keptChanges:]...)
+		view.recent = view.recent.With(numbered)
 	}
 	return nil
 }
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -23,6 +23,7 @@
 	"github.com/hibiscuslug/hibiscuslug/internal/plan"
 	"github.com/hibiscuslug/hibiscuslug/internal/poll"
 	"github.com/hibiscuslug/hibiscuslug/internal/retry"
+	"github.com/hibiscuslug/hibiscuslug/internal/state"
 	"github.com/hibiscuslug/hibiscuslug/internal/task"
 	"github.com/hibiscuslug/hibiscuslug/pkg/clock"
 	"github.com/hibiscuslug/hibiscuslug/pkg/wire"
@@ -187,7 +188,11 @@
 	if now := gateway.plan.Load(); held == nil || now != nil && now.Version() >= held.GetVersion() {
 		return
 	}
-	decoded, err := gateway.settings.Dialect.Plan(held.GetDocument())
+	document, err := state.Document(held)
+	var decoded *plan.Plan
+	if err == nil {
+		decoded, err = gateway.settings.Dialect.Plan(document)
+	}
 	if err != nil {
 		// Control checked the document before it accepted it.
 		gateway.log.Write(event.DeploymentRefused, "version", held.GetVersion(), "error", err)
--- a/internal/state/machine.go
+++ b/internal/state/machine.go
@@ -14,7 +14,7 @@
 	results map[string]*wire.CommandResult
 	// order lists command ids by age, oldest first.
 	order  []string
-	recent []*wire.Numbered
+	recent Recent
 }
 
 // NewMachine returns a machine with the empty configuration.
@@ -73,10 +73,7 @@
 	machine.state = next
 	result.Revision = next.revision
 	numbered := &wire.Numbered{Revision: next.revision, Change: change}
-	machine.recent = append(machine.recent, numbered)
-	if len(machine.recent) > 2*keptChanges {
-		machine.recent = append([]*wire.Numbered(nil), machine.recent[len(machine.recent)-keptChanges:]...)
-	}
+	machine.recent = machine.recent.With(numbered)
 	return result, numbered
 }
 
