Copy fewer experts a stage; reset connections that are given up

Cause: passes were under 100 ms but for the second after each shift of popularity, which made whole streams late; a stage copied four experts a rank (0.4 s). Change: two new experts a rank and stage over all sets, worst set first; reads every 150 ms, weight 0.4. Abandoned connections are closed with linger 0, which discards what was not delivered.

--- a/internal/conns/conns.go
+++ b/internal/conns/conns.go
@@ -94,8 +94,16 @@
 	}
 }
 
-// drop closes a connection that is given up in any case.
-func drop(conn *conn) { _ = conn.Close() }
+// drop closes a connection that is given up in any case. Bytes that have not
+// arrived yet are discarded: a request that is on its way would otherwise
+// reach the endpoint after its caller has left.
+func drop(conn *conn) {
+	if tcp, ok := conn.Conn.(*net.TCPConn); ok {
+		// Without the option the close is an ordinary one.
+		_ = tcp.SetLinger(0)
+	}
+	_ = conn.Close()
+}
 
 func (pool *Pool) take(address string) *conn {
 	for {
--- a/internal/rebal/load.go
+++ b/internal/rebal/load.go
@@ -17,7 +17,10 @@
 const smoothing = 0.3
 
 // With returns the loads with a new measurement mixed in.
-func (loads Loads) With(measured Loads) Loads {
+func (loads Loads) With(measured Loads) Loads { return loads.WithWeight(measured, smoothing) }
+
+// WithWeight returns the loads with a new measurement that has a weight of its own.
+func (loads Loads) WithWeight(measured Loads, weight float64) Loads {
 	if loads == nil {
 		return measured
 	}
@@ -25,7 +28,7 @@
 	for layer := range loads {
 		mixed[layer] = make([]float64, len(loads[layer]))
 		for at := range loads[layer] {
-			mixed[layer][at] = (1-smoothing)*loads[layer][at] + smoothing*measured[layer][at]
+			mixed[layer][at] = (1-weight)*loads[layer][at] + weight*measured[layer][at]
 		}
 	}
 	return mixed
--- a/internal/rebal/planner.go
+++ b/internal/rebal/planner.go
@@ -1,6 +1,7 @@
 package rebal
 
 import (
+	"cmp"
 	"math"
 	"slices"
 
@@ -17,6 +18,9 @@
 	MaxCopies int
 	// PerRank bounds the experts that are new to a rank in one layer; 0 for no bound.
 	PerRank int
+	// PerRankAll bounds them over all layers; 0 for no bound. A rank copies them
+	// one after the other, so this bounds how long a stage takes.
+	PerRankAll int
 	// LeastGain is the skew that one copied expert has to save: the time saved
 	// until the next plan against the steps slowed by copying.
 	LeastGain float64
@@ -40,20 +44,32 @@
 // Plan returns the next map and whether it differs from the present one.
 func (planner *Planner) Plan(plan expert.Map, loads Loads) (expert.Map, bool) {
 	next := plan
-	for layer, load := range loads {
-		if Skew(plan, layer, load) < planner.settings.Start {
-			continue
+	spent := make([]int, plan.Ranks())
+	for _, layer := range worstFirst(plan, loads) {
+		if Skew(plan, layer, loads[layer]) < planner.settings.Start {
+			break
 		}
-		next = next.WithLayer(layer, planner.layer(next, layer, load))
+		next = next.WithLayer(layer, planner.layer(next, layer, loads[layer], spent))
 	}
 	return next, next.Copies(plan) > 0
 }
 
+// worstFirst orders the layers by skew, so that the bound over all layers is
+// used where it saves most.
+func worstFirst(plan expert.Map, loads Loads) []int {
+	order, skews := make([]int, len(loads)), make([]float64, len(loads))
+	for layer, load := range loads {
+		order[layer], skews[layer] = layer, Skew(plan, layer, load)
+	}
+	slices.SortStableFunc(order, func(first, second int) int { return cmp.Compare(skews[second], skews[first]) })
+	return order
+}
+
 // layer improves one layer until it is good enough, a copy saves too little,
 // or the copies are used up.
-func (planner *Planner) layer(plan expert.Map, layer int, load []float64) []uint16 {
+func (planner *Planner) layer(plan expert.Map, layer int, load []float64, spent []int) []uint16 {
 	work := newLayout(plan, layer, load)
-	work.perRankNew = planner.settings.PerRank
+	work.limit(planner.settings, spent)
 	copies := 0
 	for copies < planner.settings.MaxCopies && work.skew() > planner.settings.Stop {
 		best := work.best()
@@ -63,6 +79,9 @@
 		work.do(best)
 		copies += best.copies
 	}
+	for rank := range spent {
+		spent[rank] += work.added(rank, -1)
+	}
 	return work.slots
 }
 
@@ -71,8 +90,9 @@
 	slots []uint16
 	// before holds the slots as they are now; perRankNew bounds what a rank may
 	// hold beyond them, unless it is 0.
-	before     []uint16
-	perRankNew int
+	before []uint16
+	// room is how many experts may be new to each rank; nil for no bound.
+	room []int
 
 	perRank  int
 	load     []float64
@@ -160,21 +180,44 @@
 	return work.copyGain(before, tried, from, into)
 }
 
+// limit bounds the experts that are new to each rank, given those that other
+// layers bring.
+func (work *layout) limit(settings Settings, spent []int) {
+	if settings.PerRank == 0 && settings.PerRankAll == 0 {
+		return
+	}
+	work.room = make([]int, len(work.ranks))
+	for rank := range work.room {
+		work.room[rank] = work.perRank
+		if settings.PerRank > 0 {
+			work.room[rank] = settings.PerRank
+		}
+		if settings.PerRankAll > 0 {
+			work.room[rank] = min(work.room[rank], settings.PerRankAll-spent[rank])
+		}
+	}
+}
+
 // fits tells whether an expert may come into a slot within the bound on experts
 // that are new to the rank.
 func (work *layout) fits(slot int, held uint16) bool {
-	first := work.rank(slot) * work.perRank
-	before := work.before[first : first+work.perRank]
-	if work.perRankNew == 0 || slices.Contains(before, held) {
+	rank := work.rank(slot)
+	if work.room == nil || slices.Contains(work.before[rank*work.perRank:(rank+1)*work.perRank], held) {
 		return true
 	}
-	added := 1
-	for at := first; at < first+work.perRank; at++ {
-		if at != slot && work.slots[at] != expert.Free && !slices.Contains(before, work.slots[at]) {
-			added++
+	return work.added(rank, slot) < work.room[rank]
+}
+
+// added counts the experts that are new to a rank, but for one slot.
+func (work *layout) added(rank, but int) int {
+	before := work.before[rank*work.perRank : (rank+1)*work.perRank]
+	found := 0
+	for slot := rank * work.perRank; slot < (rank+1)*work.perRank; slot++ {
+		if slot != but && work.slots[slot] != expert.Free && !slices.Contains(before, work.slots[slot]) {
+			found++
 		}
 	}
-	return added <= work.perRankNew
+	return found
 }
 
 // holds tells whether a rank has a replica of an expert already.
--- a/internal/steer/maps.go
+++ b/internal/steer/maps.go
@@ -17,6 +17,13 @@
 // take about 0.1 s each, and a stage that copies few is in force sooner.
 const perStage = 1
 
+// perStageAll bounds them over all sets, for the same reason.
+const perStageAll = 2
+
+// weight is that of a new measurement in the loads: enough to follow a shift
+// within two reads, and little enough not to follow single requests.
+const weight = 0.4
+
 // effort is how much skew is worth copies. A group with free slots loses little
 // by a longer pass; a full one loses requests.
 type effort struct {
@@ -41,7 +48,7 @@
 		taken += int(state.GetRunning() + state.GetWaiting())
 	}
 	fill := float64(taken) / float64(max(len(states)*known.engine.Slots, 1))
-	settings := rebal.Settings{MaxCopies: perStage * known.held.Ranks(), PerRank: perStage}
+	settings := rebal.Settings{MaxCopies: perStage * known.held.Ranks(), PerRank: perStage, PerRankAll: perStageAll}
 	for _, level := range efforts {
 		if fill >= level.fill {
 			settings.Start, settings.Stop, settings.LeastGain = level.start, level.stop, level.gain
@@ -83,7 +90,7 @@
 		return
 	}
 	known.counts, known.born = counts, born
-	known.loads = known.loads.With(measured)
+	known.loads = known.loads.WithWeight(measured, weight)
 }
 
 // normalize turns counts into shares. It returns false when there are too few;
--- a/internal/steer/steer.go
+++ b/internal/steer/steer.go
@@ -24,9 +24,9 @@
 
 const (
 	// watchEvery is the time between reads of a group with nothing to do.
-	watchEvery = 300 * clock.Millis(1)
+	watchEvery = 150 * clock.Millis(1)
 	// waitEvery is the time between reads while ranks copy experts.
-	waitEvery = 100 * clock.Millis(1)
+	waitEvery = 50 * clock.Millis(1)
 	// readLimit bounds the read of one rank; it takes a few milliseconds.
 	readLimit = 250 * clock.Millis(1)
 	// leastChoices is the number of choices in one set that a measurement of
