--- a/internal/gate/attempt.go
+++ b/internal/gate/attempt.go
@@ -49,9 +49,6 @@
 	ended, whole, err := on.take(ctx, endpoint, exchange.Response)
 	facts := gateway.settings.Dialect.Answer(exchange.Response.Header)
 	exchange.Close(whole, facts.Idle)
-	if ended == delivered {
-		gateway.resume(endpoint.Group.Name)
-	}
 	if ctx.Err() == nil || ended == delivered {
 		gateway.judge(endpoint, ended)
 	}
@@ -86,7 +83,7 @@
 	facts := on.gateway.settings.Dialect.Answer(response.Header)
 	if facts.NotRun {
 		if facts.Fault != "" {
-			on.gateway.stall(endpoint.Group.Name)
+			on.gateway.stall(endpoint.Group)
 		}
 		return notRun, discard(response), nil
 	}
@@ -95,7 +92,7 @@
 		return unknown, false, errors.Newf("answer with status %d is not the endpoint's own", response.StatusCode)
 	}
 	if success && on.route.Kind == plan.Streaming && isEventStream(response.Header) {
-		return on.relay(ctx, response)
+		return on.relay(ctx, endpoint, response)
 	}
 	if on.stream != nil {
 		return unknown, false, errors.Newf("status %d instead of the rest of the stream", response.StatusCode)
--- a/internal/gate/forward.go
+++ b/internal/gate/forward.go
@@ -71,7 +71,7 @@
 			on.end(ctx, "no endpoint takes the request")
 			return
 		}
-		if group := endpoint.Group.Name; gateway.isStalled(group) {
+		if gateway.isStalled(endpoint.Group) {
 			on.end(ctx, "the group of ranks is stalled")
 			return
 		}
@@ -87,7 +87,7 @@
 			on.end(ctx, "time is over")
 			return
 		}
-		if ended == notRun && gateway.isStalled(endpoint.Group.Name) {
+		if ended == notRun && gateway.isStalled(endpoint.Group) {
 			on.unrun++
 			on.end(ctx, "the group of ranks is stalled")
 			return
--- a/internal/gate/relay.go
+++ b/internal/gate/relay.go
@@ -7,6 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/hibiscuslug/hibiscuslug/internal/roster"
 	"github.com/hibiscuslug/hibiscuslug/internal/stream"
 )
 
@@ -21,7 +22,7 @@
 
 // relay passes a stream's whole events on as they come. An event that broke off
 // is dropped, so that another endpoint can go on after the last whole one.
-func (on *journey) relay(ctx context.Context, response *http.Response) (result, bool, error) {
+func (on *journey) relay(ctx context.Context, endpoint roster.Record, response *http.Response) (result, bool, error) {
 	events := stream.Splitter{}
 	if on.stream != nil {
 		events = on.stream.events.Next()
@@ -30,6 +31,7 @@
 	for {
 		size, err := response.Body.Read(buffer)
 		if whole := events.Events(buffer[:size]); len(whole) > 0 {
+			on.gateway.resume(endpoint.Group)
 			on.open(response)
 			on.stream.events = events
 			if failure := on.write(whole); failure != nil {
--- a/internal/gate/stall.go
+++ b/internal/gate/stall.go
@@ -1,6 +1,7 @@
 package gate
 
 import (
+	"github.com/hibiscuslug/hibiscuslug/internal/roster"
 	"github.com/hibiscuslug/hibiscuslug/pkg/clock"
 )
 
@@ -18,41 +19,43 @@
 
 // stall is a group of ranks that takes no work because one of them is missing.
 type stall struct {
+	// epoch is the group's as known at the refusal; a later one works again.
+	epoch uint64
 	// probe is when the next request may find out whether the group is back.
 	probe clock.Millis
 }
 
 // stall notes that a group refused work for the fault of another rank.
-func (gateway *Gateway) stall(group string) {
-	if group == "" {
+func (gateway *Gateway) stall(group roster.Group) {
+	if group.Name == "" {
 		return
 	}
 	gateway.mu.Lock()
 	defer gateway.mu.Unlock()
-	gateway.stalls[group] = stall{probe: gateway.clock.Now() + probeEvery}
+	gateway.stalls[group.Name] = stall{epoch: group.Epoch, probe: gateway.clock.Now() + probeEvery}
 }
 
 // resume notes that a group works.
-func (gateway *Gateway) resume(group string) {
+func (gateway *Gateway) resume(group roster.Group) {
 	gateway.mu.Lock()
 	defer gateway.mu.Unlock()
-	delete(gateway.stalls, group)
+	delete(gateway.stalls, group.Name)
 }
 
 // isStalled tells whether a group takes no work. It lets one request through
 // from time to time.
-func (gateway *Gateway) isStalled(group string) bool {
+func (gateway *Gateway) isStalled(group roster.Group) bool {
 	gateway.mu.Lock()
 	defer gateway.mu.Unlock()
-	known, ok := gateway.stalls[group]
-	if !ok {
+	known, ok := gateway.stalls[group.Name]
+	if !ok || group.Epoch > known.epoch && !group.Broken {
 		return false
 	}
 	now := gateway.clock.Now()
 	if now < known.probe {
 		return true
 	}
-	gateway.stalls[group] = stall{probe: now + probeEvery}
+	gateway.stalls[group.Name] = stall{epoch: known.epoch, probe: now + probeEvery}
 	return false
 }
 
