--- /dev/null
+++ b/internal/roster/roster_test.go
@@ -0,0 +1,99 @@
+package roster_test
+
+import (
+	"encoding/json"
+	"os"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/hibiscuslug/hibiscuslug/internal/roster"
+	"github.com/hibiscuslug/hibiscuslug/pkg/clock"
+)
+
+func TestRoster(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "Roster")
+}
+
+type message struct {
+	ID       string       `json:"id"`
+	Address  string       `json:"address"`
+	Born     clock.Millis `json:"born"`
+	Sequence uint64       `json:"sequence"`
+	Draining bool         `json:"draining"`
+	Gone     bool         `json:"gone"`
+	Update   string       `json:"update"`
+}
+
+type script struct {
+	Name     string    `json:"name"`
+	Messages []message `json:"messages"`
+	Usable   []string  `json:"usable"`
+}
+
+var updates = map[string]roster.Update{"stale": roster.Stale, "refreshed": roster.Refreshed, "changed": roster.Changed}
+
+var _ = Describe("the table of endpoints", func() {
+	text, err := os.ReadFile("testdata/messages.json")
+	if err != nil {
+		panic(err)
+	}
+	var scripts []script
+	if err := json.Unmarshal(text, &scripts); err != nil {
+		panic(err)
+	}
+	for _, script := range scripts {
+		It(script.Name, func() {
+			table := roster.New()
+			for _, sent := range script.Messages {
+				record := roster.Record{
+					ID: sent.ID, Address: sent.Address, Born: sent.Born, Sequence: sent.Sequence, Draining: sent.Draining, Gone: sent.Gone,
+				}
+				if !sent.Gone {
+					record.Service = "desk"
+				}
+				Expect(table.Put(record)).To(Equal(updates[sent.Update]), "message %+v", sent)
+			}
+			usable := []string{}
+			for _, record := range table.Usable("desk") {
+				usable = append(usable, record.ID)
+			}
+			Expect(usable).To(ConsistOf(script.Usable))
+		})
+	}
+
+	// Guards against a poll that misses or repeats records.
+	It("gives what changed after a position, and nothing else", func() {
+		table := roster.New()
+		table.Put(roster.Record{ID: "e1", Service: "desk", Address: "10.0.0.1:80", Born: 1, Sequence: 1})
+		position := table.Position()
+		Expect(table.Since(position)).To(BeEmpty())
+		table.Put(roster.Record{ID: "e2", Service: "desk", Address: "10.0.0.2:80", Born: 1, Sequence: 1})
+		Expect(table.Since(position)).To(HaveLen(1))
+		Expect(table.Since(0)).To(HaveLen(2))
+	})
+
+	// Guards against ages that grow or shrink on the way between two clocks.
+	It("carries a record with its age from one clock to another", func() {
+		sent := roster.Record{
+			ID: "e1", Service: "desk", Address: "10.0.0.1:80", Zone: "z1", Born: 5, Sequence: 2, Slots: 12, Heard: 900, ColdUntil: 1500,
+			Group: roster.Group{Name: "g", Epoch: 3, Rank: 1, Size: 12},
+		}
+		got := roster.FromMessage(sent.Message(1000), 51_000)
+		Expect(got.Heard).To(Equal(clock.Millis(50_900)))
+		Expect(got.ColdUntil).To(Equal(clock.Millis(51_500)))
+		got.Heard, got.ColdUntil = sent.Heard, sent.ColdUntil
+		Expect(got).To(Equal(sent))
+	})
+
+	It("forgets endpoints long after their last message", func() {
+		table := roster.New()
+		table.Put(roster.Record{ID: "e1", Service: "desk", Address: "10.0.0.1:80", Born: 1, Sequence: 1, Heard: 0})
+		table.Expire(clock.Minute)
+		Expect(table.Usable("desk")).To(HaveLen(1))
+		table.Expire(10 * clock.Minute)
+		Expect(table.Usable("desk")).To(BeEmpty())
+	})
+})
