Know control VMs that are no members; read the choices of 16 ranks at a time

Reads of 63 ranks with 2,016 choices each did not fit into 250 ms. Change: a poll carries the asker's address; choices are read of 16 ranks in turn; reads may take 600 ms.

--- a/internal/ctrl/fleet.go
+++ b/internal/ctrl/fleet.go
@@ -110,6 +110,7 @@
 
 func (control *Control) note(request *wire.PollRequest) {
 	if request.GetControl() {
+		control.fleet.Meet(request.GetAddress(), request.GetZone())
 		return
 	}
 	control.reportsMu.Lock()
--- a/internal/poll/poll.go
+++ b/internal/poll/poll.go
@@ -197,7 +197,7 @@
 	ctx, cancel := context.WithTimeout(ctx, (wait + replyLimit).Duration())
 	defer cancel()
 	request := &wire.PollRequest{
-		Node: poller.settings.Node, Zone: poller.settings.Zone, Control: poller.settings.Control,
+		Node: poller.settings.Node, Zone: poller.settings.Zone, Control: poller.settings.Control, Address: poller.settings.Self,
 		Revision: poller.view.State().Revision(), Incarnation: incarnation, Position: position, Wait: int64(wait),
 	}
 	if poller.settings.Loads != nil {
@@ -267,6 +267,13 @@
 	poller.put(record)
 }
 
+// Meet notes a control VM that asked this one.
+func (poller *Poller) Meet(address, zone string) {
+	poller.mu.Lock()
+	defer poller.mu.Unlock()
+	poller.members[address] = zone
+}
+
 // Endpoints returns the endpoints of a service that take new work.
 func (poller *Poller) Endpoints(service string) []roster.Record {
 	poller.mu.Lock()
--- a/internal/steer/maps.go
+++ b/internal/steer/maps.go
@@ -61,54 +61,56 @@
 // measure takes the choices since the last read into the loads.
 func (known *group) measure(states []*wire.RankState) {
 	sets, experts := known.engine.Sets, known.engine.Experts
-	measured := make(rebal.Loads, sets)
-	for set := range measured {
-		measured[set] = make([]float64, experts)
-	}
-	counts, born := make([][]uint64, len(states)), make([]int64, len(states))
-	first := len(known.counts) != len(states)
-	for at, state := range states {
-		counts[at], born[at] = state.GetCounts(), state.GetBorn()
-		if len(counts[at]) != sets*experts {
-			return
+	if known.measured == nil {
+		known.measured, known.counts = newLoads(sets, experts), map[int]counted{}
+	}
+	for rank, state := range states {
+		if len(state.GetCounts()) != sets*experts {
+			continue
 		}
-		var before []uint64
-		if at < len(known.counts) && known.born[at] == born[at] {
-			before = known.counts[at]
+		before := known.counts[rank]
+		known.counts[rank] = counted{born: state.GetBorn(), counts: state.GetCounts()}
+		if before.born != state.GetBorn() || before.counts == nil {
+			continue
 		}
-		for index, count := range counts[at] {
-			if before != nil && count >= before[index] {
-				measured[index/experts][index%experts] += float64(count - before[index])
+		for index, count := range state.GetCounts() {
+			if count > before.counts[index] {
+				known.measured[index/experts][index%experts] += float64(count - before.counts[index])
 			}
 		}
 	}
-	if first {
-		known.counts, known.born = counts, born
-		return
+	if shares, ok := normalize(known.measured); ok {
+		known.loads = known.loads.WithWeight(shares, weight)
+		known.measured = newLoads(sets, experts)
 	}
-	if !normalize(measured) {
-		return
+}
+
+func newLoads(sets, experts int) rebal.Loads {
+	loads := make(rebal.Loads, sets)
+	for set := range loads {
+		loads[set] = make([]float64, experts)
 	}
-	known.counts, known.born = counts, born
-	known.loads = known.loads.WithWeight(measured, weight)
+	return loads
 }
 
 // normalize turns counts into shares. It returns false when there are too few;
-// the next read then covers a longer time.
-func normalize(measured rebal.Loads) bool {
-	for _, set := range measured {
+// later reads then add to them.
+func normalize(measured rebal.Loads) (rebal.Loads, bool) {
+	shares := make(rebal.Loads, len(measured))
+	for set, counts := range measured {
 		sum := 0.0
-		for _, count := range set {
+		for _, count := range counts {
 			sum += count
 		}
 		if sum < leastChoices {
-			return false
+			return nil, false
 		}
-		for at := range set {
-			set[at] /= sum
+		shares[set] = make([]float64, len(counts))
+		for at, count := range counts {
+			shares[set][at] = count / sum
 		}
 	}
-	return len(measured) > 0
+	return shares, len(measured) > 0
 }
 
 // plan keeps the map in use known and asks for a better one.
@@ -140,7 +142,7 @@
 
 // learn takes the map in use from the one that was wanted, or from the ranks.
 func (steer *Steer) learn(ctx context.Context, known *group, ranks []roster.Record, version, epoch uint64) error {
-	states, err := steer.read(ctx, ranks, &wire.RankRead{Maps: true})
+	states, err := steer.read(ctx, ranks, func(int) *wire.RankRead { return &wire.RankRead{Maps: true} })
 	if err != nil {
 		return err
 	}
--- a/internal/steer/steer.go
+++ b/internal/steer/steer.go
@@ -27,11 +27,17 @@
 	watchEvery = 150 * clock.Millis(1)
 	// waitEvery is the time between reads while ranks copy experts.
 	waitEvery = 50 * clock.Millis(1)
-	// readLimit bounds the read of one rank; it takes a few milliseconds.
-	readLimit = 250 * clock.Millis(1)
+	// readLimit bounds the read of all ranks. One takes a few milliseconds, but
+	// they share the processor of a control VM.
+	readLimit = 600 * clock.Millis(1)
+	// mostCounted bounds the ranks whose choices are read at a time; requests
+	// are spread over ranks, so a part of them shows the popularity of all.
+	mostCounted = 16
 	// leastChoices is the number of choices in one set that a measurement of
 	// its experts needs.
 	leastChoices = 5000
+	// noteEvery is the time between log lines on why ranks cannot be read.
+	noteEvery = 5 * clock.Second
 	// mostRounds bounds the rounds of orders without a pause.
 	mostRounds = 12
 )
@@ -69,10 +75,24 @@
 	held           expert.Map
 	known          bool
 	wanted         expert.Map
-	counts         [][]uint64
-	born           []int64
-	loads          rebal.Loads
-	unread         bool
+	// counts holds the last choices read of each start of a rank, and measured
+	// those that are not in loads yet.
+	counts   map[int]counted
+	measured rebal.Loads
+	loads    rebal.Loads
+	// turn is the next rank whose choices are read.
+	turn int
+	// unread is set while ranks cannot be read, and reason tells why, as logged
+	// when noted.
+	unread bool
+	reason string
+	noted  clock.Millis
+}
+
+// counted is the choices of one start of a rank.
+type counted struct {
+	born   int64
+	counts []uint64
 }
 
 // New starts a coordinator.
@@ -123,42 +143,50 @@
 			known = &group{name: name, engine: *service.Engine}
 			steer.groups[service.Name+"/"+name] = known
 		}
-		if ranks, ok := inOrder(records); ok {
-			busy = steer.drive(ctx, known, ranks) || busy
+		ranks, err := inOrder(records)
+		if err != nil {
+			steer.note(known, err)
+			continue
 		}
+		busy = steer.drive(ctx, known, ranks) || busy
 	}
 	return busy
 }
 
 // inOrder sorts the records of a whole group by rank.
-func inOrder(records []roster.Record) ([]roster.Record, bool) {
+func inOrder(records []roster.Record) ([]roster.Record, error) {
 	size := records[0].Group.Size
 	ranks := make([]roster.Record, size)
 	for _, record := range records {
 		at := record.Group.Rank
 		if at < 0 || at >= size {
-			return nil, false
+			return nil, errors.Newf("endpoint %s has rank %d in a group of %d", record.ID, at, size)
 		}
 		if ranks[at].ID == "" || record.Born > ranks[at].Born {
 			ranks[at] = record
 		}
 	}
-	return ranks, size > 0 && !slices.ContainsFunc(ranks, func(record roster.Record) bool { return record.ID == "" })
+	if at := slices.IndexFunc(ranks, func(record roster.Record) bool { return record.ID == "" }); at >= 0 || size == 0 {
+		return nil, errors.Newf("rank %d of %d has sent no heartbeat", at, size)
+	}
+	return ranks, nil
 }
 
 // drive gives orders until there are none to give now. It returns whether a
 // map is on its way.
 func (steer *Steer) drive(ctx context.Context, known *group, ranks []roster.Record) bool {
 	for round := range mostRounds {
-		states, err := steer.read(ctx, ranks, &wire.RankRead{Counts: round == 0})
+		counted := 0
+		if round == 0 {
+			counted = mostCounted
+		}
+		states, err := steer.read(ctx, ranks, known.rotate(counted, len(ranks)))
 		if err != nil {
 			steer.note(known, err)
 			return known.swap.Busy()
 		}
 		steer.note(known, nil)
-		if round == 0 {
-			known.measure(states)
-		}
+		known.measure(states)
 		sends := known.swap.Next(rankStates(states), steer.clock.Now())
 		if len(sends) == 0 && !known.swap.Busy() {
 			steer.plan(ctx, known, ranks, states)
@@ -176,8 +204,13 @@
 }
 
 func (steer *Steer) note(known *group, err error) {
-	if unread := err != nil; unread != known.unread {
-		known.unread = unread
+	unread, reason := err != nil, ""
+	if unread {
+		reason = err.Error()
+	}
+	now := steer.clock.Now()
+	if unread != known.unread || reason != known.reason && now-known.noted > noteEvery {
+		known.unread, known.reason, known.noted = unread, reason, now
 		if unread {
 			steer.log.Write(event.GroupUnread, "group", known.name, "error", err)
 		} else {
@@ -207,8 +240,19 @@
 	return netip.AddrPortFrom(there.Addr(), here.Port()).String(), nil
 }
 
+// rotate says what to read of each rank: the choices of some, in turn.
+func (known *group) rotate(counted, size int) func(rank int) *wire.RankRead {
+	first := known.turn
+	if counted > 0 {
+		known.turn = (known.turn + counted) % size
+	}
+	return func(rank int) *wire.RankRead {
+		return &wire.RankRead{Counts: (rank-first+size)%size < counted}
+	}
+}
+
 // read reads all ranks at once; it fails when one cannot be read.
-func (steer *Steer) read(ctx context.Context, ranks []roster.Record, what *wire.RankRead) ([]*wire.RankState, error) {
+func (steer *Steer) read(ctx context.Context, ranks []roster.Record, what func(rank int) *wire.RankRead) ([]*wire.RankState, error) {
 	ctx, cancel := context.WithTimeout(ctx, readLimit.Duration())
 	defer cancel()
 	states := make([]*wire.RankState, len(ranks))
@@ -221,7 +265,7 @@
 				failures[at] = err
 				return
 			}
-			if states[at], err = client.Read(ctx, what); err != nil {
+			if states[at], err = client.Read(ctx, what(at)); err != nil {
 				steer.pool.Discard(address)
 				failures[at] = errors.Wrapf(err, "rank %d at %s", at, address)
 			}
