--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -23,6 +23,7 @@
 	"github.com/hibiscuslug/hibiscuslug/internal/plan"
 	"github.com/hibiscuslug/hibiscuslug/internal/poll"
 	"github.com/hibiscuslug/hibiscuslug/internal/retry"
+	"github.com/hibiscuslug/hibiscuslug/internal/roster"
 	"github.com/hibiscuslug/hibiscuslug/internal/state"
 	"github.com/hibiscuslug/hibiscuslug/internal/task"
 	"github.com/hibiscuslug/hibiscuslug/pkg/clock"
@@ -40,9 +41,6 @@
 	readLimit = 10 * time.Second
 	// idleLimit is longer than callers keep a connection idle.
 	idleLimit = 2 * time.Minute
-	// rotation is how long the platform may still send new connections after
-	// the readiness check fails: two checks, a second apart, and some slack.
-	rotation = 2500 * clock.Millis(1)
 	// graceMargin is left of the grace for closing down.
 	graceMargin = 400 * clock.Millis(1)
 	// watchEvery bounds how late a change of readiness is seen without events.
@@ -202,6 +200,18 @@
 	gateway.log.Write(event.DeploymentInForce, "version", decoded.Version(), "revision", gateway.view.State().Revision(), "age", gateway.view.Age())
 }
 
+// Ready tells whether the gateway takes requests.
+func (gateway *Gateway) Ready() bool {
+	is, _ := gateway.isReady()
+	return is
+}
+
+// confirmed tells whether a control VM has confirmed the configuration lately
+// enough for keys to be taken.
+func (gateway *Gateway) confirmed() bool {
+	return gateway.view.Age() <= gateway.settings.Gateway.RevokeLimit-keyMargin
+}
+
 // isReady tells whether the gateway takes requests, and if not, why.
 func (gateway *Gateway) isReady() (bool, string) {
 	switch {
@@ -209,6 +219,8 @@
 		return false, "stopping"
 	case gateway.plan.Load() == nil:
 		return false, "no configuration"
+	case gateway.plan.Load().HasCustomers() && !gateway.confirmed():
+		return false, "keys are not confirmed"
 	}
 	return true, ""
 }
@@ -227,7 +239,7 @@
 	gateway.stopping.Store(true)
 	gateway.log.Write(event.Stopping)
 	// New connections arrive until the platform has noticed.
-	if err := gateway.clock.Sleep(context.Background(), rotation); err != nil {
+	if err := gateway.clock.Sleep(context.Background(), gateway.settings.Gateway.Rotation); err != nil {
 		gateway.log.Write(event.ServeFailed, "error", err)
 	}
 	rest := gateway.settings.Gateway.Grace - graceMargin - (gateway.clock.Now() - began)
@@ -249,3 +261,16 @@
 	gateway.log.Write(event.Stopped)
 	return failure
 }
+
+// Endpoints returns the endpoints of a service that take new work, as known here.
+func (gateway *Gateway) Endpoints(service string) []roster.Record {
+	return gateway.poller.Endpoints(service)
+}
+
+// Version returns the version of the configuration in force; 0 for none.
+func (gateway *Gateway) Version() uint64 {
+	if now := gateway.plan.Load(); now != nil {
+		return now.Version()
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/gate/gate_test.go
@@ -0,0 +1,280 @@
+package gate_test
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/sourcegraph/conc"
+
+	"github.com/hibiscuslug/hibiscuslug/internal/ctrl"
+	"github.com/hibiscuslug/hibiscuslug/internal/event"
+	"github.com/hibiscuslug/hibiscuslug/internal/fake"
+	"github.com/hibiscuslug/hibiscuslug/internal/gate"
+	"github.com/hibiscuslug/hibiscuslug/internal/opts"
+	"github.com/hibiscuslug/hibiscuslug/internal/ports"
+	"github.com/hibiscuslug/hibiscuslug/internal/roster"
+	"github.com/hibiscuslug/hibiscuslug/pkg/clock"
+	"github.com/hibiscuslug/hibiscuslug/platform"
+)
+
+func TestGate(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "Gate")
+}
+
+const (
+	limit    = 30 * time.Second
+	idHeader = "Hibiscuslug-Request-Id"
+	key      = "k1"
+)
+
+type script struct {
+	Name   string `json:"name"`
+	Method string `json:"method"`
+	Path   string `json:"path"`
+	Send   string `json:"send"`
+	Key    string `json:"key"`
+	// Steps are taken by Copies endpoints, in the order of the requests.
+	Steps  []fake.Step `json:"steps"`
+	Copies int         `json:"copies"`
+	Status int         `json:"status"`
+	Body   string      `json:"body"`
+	// Broken is set when the answer must not look complete; Prefix is what the
+	// caller has of it.
+	Broken      bool              `json:"broken"`
+	Prefix      string            `json:"prefix"`
+	Header      map[string]string `json:"header"`
+	HasHeader   []string          `json:"hasHeader"`
+	LacksHeader []string          `json:"lacksHeader"`
+	// Runs is how many requests the endpoints saw.
+	Runs int `json:"runs"`
+	// LastEvent is what the last request at an endpoint says the caller has.
+	LastEvent string `json:"lastEvent"`
+}
+
+// document is the configuration of the deployment under test.
+func document(version int, keys string) []byte {
+	return fmt.Appendf(nil, `{"version":%d,"routes":[
+		{"name":"look","host":"h.example","pathPrefix":"/look/","kind":"idempotent","timeoutMs":5000,"service":"desk","attempts":2},
+		{"name":"book","host":"h.example","pathPrefix":"/book/","kind":"non_idempotent","timeoutMs":5000,"service":"desk","attempts":1},
+		{"name":"draft","host":"h.example","pathPrefix":"/draft/","kind":"streaming","timeoutMs":5000,"service":"desk","attempts":2,"streamResume":true}],
+		"services":[{"name":"desk"}],"limits":{"maxBodyBytes":32},"tenants":[{"name":"clinic","apiKeys":[%s]}]}`, version, keys)
+}
+
+// free returns an address that nobody listens on.
+func free() string {
+	listener, err := ports.Listen()
+	Expect(err).NotTo(HaveOccurred())
+	Expect(listener.Close()).To(Succeed())
+	return listener.Addr().String()
+}
+
+// site is a control process and a gateway in this process.
+type site struct {
+	control *ctrl.Control
+	gateway *gate.Gateway
+}
+
+func newSite() *site {
+	log, ticker := event.Discard(), clock.NewSystem()
+	node := opts.Node{Name: "control1", Zone: "z1", Listen: free(), ShutdownLimit: clock.Second}
+	control, err := ctrl.New(ctrl.Settings{Node: node, Control: opts.Control{
+		Data: GinkgoT().TempDir(), Seed: []string{node.Listen}, Bootstrap: true, ElectionTimeout: 200, CommitLimit: 2 * clock.Second, SnapshotBytes: 1 << 20,
+	}}, ticker, log)
+	Expect(err).NotTo(HaveOccurred())
+	// A test may have closed it already.
+	DeferCleanup(func() { _ = control.Close() })
+	Eventually(func() error { return control.Deploy(context.Background(), 1, document(1, `"k1"`)) }).WithTimeout(limit).Should(Succeed())
+	gateway, err := gate.New(gate.Settings{
+		Node: opts.Node{Name: "gateway1", Zone: "z1", Listen: node.Listen},
+		Gateway: opts.Gateway{
+			HTTPListen: "127.0.0.1:0", Seed: []string{node.Listen}, RevokeLimit: 5 * clock.Second, Grace: 2 * clock.Second,
+			RetryRatio: 0.2, RetrySlack: 100, RetryWindow: 10 * clock.Second,
+		},
+		Dialect: platform.Dialect{},
+	}, ticker, log)
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(func() { _ = gateway.Close() })
+	return &site{control: control, gateway: gateway}
+}
+
+// back starts endpoints and waits until the gateway has them and its configuration.
+func (site *site) back(steps []fake.Step, count int) *fake.Back {
+	back, err := fake.NewBack(idHeader, steps, count)
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(back.Close)
+	for number, address := range back.Addresses() {
+		site.control.Heard(roster.Record{
+			ID: fmt.Sprintf("e%d", number), Service: "desk", Address: address, Born: 1, Sequence: 1, Slots: 6, Heard: site.control.Now(),
+		})
+	}
+	Eventually(func() int { return len(site.gateway.Endpoints("desk")) }).WithTimeout(limit).Should(Equal(count))
+	Eventually(site.gateway.Ready).WithTimeout(limit).Should(BeTrue())
+	return back
+}
+
+func request(script script) *http.Request {
+	body := io.Reader(http.NoBody)
+	if script.Send != "" {
+		body = strings.NewReader(script.Send)
+	}
+	made, err := http.NewRequestWithContext(context.Background(), script.Method, "http://h.example"+script.Path, body)
+	Expect(err).NotTo(HaveOccurred())
+	made.Header.Set(idHeader, "id1")
+	made.Header.Set("Hibiscuslug-Deadline-Ms", "4000")
+	made.Header.Set("Hibiscuslug-Tenant", "forged")
+	made.Header.Set("X-Passed", "on")
+	made.Header.Set("Hibiscuslug-Key", key)
+	if script.Key != "" {
+		made.Header.Set("Hibiscuslug-Key", script.Key)
+	}
+	return made
+}
+
+func (site *site) send(made *http.Request) (*http.Response, []byte, error) {
+	transport := &http.Transport{DisableCompression: true, DialContext: func(ctx context.Context, network, _ string) (net.Conn, error) {
+		return (&net.Dialer{}).DialContext(ctx, network, site.gateway.Address())
+	}}
+	DeferCleanup(transport.CloseIdleConnections)
+	response, err := (&http.Client{Transport: transport, Timeout: limit}).Do(made)
+	if err != nil {
+		return nil, nil, err
+	}
+	body, err := io.ReadAll(response.Body)
+	Expect(response.Body.Close()).To(Succeed())
+	return response, body, err
+}
+
+var _ = Describe("a gateway", func() {
+	text, err := os.ReadFile("testdata/answers.json")
+	if err != nil {
+		panic(err)
+	}
+	var scripts []script
+	if err := json.Unmarshal(text, &scripts); err != nil {
+		panic(err)
+	}
+	for _, script := range scripts {
+		It(script.Name, func() {
+			site := newSite()
+			back := site.back(script.Steps, max(script.Copies, 1))
+			response, body, err := site.send(request(script))
+			if script.Broken {
+				Expect(err).To(HaveOccurred())
+				Expect(string(body)).To(Equal(script.Prefix))
+			} else {
+				Expect(err).NotTo(HaveOccurred())
+				Expect(response.StatusCode).To(Equal(script.Status))
+				if script.Status == http.StatusOK {
+					Expect(string(body)).To(Equal(script.Body))
+				}
+				check(script, response.Header)
+			}
+			checkSeen(script, back.Seen())
+		})
+	}
+})
+
+func check(script script, header http.Header) {
+	for name, value := range script.Header {
+		Expect(header.Get(name)).To(Equal(value), name)
+	}
+	for _, name := range script.HasHeader {
+		Expect(header).To(HaveKey(name))
+	}
+	for _, name := range script.LacksHeader {
+		Expect(header).NotTo(HaveKey(name))
+	}
+}
+
+func checkSeen(script script, seen []fake.Seen) {
+	Expect(seen).To(HaveLen(script.Runs))
+	for _, got := range seen {
+		Expect(got.Method).To(Equal(script.Method))
+		Expect(got.Target).To(Equal(script.Path))
+		Expect(got.Body).To(Equal(script.Send))
+		Expect(got.Header.Get(idHeader)).To(Equal("id1"))
+		Expect(got.Header.Get("Hibiscuslug-Tenant")).To(Equal("clinic"))
+		Expect(got.Header).NotTo(HaveKey("Hibiscuslug-Key"))
+		Expect(got.Header.Get("X-Passed")).To(Equal("on"))
+		Expect(got.Header.Get("Hibiscuslug-Expect-Instance")).To(HavePrefix("e"))
+	}
+	if script.LastEvent != "" {
+		Expect(seen[len(seen)-1].Header.Get("Last-Event-Id")).To(Equal(script.LastEvent))
+	}
+}
+
+const hanging = "HTTP/1.1 200 OK\r\nHibiscuslug-Request-Id: {id}\r\nHibiscuslug-Response-Seal: s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\nf\r\nid: 1\ndata: a\n\n\r\n"
+
+// Guards against endpoints that work on for callers who have left.
+var _ = It("lets the endpoint know at once when the caller leaves", func() {
+	site := newSite()
+	back := site.back([]fake.Step{{Text: hanging, Then: "hang"}}, 1)
+	conn, err := (&net.Dialer{}).DialContext(context.Background(), "tcp", site.gateway.Address())
+	Expect(err).NotTo(HaveOccurred())
+	Expect(request(script{Method: "POST", Path: "/draft/1", Send: "p"}).Write(conn)).To(Succeed())
+	line, err := bufio.NewReader(conn).ReadString('\n')
+	Expect(err).NotTo(HaveOccurred())
+	Expect(line).To(ContainSubstring("200"))
+	Expect(conn.Close()).To(Succeed())
+	Eventually(back.Seen()[0].Left).WithTimeout(limit).Should(BeClosed())
+})
+
+// Guards against a shutdown that cuts off an answer in progress.
+var _ = It("lets an answer in progress end before it stops", func() {
+	site := newSite()
+	site.back([]fake.Step{{Text: hanging, Then: "hang"}}, 1)
+	conn, err := (&net.Dialer{}).DialContext(context.Background(), "tcp", site.gateway.Address())
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(conn.Close)
+	Expect(request(script{Method: "POST", Path: "/draft/1", Send: "p"}).Write(conn)).To(Succeed())
+	reader := bufio.NewReader(conn)
+	response, err := http.ReadResponse(reader, nil)
+	Expect(err).NotTo(HaveOccurred())
+	// The body broke off, which the close repeats.
+	DeferCleanup(func() { _ = response.Body.Close() })
+	began := time.Now()
+	var closing conc.WaitGroup
+	DeferCleanup(closing.Wait)
+	closing.Go(func() { Expect(site.gateway.Close()).To(Succeed()) })
+	event := make([]byte, 15)
+	_, err = io.ReadFull(response.Body, event)
+	Expect(err).NotTo(HaveOccurred())
+	_, err = io.ReadAll(response.Body)
+	Expect(err).To(HaveOccurred())
+	// The stream never ends, so it has the whole grace less the margin.
+	Expect(time.Since(began)).To(BeNumerically(">", time.Second))
+})
+
+// Guards against a key that was taken away and works on: at once where the
+// gateway hears of it, and in the end where it is cut off.
+var _ = It("stops taking a key that was revoked, and all keys when it cannot be sure", func() {
+	site := newSite()
+	site.back([]fake.Step{{Text: "HTTP/1.1 200 OK\r\nHibiscuslug-Request-Id: {id}\r\nHibiscuslug-Response-Seal: s\r\nContent-Length: 2\r\n\r\nok"}}, 1)
+	status := func(key string) func() int {
+		return func() int {
+			response, _, err := site.send(request(script{Method: "GET", Path: "/look/1", Key: key}))
+			if err != nil {
+				return 0
+			}
+			return response.StatusCode
+		}
+	}
+	Expect(status("k1")()).To(Equal(http.StatusOK))
+	Expect(site.control.Deploy(context.Background(), 2, document(2, `"k2"`))).To(Succeed())
+	Eventually(status("k1")).WithTimeout(limit).Should(Equal(http.StatusUnauthorized))
+	Expect(status("k2")()).To(Equal(http.StatusOK))
+	Expect(site.control.Close()).To(Succeed())
+	Eventually(status("k2")).WithTimeout(limit).Should(Equal(http.StatusServiceUnavailable))
+})
--- a/internal/gate/serve.go
+++ b/internal/gate/serve.go
@@ -101,8 +101,8 @@
 // identify finds the customer by its key. Without a recent confirmation the key
 // may have been taken away meanwhile.
 func (gateway *Gateway) identify(asked *call, now *plan.Plan) *refusal {
-	if age := gateway.view.Age(); age > gateway.settings.Gateway.RevokeLimit-keyMargin {
-		return &refusal{http.StatusServiceUnavailable, "keys were not confirmed for " + age.String(), clock.Second}
+	if !gateway.confirmed() {
+		return &refusal{http.StatusServiceUnavailable, "keys were not confirmed lately", clock.Second}
 	}
 	customer, ok := now.ByKey(asked.task.Key)
 	if !ok {
