Bound the logs, and serve counters and latency histograms of gateways

Cause: a process waited for whoever reads its log, and a flood of requests was a flood of lines; gateways had no metrics. Change: roles of the deployment write structured lines to standard output through a queue that drops and counts; request lines are bounded per second; HdrHistogram quantiles over the last minutes.

--- a/internal/daemon/agent.go
+++ b/internal/daemon/agent.go
@@ -32,7 +32,8 @@
 	if err := bounds.First(command.Node.Check(), command.Agent.Check()); err != nil {
 		return err
 	}
-	log := event.New(os.Stdout, command.Name, command.Zone)
+	log := event.NewBounded(os.Stdout, command.Name, command.Zone)
+	defer log.Close()
 	running, err := agent.New(command.Node, platform.NewEngine(command.EngineAddress), log)
 	if err != nil {
 		return err
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -85,11 +85,11 @@
 	if err := bounds.First(command.Node.Check(), command.Control.Check()); err != nil {
 		return err
 	}
-	out := os.Stderr
+	log := event.New(os.Stderr, command.Name, command.Zone)
 	if command.APIListen != "" {
-		out = os.Stdout
+		log = event.NewBounded(os.Stdout, command.Name, command.Zone)
+		defer log.Close()
 	}
-	log := event.New(out, command.Name, command.Zone)
 	ticker := clock.NewSystem()
 	control, err := ctrl.New(ctrl.Settings{
 		Node: command.Node, Control: command.Control, Seeds: command.file.seeds(command.Seed),
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -46,7 +46,8 @@
 	if err := bounds.First(command.Node.Check(), command.Gateway.Check()); err != nil {
 		return err
 	}
-	log := event.New(os.Stdout, command.Name, command.Zone)
+	log := event.NewBounded(os.Stdout, command.Name, command.Zone)
+	defer log.Close()
 	running, err := gate.New(gate.Settings{
 		Node: command.Node, Gateway: command.Gateway, Dialect: platform.Dialect{}, Seeds: command.file.seeds(command.Seed),
 	}, clock.NewSystem(), log)
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -22,6 +22,7 @@
 	Stopped            = Event{103, "process stopped"}
 	ShutdownLimit      = Event{104, "shutdown limit reached with requests in flight"}
 	ServeFailed        = Event{105, "listener failed"}
+	LinesDropped       = Event{106, "log lines dropped"}
 	AttemptFailed      = Event{201, "attempt failed"}
 	AttemptSilent      = Event{202, "connection made no progress"}
 	AnswerNotRecorded  = Event{210, "answer of non-idempotent work could not be recorded in time"}
@@ -33,10 +34,14 @@
 	AttemptRefused     = Event{230, "attempt refused by the queue"}
 	OrderFailed        = Event{231, "order to an engine failed"}
 	RequestRefused     = Event{232, "request refused at admission"}
+	RequestEnded       = Event{240, "request ended"}
+	SendEnded          = Event{241, "attempt at an endpoint ended"}
 	EndpointJoined     = Event{301, "endpoint announced itself"}
 	EndpointExpired    = Event{302, "endpoint's announcement expired"}
 	EndpointLeaving    = Event{303, "endpoint is leaving"}
 	AnnounceFailed     = Event{304, "announcement failed"}
+	ReadinessChanged   = Event{305, "readiness changed"}
+	EndpointChanged    = Event{306, "endpoint changed"}
 	RevisionApplied    = Event{401, "configuration revision applied"}
 	RevisionRefused    = Event{402, "configuration revision refused"}
 	FeedLost           = Event{403, "configuration feed lost"}
@@ -54,23 +59,20 @@
 	DeploymentAccepted = Event{415, "configuration of request forwarding accepted"}
 	DeploymentRefused  = Event{416, "configuration of request forwarding not accepted"}
 	DeploymentInForce  = Event{417, "configuration of request forwarding in force"}
-	ReadinessChanged   = Event{305, "readiness changed"}
-	EndpointChanged    = Event{306, "endpoint changed"}
-	RequestEnded       = Event{240, "request ended"}
-	SendEnded          = Event{241, "attempt at an endpoint ended"}
-	LinesDropped       = Event{106, "log lines dropped"}
+	EngineUnreachable  = Event{501, "engine does not answer"}
+	InstructionRefused = Event{502, "instruction with an old fencing number refused"}
 	RankOrdered        = Event{601, "order to a rank's engine"}
 	MapWanted          = Event{602, "expert map planned"}
 	MapInForce         = Event{603, "expert map in force"}
 	GroupUnread        = Event{604, "ranks of a group cannot all be read"}
 	GroupRead          = Event{605, "ranks of a group can all be read again"}
-	EngineUnreachable  = Event{501, "engine does not answer"}
-	InstructionRefused = Event{502, "instruction with an old fencing number refused"}
 )
 
 // Log writes events of one process.
 type Log struct {
 	logger log.Logger
+	// bounded is nil for a log that writes everything at once.
+	bounded *bounded
 }
 
 // New returns a log that writes logfmt lines.
@@ -87,6 +89,9 @@
 
 // Write writes an event with its attributes, given as pairs of name and value.
 func (sink *Log) Write(kind Event, attributes ...any) {
+	if sink.bounded != nil && !sink.bounded.admit(kind) {
+		return
+	}
 	pairs := append([]any{"event", kind.Number, "message", kind.Message}, attributes...)
 	// A log line that cannot be written has nowhere else to go.
 	_ = sink.logger.Log(pairs...)
--- a/internal/gate/attempt.go
+++ b/internal/gate/attempt.go
@@ -159,8 +159,15 @@
 }
 
 func (on *journey) logAnswered(status int) {
+	now := on.gateway.clock.Now()
+	on.gateway.answered.Add(kindNames[on.route.Kind] + ".answered")
+	if on.stream == nil {
+		on.gateway.first.Record(kindNames[on.route.Kind], int64(now-on.arrived))
+	} else {
+		on.gateway.gaps.Record(kindNames[on.route.Kind], int64(on.stream.gap))
+	}
 	on.gateway.log.Write(event.RequestEnded, "id", on.task.ID, "outcome", "answered", "status", status, "customer", on.customer,
-		"route", on.route.Name, "version", on.version, "runs", on.runs+1, "unrun", on.unrun, "took", on.gateway.clock.Now()-on.arrived)
+		"route", on.route.Name, "version", on.version, "runs", on.runs+1, "unrun", on.unrun, "took", now-on.arrived)
 }
 
 // connectionHeaders concern the endpoint's connection only.
--- a/internal/gate/forward.go
+++ b/internal/gate/forward.go
@@ -80,6 +80,7 @@
 		ended, err := on.attempt(ctx, endpoint)
 		gateway.log.Write(event.SendEnded, "id", asked.task.ID, "endpoint", endpoint.ID, "address", endpoint.Address,
 			"result", resultNames[ended], "heartbeatAge", began-endpoint.Heard, "took", gateway.clock.Now()-began, "runs", on.runs, "error", err)
+		gateway.sends.Add(resultNames[ended])
 		if ended == delivered {
 			return
 		}
@@ -138,9 +139,11 @@
 	gateway := on.gateway
 	switch {
 	case errors.Is(ctx.Err(), context.Canceled) && on.stream == nil:
-		gateway.log.Write(event.RequestEnded, "id", on.task.ID, "outcome", "callerGone", "took", gateway.clock.Now()-on.arrived)
+		gateway.answered.Add(kindNames[on.route.Kind] + ".callerGone")
+		gateway.log.Write(event.RequestEnded, "id", on.task.ID, "outcome", "callerGone", "runs", on.runs, "unrun", on.unrun, "took", gateway.clock.Now()-on.arrived)
 		panic(http.ErrAbortHandler)
 	case on.stream != nil:
+		gateway.answered.Add(kindNames[on.route.Kind] + ".brokenOff")
 		gateway.log.Write(event.RequestEnded, "id", on.task.ID, "outcome", "brokenOff", "reason", reason, "lastEvent", on.stream.events.Last(),
 			"took", gateway.clock.Now()-on.arrived)
 		// An answer that breaks off must not look complete.
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -19,6 +19,7 @@
 	"github.com/hibiscuslug/hibiscuslug/internal/event"
 	"github.com/hibiscuslug/hibiscuslug/internal/feed"
 	"github.com/hibiscuslug/hibiscuslug/internal/link"
+	"github.com/hibiscuslug/hibiscuslug/internal/meter"
 	"github.com/hibiscuslug/hibiscuslug/internal/opts"
 	"github.com/hibiscuslug/hibiscuslug/internal/plan"
 	"github.com/hibiscuslug/hibiscuslug/internal/poll"
@@ -67,6 +68,11 @@
 	conns    *conns.Pool
 	plan     atomic.Pointer[plan.Plan]
 	stopping atomic.Bool
+	meter    *meter.Meter
+	answered *meter.Counter
+	sends    *meter.Counter
+	first    *meter.Histogram
+	gaps     *meter.Histogram
 	http     *http.Server
 	ready    *http.Server
 	listener net.Listener
@@ -94,9 +100,12 @@
 	gateway.poller = poll.New(poll.Settings{
 		Node: settings.Node.Name, Zone: settings.Node.Zone, Sources: controlSources, Seeds: gateway.seeds, Loads: gateway.loads,
 	}, gateway.view, gateway.links, ticker, log)
-	if err := gateway.listen(); err != nil {
+	if err := gateway.measure(); err != nil {
 		return nil, err
 	}
+	if err := gateway.listen(); err != nil {
+		return nil, errors.CombineErrors(err, gateway.meter.Close())
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	gateway.cancel = cancel
 	gateway.poller.Start()
@@ -105,6 +114,20 @@
 	return gateway, nil
 }
 
+// measure declares the gateway's metrics.
+func (gateway *Gateway) measure() error {
+	gateway.meter = meter.New(gateway.settings.Node, "gateway", gateway.view)
+	gateway.meter.Control(gateway.links)
+	gateway.answered = gateway.meter.Counter(meter.Answered)
+	gateway.sends = gateway.meter.Counter(meter.Sends)
+	gateway.first = gateway.meter.Histogram(meter.FirstByte)
+	gateway.gaps = gateway.meter.Histogram(meter.EventGap)
+	gateway.meter.Gauge(meter.Dialed, func() any { return gateway.conns.Dialed() })
+	gateway.meter.Gauge(meter.Version, func() any { return gateway.Version() })
+	gateway.meter.Gauge(meter.Stalled, func() any { return gateway.stalled() })
+	return gateway.meter.Serve(gateway.settings.Node.MetricsListen)
+}
+
 func (gateway *Gateway) listen() error {
 	var config net.ListenConfig
 	listener, err := config.Listen(context.Background(), "tcp", gateway.settings.Gateway.HTTPListen)
@@ -257,7 +280,7 @@
 	gateway.poller.Close()
 	gateway.loops.Wait()
 	gateway.conns.Close()
-	failure = errors.CombineErrors(failure, gateway.links.Close())
+	failure = errors.CombineErrors(failure, errors.CombineErrors(gateway.links.Close(), gateway.meter.Close()))
 	gateway.log.Write(event.Stopped)
 	return failure
 }
--- a/internal/gate/relay.go
+++ b/internal/gate/relay.go
@@ -9,6 +9,7 @@
 
 	"github.com/hibiscuslug/hibiscuslug/internal/roster"
 	"github.com/hibiscuslug/hibiscuslug/internal/stream"
+	"github.com/hibiscuslug/hibiscuslug/pkg/clock"
 )
 
 // pieceSize holds several events; it is what one read takes at most, in bytes.
@@ -18,6 +19,8 @@
 type relayed struct {
 	events  stream.Splitter
 	control *http.ResponseController
+	// last is when the caller got the last events, gap the longest pause so far.
+	last, gap clock.Millis
 }
 
 // relay passes a stream's whole events on as they come. An event that broke off
@@ -61,12 +64,16 @@
 	if on.stream != nil {
 		return
 	}
-	on.stream = &relayed{control: http.NewResponseController(on.w)}
+	now := on.gateway.clock.Now()
+	on.stream = &relayed{control: http.NewResponseController(on.w), last: now}
+	on.gateway.first.Record(kindNames[on.route.Kind], int64(now-on.arrived))
 	copyHeader(on.w.Header(), response.Header)
 	on.w.WriteHeader(response.StatusCode)
 }
 
 func (on *journey) write(events []byte) error {
+	now := on.gateway.clock.Now()
+	on.stream.gap, on.stream.last = max(on.stream.gap, now-on.stream.last), now
 	if _, err := on.w.Write(events); err != nil {
 		return err
 	}
--- a/internal/gate/serve.go
+++ b/internal/gate/serve.go
@@ -31,6 +31,8 @@
 	defaultPatience = clock.Minute
 )
 
+var kindNames = map[plan.Kind]string{plan.NonIdempotent: "nonIdempotent", plan.Idempotent: "idempotent", plan.Streaming: "streaming"}
+
 // refusal is an answer of the gateway's own.
 type refusal struct {
 	status int
@@ -168,6 +170,7 @@
 	gateway.log.Write(event.RequestEnded, "id", asked.task.ID, "outcome", "refused", "status", refused.status, "reason", refused.reason,
 		"customer", asked.customer, "route", asked.route.Name, "version", asked.version, "configAge", gateway.view.Age(),
 		"took", gateway.clock.Now()-asked.arrived, "retryAfter", refused.retry)
+	gateway.answered.Add(kindNames[asked.route.Kind] + ".refused")
 	gateway.settings.Dialect.Refuse(w.Header(), asked.task, refused.retry)
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(refused.status)
--- a/internal/gate/stall.go
+++ b/internal/gate/stall.go
@@ -59,6 +59,13 @@
 	return false
 }
 
+// stalled counts the groups that take no work.
+func (gateway *Gateway) stalled() int {
+	gateway.mu.Lock()
+	defer gateway.mu.Unlock()
+	return len(gateway.stalls)
+}
+
 // comeBack is when the caller of a request that was not run may return.
 func (on *journey) comeBack() clock.Millis {
 	gateway := on.gateway
--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -33,12 +33,19 @@
 	Running         = Metric{"running", "attempts", "attempts that run, by engine (endpoint)"}
 	Revision        = Metric{"revision", "revision", "configuration revision in force (all)"}
 	RevisionAge     = Metric{"revisionAge", "ms", "time since control confirmed the revision; -1 when it never did (all)"}
+	Answered        = Metric{"answered", "requests", "requests that ended since the start, by kind of route and outcome, as KIND.OUTCOME (gateway)"}
+	Sends           = Metric{"sends", "attempts", "attempts at endpoints that ended since the start, by result (gateway)"}
+	FirstByte       = Metric{"firstByte", "ms", "time to the answer or its first event, by kind of route: count, p50, p90, p99 and largest of the last minutes (gateway)"}
+	EventGap        = Metric{"eventGap", "ms", "longest pause of each stream between events: count, p50, p90, p99 and largest of the last minutes (gateway)"}
+	Dialed          = Metric{"dialed", "connections", "connections made to endpoints since the start (gateway)"}
+	Version         = Metric{"version", "version", "version of the configuration of request forwarding in force; 0 for none (gateway)"}
+	Stalled         = Metric{"stalled", "groups", "groups of ranks that take no work (gateway)"}
 	Members         = Metric{"members", "processes", "processes known by their announcements, by role (entry)"}
 	ControlBytesIn  = Metric{"controlBytesIn", "bytes", "bytes received since the start on connections for membership, configuration and commands (all)"}
 	ControlBytesOut = Metric{"controlBytesOut", "bytes", "bytes sent since the start on connections for membership, configuration and commands (all)"}
 )
 
-var all = []Metric{Requests, InFlight, Attempts, QueueLength, Running, Revision, RevisionAge, Members, ControlBytesIn, ControlBytesOut}
+var all = []Metric{Requests, InFlight, Attempts, QueueLength, Running, Revision, RevisionAge, Answered, Sends, FirstByte, EventGap, Dialed, Version, Stalled, Members, ControlBytesIn, ControlBytesOut}
 
 // never is an age, in milliseconds, that only a revision never confirmed by
 // control can have: its process counts from the Unix epoch.
--- a/internal/quorum/core.go
+++ b/internal/quorum/core.go
@@ -65,8 +65,8 @@
 	// preVoting is set while the candidate only asks whether it would be elected.
 	preVoting bool
 
-	progress map[Peer]*progress
-	beatDue  clock.Millis
+	progress  map[Peer]*progress
+	beatDue   clock.Millis
 	round     uint64
 	roundSent map[uint64]clock.Millis
 	confirmed clock.Millis
