Soak a deployment of real processes under random faults

Three control VMs, three gateways and four endpoints run as processes behind loopback proxies; processes are paused, killed, stopped, restarted and lose a disk; connections are reset, silenced, delayed and cut one way. Checked: whole answers, no repeats, refusals that have not run, revoked keys, configurations read back, recovery within 12 s.

--- a/Makefile
+++ b/Makefile
@@ -10,7 +10,7 @@
 
 SEEDS ?= 20
 
-.PHONY: build test demo bench history fuzz lint format tools generate check-generated
+.PHONY: build test demo bench history soak fuzz lint format tools generate check-generated
 
 build:
 	$(GO) build -o bin/ ./cmd/...
@@ -27,6 +27,9 @@
 history: build
 	HIB_HISTORY_SEEDS=$(SEEDS) $(GO) test -v -count=1 -timeout 60m ./test/history/...
 
+soak: build
+	HIB_SOAK_SEEDS=$(SEEDS) $(GO) test -v -count=1 -timeout 60m ./test/soak/...
+
 fuzz:
 	./.ci/fuzz
 
--- a/internal/fault/proxy.go
+++ b/internal/fault/proxy.go
@@ -55,12 +55,26 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "listen for the fault proxy")
 	}
+	return start(listener, target), nil
+}
+
+// NewAt starts a proxy on an address.
+func NewAt(address, target string) (*Proxy, error) {
+	var config net.ListenConfig
+	listener, err := config.Listen(context.Background(), "tcp", address)
+	if err != nil {
+		return nil, errors.Wrap(err, "listen for the fault proxy")
+	}
+	return start(listener, target), nil
+}
+
+func start(listener net.Listener, target string) *Proxy {
 	proxy := &Proxy{
 		address: listener.Addr().String(), listener: listener, target: target,
 		delays: map[Direction]time.Duration{}, pairs: map[*pair]struct{}{},
 	}
 	proxy.running.Go(func() { proxy.accept(listener) })
-	return proxy, nil
+	return proxy
 }
 
 // Address returns the address to connect to instead of the target's.
--- a/internal/procs/fleet.go
+++ b/internal/procs/fleet.go
@@ -16,11 +16,14 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/sourcegraph/conc"
 )
 
 const (
 	readyLimit = 20 * time.Second
 	stopLimit  = 40 * time.Second
+	// readyWord begins the line that a process writes once it serves.
+	readyWord = "ready"
 )
 
 // Process is a started process.
@@ -33,9 +36,11 @@
 	command *exec.Cmd
 	done    chan error
 	log     *tail
+	// rest reads the output behind the ready line.
+	rest conc.WaitGroup
 }
 
-// tail keeps what a process wrote to standard error.
+// tail keeps what a process wrote.
 type tail struct {
 	mu   sync.Mutex
 	text strings.Builder
@@ -68,10 +73,8 @@
 	}
 	ready := make(chan string, 1)
 	go func() {
-		reader := bufio.NewReader(out)
-		line, _ := reader.ReadString('\n')
-		ready <- line
-		_, _ = io.Copy(io.Discard, reader)
+		ready <- process.follow(bufio.NewReader(out))
+		process.rest.Wait()
 		process.done <- command.Wait()
 	}()
 	select {
@@ -82,9 +85,26 @@
 	}
 }
 
+// follow keeps what the process writes to standard output, and returns its ready
+// line; log lines may come before it.
+func (process *Process) follow(reader *bufio.Reader) string {
+	for {
+		line, err := reader.ReadString('\n')
+		if strings.HasPrefix(line, readyWord) || err != nil {
+			process.rest.Go(func() {
+				// The end of the process ends its output.
+				_, _ = io.Copy(process.log, reader)
+			})
+			return line
+		}
+		// A tail takes every write.
+		_, _ = process.log.Write([]byte(line))
+	}
+}
+
 func (process *Process) parse(line string) error {
 	words := strings.Fields(line)
-	if len(words) < 2 || words[0] != "ready" {
+	if len(words) < 2 || words[0] != readyWord {
 		return errors.Newf("%s did not start: %s", process.Name, process.Log())
 	}
 	process.Address = words[1]
@@ -94,7 +114,7 @@
 	return nil
 }
 
-// Log returns what the process wrote to standard error.
+// Log returns what the process wrote.
 func (process *Process) Log() string {
 	process.log.mu.Lock()
 	defer process.log.mu.Unlock()
