Sum the loads of all gateways where there are more than three control VMs

Change: a gateway reports to its primary control VM; control VMs pass on what was reported to them; a test with six control VMs.

--- a/internal/ctrl/fleet.go
+++ b/internal/ctrl/fleet.go
@@ -26,10 +26,12 @@
 	mostWait = clock.Second
 )
 
-// report is the load that a gateway reported.
+// report is the load that a gateway reported, or a control VM for its gateways.
 type report struct {
-	loads []*wire.EndpointLoad
-	at    clock.Millis
+	loads    []*wire.EndpointLoad
+	gateways uint32
+	control  bool
+	at       clock.Millis
 }
 
 // ParseSeeds turns seeds into the addresses for other processes, which all
@@ -66,7 +68,7 @@
 func newFleet(control *Control, seeds func() []string) *poll.Poller {
 	return poll.New(poll.Settings{
 		Node: control.settings.Node.Name, Zone: control.settings.Node.Zone, Self: control.advertised(), Control: true,
-		Sources: otherControls, Seeds: seeds,
+		Sources: otherControls, Seeds: seeds, Loads: control.direct,
 	}, control.view, control.pool, control.clock, control.log)
 }
 
@@ -111,15 +113,30 @@
 func (control *Control) note(request *wire.PollRequest) {
 	if request.GetControl() {
 		control.fleet.Meet(request.GetAddress(), request.GetZone())
+	}
+	if request.GetGateways() == 0 {
 		return
 	}
 	control.reportsMu.Lock()
 	defer control.reportsMu.Unlock()
-	control.reports[request.GetNode()] = report{loads: request.GetLoads(), at: control.clock.Now()}
+	control.reports[request.GetNode()] = report{
+		loads: request.GetLoads(), gateways: request.GetGateways(), control: request.GetControl(), at: control.clock.Now(),
+	}
 }
 
 // others sums the loads of all gateways but one.
 func (control *Control) others(node string, now clock.Millis) ([]*wire.EndpointLoad, uint32) {
+	return control.sum(now, func(name string, _ report) bool { return name != node })
+}
+
+// direct sums the loads of the gateways that report to this control VM.
+func (control *Control) direct() ([]*wire.EndpointLoad, int) {
+	loads, gateways := control.sum(control.clock.Now(), func(_ string, known report) bool { return !known.control })
+	return loads, int(gateways)
+}
+
+// sum adds up reports, and counts the gateways of all.
+func (control *Control) sum(now clock.Millis, wanted func(string, report) bool) ([]*wire.EndpointLoad, uint32) {
 	control.reportsMu.Lock()
 	defer control.reportsMu.Unlock()
 	sums, gateways := map[string]uint32{}, uint32(0)
@@ -128,8 +145,10 @@
 			delete(control.reports, name)
 			continue
 		}
-		gateways++
-		if name == node {
+		if !known.control || wanted(name, known) {
+			gateways += known.gateways
+		}
+		if !wanted(name, known) {
 			continue
 		}
 		for _, load := range known.loads {
--- a/internal/ctrl/seeds_test.go
+++ b/internal/ctrl/seeds_test.go
@@ -106,6 +106,15 @@
 		for _, number := range step.On {
 			Eventually(func() []string { return group.voters(number) }).WithTimeout(seedLimit).Should(HaveLen(int(step.Version)), "as VM %d sees it", number)
 		}
+	case "report":
+		for _, number := range step.On {
+			group.poll(number, fmt.Sprintf("gateway%d", number), uint32(step.Version))
+		}
+	case "loads":
+		for _, number := range step.On {
+			Eventually(func() []uint32 { return group.poll(number, "gateway0", 2) }).WithTimeout(seedLimit).
+				Should(Equal([]uint32{uint32(step.Version), uint32(group.script.VMs)}), "VM %d", number)
+		}
 	case "heartbeat":
 		for _, number := range step.On {
 			control := group.running[number]
@@ -122,6 +131,30 @@
 	}
 }
 
+// poll reports the load of one gateway and returns the sum of the others' and
+// the number of all gateways.
+func (group *seeded) poll(number int, gateway string, running uint32) []uint32 {
+	// Other gateways report all the time.
+	for other := range group.running {
+		if other == number {
+			continue
+		}
+		_, err := group.running[other].Poll(context.Background(), &wire.PollRequest{
+			Node: fmt.Sprintf("gateway%d", other), Gateways: 1, Loads: []*wire.EndpointLoad{{Id: "e1", Running: 2}},
+		})
+		Expect(err).NotTo(HaveOccurred())
+	}
+	reply, err := group.running[number].Poll(context.Background(), &wire.PollRequest{
+		Node: gateway, Gateways: 1, Loads: []*wire.EndpointLoad{{Id: "e1", Running: running}},
+	})
+	Expect(err).NotTo(HaveOccurred())
+	sum := uint32(0)
+	for _, load := range reply.GetLoads() {
+		sum += load.GetRunning()
+	}
+	return []uint32{sum, reply.GetGateways()}
+}
+
 // voters lists the members that answer and are no learners, unless one does not
 // answer: then the group is not whole.
 func (group *seeded) voters(number int) []string {
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -178,14 +178,14 @@
 }
 
 // loads reports the work at endpoints to control VMs.
-func (gateway *Gateway) loads() []*wire.EndpointLoad {
+func (gateway *Gateway) loads() ([]*wire.EndpointLoad, int) {
 	gateway.mu.Lock()
 	defer gateway.mu.Unlock()
 	list := make([]*wire.EndpointLoad, 0, len(gateway.work))
 	for id, running := range gateway.work {
 		list = append(list, &wire.EndpointLoad{Id: id, Running: uint32(running)})
 	}
-	return list
+	return list, 1
 }
 
 // follow takes each new configuration into force and logs readiness.
--- a/internal/poll/poll.go
+++ b/internal/poll/poll.go
@@ -32,6 +32,9 @@
 	// countLifetime is how long a count of gateways holds when later ones are
 	// lower; partitions and restarts are shorter.
 	countLifetime = clock.Minute
+	// directControls is how many control VMs a gateway asks at a time; where there
+	// are no more, each control VM hears of every gateway first-hand.
+	directControls = 3
 	// expireEvery is the time between searches for endpoints to forget.
 	expireEvery = 10 * clock.Second
 )
@@ -46,8 +49,9 @@
 	Sources int
 	// Seeds returns the addresses of control VMs from the settings.
 	Seeds func() []string
-	// Loads returns the work that this process has at endpoints.
-	Loads func() []*wire.EndpointLoad
+	// Loads returns the work that this process knows first-hand at endpoints, and
+	// how many gateways have it.
+	Loads func() ([]*wire.EndpointLoad, int)
 }
 
 // Poller asks control VMs until it is closed.
@@ -87,8 +91,8 @@
 func (poller *Poller) Start() {
 	ctx, cancel := context.WithCancel(context.Background())
 	poller.cancel = cancel
-	for range poller.settings.Sources {
-		poller.loops.Go(func() { poller.run(ctx) })
+	for slot := range poller.settings.Sources {
+		poller.loops.Go(func() { poller.run(ctx, slot == 0) })
 	}
 }
 
@@ -100,13 +104,14 @@
 	poller.loops.Wait()
 }
 
-func (poller *Poller) run(ctx context.Context) {
+// run asks one control VM after the other. The first loop's is the primary.
+func (poller *Poller) run(ctx context.Context, primary bool) {
 	failed := ""
 	lost := map[string]int{}
 	for ctx.Err() == nil {
 		address := poller.take(failed)
 		if address != "" {
-			err := poller.follow(ctx, address, lost)
+			err := poller.follow(ctx, address, primary, lost)
 			poller.release(address)
 			if ctx.Err() != nil {
 				return
@@ -165,7 +170,7 @@
 }
 
 // follow asks one control VM until it fails.
-func (poller *Poller) follow(ctx context.Context, address string, lost map[string]int) error {
+func (poller *Poller) follow(ctx context.Context, address string, primary bool, lost map[string]int) error {
 	var incarnation, position uint64
 	first := true
 	for {
@@ -174,7 +179,7 @@
 		if first {
 			wait = 0
 		}
-		reply, err := poller.ask(ctx, address, incarnation, position, wait)
+		reply, err := poller.ask(ctx, address, place{incarnation, position}, wait, poller.reports(primary))
 		if err != nil {
 			return err
 		}
@@ -194,19 +199,37 @@
 
 // Ask asks one control VM at once.
 func (poller *Poller) Ask(ctx context.Context, address string) error {
-	_, err := poller.ask(ctx, address, 0, 0, 0)
+	_, err := poller.ask(ctx, address, place{}, 0, false)
 	return err
 }
 
-func (poller *Poller) ask(ctx context.Context, address string, incarnation, position uint64, wait clock.Millis) (*wire.PollReply, error) {
+// reports tells whether this process reports its loads to a control VM and
+// takes those of others from it. Where there are more control VMs than a gateway
+// asks, each gateway reports to its primary one only, and control VMs pass on
+// what was reported to them: a sum must not count a gateway twice.
+func (poller *Poller) reports(primary bool) bool {
+	poller.mu.Lock()
+	defer poller.mu.Unlock()
+	crowded := len(poller.members) > directControls
+	if poller.settings.Control {
+		return crowded
+	}
+	return primary || !crowded
+}
+
+// place is how far a process knows the endpoints of a control VM.
+type place struct{ incarnation, position uint64 }
+
+func (poller *Poller) ask(ctx context.Context, address string, known place, wait clock.Millis, reports bool) (*wire.PollReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, (wait + replyLimit).Duration())
 	defer cancel()
 	request := &wire.PollRequest{
 		Node: poller.settings.Node, Zone: poller.settings.Zone, Control: poller.settings.Control, Address: poller.settings.Self,
-		Revision: poller.view.State().Revision(), Incarnation: incarnation, Position: position, Wait: int64(wait),
+		Revision: poller.view.State().Revision(), Incarnation: known.incarnation, Position: known.position, Wait: int64(wait),
 	}
-	if poller.settings.Loads != nil {
-		request.Loads = poller.settings.Loads()
+	if reports {
+		loads, gateways := poller.settings.Loads()
+		request.Loads, request.Gateways = loads, uint32(gateways)
 	}
 	sent := poller.clock.Now()
 	reply, err := wire.NewDRPCFleetClient(poller.pool.Conn(ctx, address)).Poll(ctx, request)
@@ -217,11 +240,11 @@
 		poller.log.Write(event.RevisionRefused, "source", address, "error", err)
 		return nil, err
 	}
-	poller.merge(reply, sent)
+	poller.merge(reply, sent, reports && !poller.settings.Control)
 	return reply, nil
 }
 
-func (poller *Poller) merge(reply *wire.PollReply, sent clock.Millis) {
+func (poller *Poller) merge(reply *wire.PollReply, sent clock.Millis, loads bool) {
 	poller.mu.Lock()
 	defer poller.mu.Unlock()
 	for _, message := range reply.GetEndpoints() {
@@ -233,6 +256,17 @@
 	if reply.GetLeader() != "" {
 		poller.leader = reply.GetLeader()
 	}
+	if loads {
+		poller.mergeLoads(reply)
+	}
+	if now := poller.clock.Now(); now-poller.expired > expireEvery {
+		poller.expired = now
+		poller.table.Expire(now)
+	}
+}
+
+// mergeLoads takes the work of all other gateways.
+func (poller *Poller) mergeLoads(reply *wire.PollReply) {
 	if now := poller.clock.Now(); int(reply.GetGateways()) >= poller.gateways || now-poller.counted > countLifetime {
 		poller.gateways, poller.counted = int(reply.GetGateways()), now
 	}
@@ -240,10 +274,6 @@
 	for _, load := range reply.GetLoads() {
 		poller.loads[load.GetId()] = int(load.GetRunning())
 	}
-	if now := poller.clock.Now(); now-poller.expired > expireEvery {
-		poller.expired = now
-		poller.table.Expire(now)
-	}
 }
 
 // zoneOf reads the zone that a control VM's name begins with, as ZONE/ADDRESS.
--- a/internal/stream/stream.go
+++ b/internal/stream/stream.go
@@ -1,7 +1,10 @@
 // Package stream cuts an event stream into whole events. It is pure.
 package stream
 
-import "bytes"
+import (
+	"bytes"
+	"slices"
+)
 
 // Splitter collects bytes and gives back whole events. The zero value is ready
 // for a stream's start.
@@ -22,7 +25,7 @@
 // Events returns the bytes of all events that are whole with the added piece.
 // The result is valid until the next call.
 func (splitter *Splitter) Events(piece []byte) []byte {
-	data := append(splitter.rest, piece...)
+	data := slices.Concat(splitter.rest, piece)
 	end := 0
 	for {
 		size := eventSize(data[end:])
@@ -35,7 +38,7 @@
 		end += size
 	}
 	whole := data[:end]
-	splitter.rest = append([]byte(nil), data[end:]...)
+	splitter.rest = data[end:]
 	return whole
 }
 
--- a/internal/swap/swap.go
+++ b/internal/swap/swap.go
@@ -36,13 +36,17 @@
 // Order is an order to a rank.
 type Order interface{ order() }
 
-// Orders. Version names a map, Step a step of the group.
 type (
+	// Prepare has the rank copy the experts of a map.
 	Prepare struct{ Version uint64 }
-	Arm     struct{ Version, Step uint64 }
-	Disarm  struct{ Version uint64 }
-	Hold    struct{ Step uint64 }
-	Go      struct{ Step uint64 }
+	// Arm has the rank take a map into use as a step begins.
+	Arm struct{ Version, Step uint64 }
+	// Disarm takes that back.
+	Disarm struct{ Version uint64 }
+	// Hold keeps the group from beginning a step.
+	Hold struct{ Step uint64 }
+	// Go ends a hold.
+	Go struct{ Step uint64 }
 )
 
 func (Prepare) order() {}
--- a/internal/wait/wait_test.go
+++ b/internal/wait/wait_test.go
@@ -50,68 +50,99 @@
 // credit counts a late answer half, as the deployments do.
 func (got outcome) credit() float64 { return float64(got.onTime+got.served) / 2 }
 
-// play runs a load in virtual time, with or without refusals.
+// pool is slots in virtual time, with the callers before them.
+type pool struct {
+	script   script
+	refuse   bool
+	random   *rand.Rand
+	estimate wait.Estimate
+	// ends are when the running requests end; queue waits, returning comes back.
+	ends             []clock.Millis
+	queue, returning []caller
+	arrivals         float64
+	got              outcome
+}
+
+// play runs a load, with or without refusals.
 func play(script script, refuse bool) outcome {
-	random := rand.New(rand.NewPCG(7, 7))
-	estimate := wait.Estimate{}
-	var ends []clock.Millis
-	var queue, returning []caller
-	got := outcome{}
-	capacity := float64(script.Slots) / float64(script.Duration)
-	arrivals := 0.0
-	for now := clock.Millis(0); now < script.Period*clock.Millis(script.Swings)+script.Duration*3; now += tick {
-		kept := ends[:0]
-		for _, end := range ends {
-			if end > now {
-				kept = append(kept, end)
-				continue
-			}
-			estimate = estimate.WithDuration(script.Duration)
+	pool := &pool{script: script, refuse: refuse, random: rand.New(rand.NewPCG(7, 7))}
+	demand := script.Period * clock.Millis(script.Swings)
+	for now := clock.Millis(0); now < demand+script.Duration*3; now += tick {
+		pool.finish(now)
+		for _, one := range append(pool.back(now), pool.arrive(now, demand)...) {
+			pool.take(one, now)
 		}
-		ends = kept
-		var came []caller
-		if now < script.Period*clock.Millis(script.Swings) {
-			phase := math.Sin(2 * math.Pi * float64(now) / float64(script.Period))
-			arrivals += tick * capacity * script.Peak * (0.55 + 0.45*phase)
-		}
-		for ; arrivals >= 1; arrivals-- {
-			came = append(came, caller{came: now + clock.Millis(random.Int64N(tick))})
+		pool.start(now)
+	}
+	return pool.got
+}
+
+func (pool *pool) finish(now clock.Millis) {
+	kept := pool.ends[:0]
+	for _, end := range pool.ends {
+		if end > now {
+			kept = append(kept, end)
+			continue
 		}
-		waiting := returning[:0]
-		for _, one := range returning {
-			if one.came > now {
-				waiting = append(waiting, one)
-				continue
-			}
-			came = append(came, one)
+		pool.estimate = pool.estimate.WithDuration(pool.script.Duration)
+	}
+	pool.ends = kept
+}
+
+func (pool *pool) arrive(now, demand clock.Millis) []caller {
+	if now < demand {
+		phase := math.Sin(2 * math.Pi * float64(now) / float64(pool.script.Period))
+		capacity := float64(pool.script.Slots) / float64(pool.script.Duration)
+		pool.arrivals += tick * capacity * pool.script.Peak * (0.55 + 0.45*phase)
+	}
+	var came []caller
+	for ; pool.arrivals >= 1; pool.arrivals-- {
+		came = append(came, caller{came: now + clock.Millis(pool.random.Int64N(tick))})
+	}
+	return came
+}
+
+func (pool *pool) back(now clock.Millis) []caller {
+	var came []caller
+	kept := pool.returning[:0]
+	for _, one := range pool.returning {
+		if one.came > now {
+			kept = append(kept, one)
+			continue
 		}
-		returning = waiting
-		for _, one := range came {
-			if refuse && !estimate.Admits(len(ends)+len(queue), script.Slots, script.Objective, 1) {
-				if one.back {
-					got.lost++
-				} else {
-					returning = append(returning, caller{came: now + comesBack + clock.Millis(random.Int64N(500)), back: true})
-				}
-				continue
-			}
-			queue = append(queue, one)
+		came = append(came, one)
+	}
+	pool.returning = kept
+	return came
+}
+
+func (pool *pool) take(one caller, now clock.Millis) {
+	script := pool.script
+	switch {
+	case !pool.refuse || pool.estimate.Admits(len(pool.ends)+len(pool.queue), script.Slots, script.Objective, 1):
+		pool.queue = append(pool.queue, one)
+	case one.back:
+		pool.got.lost++
+	default:
+		pool.returning = append(pool.returning, caller{came: now + comesBack + clock.Millis(pool.random.Int64N(500)), back: true})
+	}
+}
+
+func (pool *pool) start(now clock.Millis) {
+	patience := leaves * pool.script.Objective
+	for len(pool.queue) > 0 && (len(pool.ends) < pool.script.Slots || now-pool.queue[0].came > patience) {
+		one := pool.queue[0]
+		pool.queue = pool.queue[1:]
+		if now-one.came > patience {
+			pool.got.lost++
+			continue
 		}
-		for len(queue) > 0 && (len(ends) < script.Slots || now-queue[0].came > leaves*script.Objective) {
-			one := queue[0]
-			queue = queue[1:]
-			if now-one.came > leaves*script.Objective {
-				got.lost++
-				continue
-			}
-			ends = append(ends, now+script.Duration)
-			got.served++
-			if !one.back && now-one.came <= script.Objective {
-				got.onTime++
-			}
+		pool.ends = append(pool.ends, now+pool.script.Duration)
+		pool.got.served++
+		if !one.back && now-one.came <= pool.script.Objective {
+			pool.got.onTime++
 		}
 	}
-	return got
 }
 
 var _ = Describe("refusing what would wait too long", func() {
