Compare three random endpoints instead of all

Cause: gateways see loads a few hundred milliseconds late; all took the least loaded of 63 endpoints, which then got up to six times the mean while others idled (front-wdh-a-1, seconds 11 to 17: work 1 to 6 known at endpoints that gave no first event in two seconds). Change: three random candidates are compared; the mean work of all decides whether a new stream may wait.

--- a/internal/choose/choose.go
+++ b/internal/choose/choose.go
@@ -20,30 +20,41 @@
 // coldPenalty counts a cold endpoint as if it had this share of its slots taken.
 const coldPenalty = 0.5
 
-// Best returns the index of the least loaded candidate, or -1 when there is
-// none. Endpoints to avoid are taken only when there are no others.
+// choices is how many candidates are compared. Gateways see loads that are a few
+// hundred milliseconds old; if all of them took the least loaded of all
+// endpoints, they would fill it before anyone sees it.
+const choices = 3
+
+// Best returns the index of the least loaded of a few candidates, or -1 when
+// there is none. Endpoints to avoid are taken only when there are no others.
 func Best(candidates []Candidate, random *rand.Rand) int {
-	best, ties := -1, 0
-	for at, candidate := range candidates {
-		if best < 0 {
-			best, ties = at, 1
-			continue
-		}
-		switch order := compare(candidate, candidates[best]); {
-		case order < 0:
-			best, ties = at, 1
-		case order == 0:
-			// Each of several equal candidates is as likely as the others, so
-			// that gateways which see the same loads do not choose the same one.
-			ties++
-			if random.IntN(ties) == 0 {
-				best = at
-			}
+	drawn := draw(candidates, random)
+	best := -1
+	for _, at := range drawn {
+		// The order is random, so equal candidates are equally likely.
+		if best < 0 || compare(candidates[at], candidates[best]) < 0 {
+			best = at
 		}
 	}
 	return best
 }
 
+// draw returns the indexes of some candidates in random order, of those not to
+// be avoided if there are any.
+func draw(candidates []Candidate, random *rand.Rand) []int {
+	var good, all []int
+	for _, at := range random.Perm(len(candidates)) {
+		all = append(all, at)
+		if !candidates[at].Avoid {
+			good = append(good, at)
+		}
+	}
+	if len(good) > 0 {
+		all = good
+	}
+	return all[:min(choices, len(all))]
+}
+
 func compare(first, second Candidate) int {
 	if first.Avoid != second.Avoid {
 		return order(second.Avoid)
--- a/internal/gate/forward.go
+++ b/internal/gate/forward.go
@@ -58,6 +58,8 @@
 	tried   map[string]bool
 	// work is what the endpoint chosen last had, as far as known here.
 	work int
+	// mean is the mean work at the endpoints that take new work.
+	mean int
 	// runs counts attempts that may have run, unrun those that have not.
 	runs, unrun int
 	// kept is an endpoint's error, delivered when no other attempt does better.
@@ -196,27 +198,26 @@
 	if at < 0 {
 		return roster.Record{}, false
 	}
-	on.work = candidates[at].Work
+	on.work, on.mean = candidates[at].Work, mean(candidates)
 	gateway.detector = gateway.detector.WithSent(incarnation(open[at]), now)
 	return open[at], true
 }
 
-// fullness returns what decides that even the least loaded endpoint would keep a
-// new stream waiting beyond what is good for it, or nil when it would not. What
-// has begun goes on.
+// fullness returns what decides that the endpoints of a service would keep a new
+// stream waiting beyond what is good for it, or nil when they would not. What
+// has begun goes on. The mean decides: the work at one endpoint is known late.
 func (on *journey) fullness(endpoint roster.Record) []any {
 	if on.route.Kind != plan.Streaming || on.runs+on.unrun > 0 || on.stream != nil {
 		return nil
 	}
 	gateway := on.gateway
-	others := gateway.poller.Loads()[endpoint.ID]
 	gateway.mu.Lock()
 	defer gateway.mu.Unlock()
-	work, places, estimate := others+gateway.work[endpoint.ID], slots(endpoint, on.service), gateway.waits[on.service.Name]
+	work, places, estimate := on.mean, slots(endpoint, on.service), gateway.waits[on.service.Name]
 	if estimate.Admits(work, places, on.route.Objective, on.urgency) {
 		return nil
 	}
-	return []any{"least", endpoint.ID, "work", work, "slots", places, "wait", estimate.Behind(work, places), "urgency", on.urgency}
+	return []any{"meanWork", work, "slots", places, "wait", estimate.Behind(work, places), "urgency", on.urgency}
 }
 
 // lasted notes how long a stream of a service took from its first event to its end.
@@ -226,6 +227,14 @@
 	gateway.waits[service] = gateway.waits[service].WithDuration(took)
 }
 
+func mean(candidates []choose.Candidate) int {
+	sum := 0
+	for _, candidate := range candidates {
+		sum += candidate.Work
+	}
+	return sum / max(len(candidates), 1)
+}
+
 func slots(record roster.Record, service plan.Service) int {
 	if record.Slots > 0 || service.Engine == nil {
 		return record.Slots
