--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -84,7 +84,6 @@
 	mu       sync.Mutex
 	random   *rand.Rand
 	work     map[string]int
-	heard    map[string]clock.Millis
 	detector retry.Detector
 	windows  map[string]*retry.Window
 	// waits holds what is known of the streams of each service.
@@ -97,7 +96,7 @@
 func New(settings Settings, ticker *clock.Clock, log *event.Log) (*Gateway, error) {
 	gateway := &Gateway{
 		settings: settings, clock: ticker, log: log, view: feed.NewView(ticker), links: link.NewPool(), conns: conns.New(ticker),
-		random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), work: map[string]int{}, heard: map[string]clock.Millis{},
+		random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), work: map[string]int{},
 		windows: map[string]*retry.Window{}, stalls: map[string]stall{}, waits: map[string]wait.Estimate{},
 	}
 	gateway.poller = poll.New(poll.Settings{
