gate: count first attempts under the lock

Cause: found by reading: the retry window of a service was changed outside its lock, a data race between requests. Measured: go test -race ./internal/gate passes.

--- a/internal/gate/forward.go
+++ b/internal/gate/forward.go
@@ -71,7 +71,7 @@
 // forward sends the request to endpoints until one answers or none may.
 func (gateway *Gateway) forward(ctx context.Context, w http.ResponseWriter, asked *call) {
 	on := &journey{call: asked, gateway: gateway, w: w, tried: map[string]bool{}}
-	gateway.window(asked.service.Name).Request(asked.arrived)
+	gateway.requested(asked.service.Name, asked.arrived)
 	for {
 		endpoint, ok := on.choose()
 		if !ok {
@@ -246,9 +246,8 @@
 // tells nothing of it.
 func incarnation(record roster.Record) string { return record.ID + "@" + record.Address }
 
+// window returns the retry budget of a service. The caller holds mu.
 func (gateway *Gateway) window(service string) *retry.Window {
-	gateway.mu.Lock()
-	defer gateway.mu.Unlock()
 	known := gateway.windows[service]
 	if known == nil {
 		known = retry.NewWindow(gateway.settings.Gateway.RetryRatio, gateway.settings.Gateway.RetryWindow)
@@ -257,13 +256,19 @@
 	return known
 }
 
+// requested notes the first attempt of a request.
+func (gateway *Gateway) requested(service string, at clock.Millis) {
+	gateway.mu.Lock()
+	defer gateway.mu.Unlock()
+	gateway.window(service).Request(at)
+}
+
 // mayRepeat takes one repeat from this gateway's part of the retry budget.
 func (gateway *Gateway) mayRepeat(service string) bool {
-	window := gateway.window(service)
 	slack := float64(gateway.settings.Gateway.RetrySlack) / float64(gateway.poller.Gateways())
 	gateway.mu.Lock()
 	defer gateway.mu.Unlock()
-	return window.Repeat(gateway.clock.Now(), slack)
+	return gateway.window(service).Repeat(gateway.clock.Now(), slack)
 }
 
 // judge notes what an attempt tells of the endpoint.
