--- /dev/null
+++ b/internal/poll/poll_test.go
@@ -0,0 +1,82 @@
+package poll_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/hibiscuslug/hibiscuslug/internal/event"
+	"github.com/hibiscuslug/hibiscuslug/internal/fault"
+	"github.com/hibiscuslug/hibiscuslug/internal/feed"
+	"github.com/hibiscuslug/hibiscuslug/internal/link"
+	"github.com/hibiscuslug/hibiscuslug/internal/poll"
+	"github.com/hibiscuslug/hibiscuslug/pkg/clock"
+	"github.com/hibiscuslug/hibiscuslug/pkg/wire"
+)
+
+func TestPoll(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "Poll")
+}
+
+const limit = 30 * time.Second
+
+// source is a control VM that always says it was confirmed this moment.
+type source struct{}
+
+func (source) Poll(context.Context, *wire.PollRequest) (*wire.PollReply, error) {
+	return &wire.PollReply{
+		Config: &wire.FeedItem{}, Incarnation: 1, Position: 1, Gateways: 4, Loads: []*wire.EndpointLoad{{Id: "e1", Running: 7}},
+		Endpoints: []*wire.EndpointRecord{{Id: "e1", Service: "desk", Address: "10.0.0.1:80", Born: 1, Sequence: 1}},
+	}, nil
+}
+
+func start(ways ...string) (*poll.Poller, *feed.View) {
+	ticker := clock.NewSystem()
+	view, pool := feed.NewView(ticker), link.NewPool()
+	DeferCleanup(pool.Close)
+	poller := poll.New(poll.Settings{
+		Node: "gateway1", Sources: 1, Seeds: func() []string { return ways },
+		Loads: func() ([]*wire.EndpointLoad, int) { return nil, 1 },
+	}, view, pool, ticker, event.Discard())
+	poller.Start()
+	DeferCleanup(poller.Close)
+	return poller, view
+}
+
+func serve() *fault.Proxy {
+	server, err := link.Listen("127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	Expect(wire.DRPCRegisterFleet(server.Mux(), source{})).To(Succeed())
+	server.Start()
+	DeferCleanup(server.Close)
+	way, err := fault.New(server.Address())
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(way.Close)
+	return way
+}
+
+// Guards against a confirmation that was held back on its way and looks fresh:
+// a revoked key would work on.
+var _ = It("counts a confirmation from when it was asked for, not from when it came", func() {
+	way := serve()
+	way.Delay(fault.Downstream, 300*time.Millisecond)
+	_, view := start(way.Address())
+	Eventually(view.Confirmed).WithTimeout(limit).Should(BeNumerically(">", 0))
+	Consistently(view.Age).WithTimeout(time.Second).WithPolling(5 * time.Millisecond).Should(BeNumerically(">=", 295))
+})
+
+// Guards against a process that stays with a control VM whose connection went
+// silent without a reset.
+var _ = It("leaves a silent control VM for another and takes endpoints and loads from there", func() {
+	silent, good := serve(), serve()
+	silent.Lose(fault.Both)
+	poller, view := start(silent.Address(), good.Address())
+	Eventually(view.Confirmed).WithTimeout(limit).Should(BeNumerically(">", 0))
+	Eventually(func() int { return len(poller.Endpoints("desk")) }).WithTimeout(limit).Should(Equal(1))
+	Expect(poller.Loads()).To(Equal(map[string]int{"e1": 7}))
+	Expect(poller.Gateways()).To(Equal(4))
+})
