fault: ignore a refusal from before the last Retarget

A proxy closes its listener when the target refuses; a refusal from before the process listened, handled after Retarget, closed it for good, so the control group could not form. Change: refusals carry the number of the last Retarget.

--- a/internal/fault/proxy.go
+++ b/internal/fault/proxy.go
@@ -41,11 +41,14 @@
 	mu       sync.Mutex
 	listener net.Listener
 	target   string
-	delays   map[Direction]time.Duration
-	lost     Direction
-	cut      bool
-	pairs    map[*pair]struct{}
-	closed   bool
+	// turn counts the calls of Retarget: a refusal from before the last one says
+	// nothing about the target as it is now.
+	turn   uint64
+	delays map[Direction]time.Duration
+	lost   Direction
+	cut    bool
+	pairs  map[*pair]struct{}
+	closed bool
 }
 
 // New starts a proxy on a free loopback port. An empty target refuses
@@ -85,6 +88,7 @@
 	proxy.mu.Lock()
 	defer proxy.mu.Unlock()
 	proxy.target = target
+	proxy.turn++
 	if proxy.listener != nil {
 		return nil
 	}
@@ -99,10 +103,10 @@
 }
 
 // refuse closes the listener after the target refused a connection.
-func (proxy *Proxy) refuse(target string) {
+func (proxy *Proxy) refuse(turn uint64) {
 	proxy.mu.Lock()
 	defer proxy.mu.Unlock()
-	if proxy.listener != nil && proxy.target == target && target != "" {
+	if proxy.listener != nil && proxy.turn == turn && proxy.target != "" {
 		// The connecting process sees the refusal.
 		_ = proxy.listener.Close()
 		proxy.listener = nil
@@ -210,7 +214,7 @@
 
 func (proxy *Proxy) serve(client net.Conn) {
 	proxy.mu.Lock()
-	target, cut := proxy.target, proxy.cut
+	target, turn, cut := proxy.target, proxy.turn, proxy.cut
 	proxy.mu.Unlock()
 	var server net.Conn
 	if !cut {
@@ -220,7 +224,7 @@
 			// The connecting process sees its connection closed.
 			_ = client.Close()
 			if errors.Is(err, syscall.ECONNREFUSED) {
-				proxy.refuse(target)
+				proxy.refuse(turn)
 			}
 			return
 		}
