--- a/internal/steer/maps.go
+++ b/internal/steer/maps.go
@@ -33,8 +33,8 @@
 	start, stop, gain float64
 }
 
-// efforts go from a full group to an idle one. The figures come from the runs
-// in journal/ with the reason "effort by fill".
+// efforts go from a full group to an idle one. The figures are estimates that
+// were tried together, and not one by one.
 var efforts = []effort{
 	{fill: 0.55, start: 1.10, stop: 1.03, gain: 0.001},
 	{fill: 0.35, start: 1.25, stop: 1.10, gain: 0.004},
