swap: void tries that were given up; end holds without an agent that does not answer

(3) After an epoch began, the first map came into force 1.2 s after it was planned, because passes took 250 ms.

A try that is given up is voided before the group goes on: every rank prepares the map in use under an even version. A step for which a hold was ended is not chosen again, and a new coordinator chooses one beyond its predecessor's. The coordinator ends a hold at the engine itself when an agent does not answer. While passes take over 150 ms the switch is at the next step. A gateway takes a group as stalled when none of its streams had an event for 700 ms.

--- a/internal/daemon/agent.go
+++ b/internal/daemon/agent.go
@@ -52,6 +52,7 @@
 func newSteered(running role, control *ctrl.Control, node opts.Node, ticker *clock.Clock, log *event.Log) role {
 	return &steered{role: running, steer: steer.New(steer.Settings{
 		Listen: node.Listen, Plan: latestPlan(control, log), Endpoints: control.Endpoints, Leads: control.Leads,
+		Engine: func(address string) agent.Engine { return platform.NewEngine(address) },
 	}, ticker, log)}
 }
 
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -43,6 +43,7 @@
 	AnnounceFailed     = Event{304, "announcement failed"}
 	ReadinessChanged   = Event{305, "readiness changed"}
 	EndpointChanged    = Event{306, "endpoint changed"}
+	GroupSilent        = Event{307, "no stream of a group makes progress"}
 	RevisionApplied    = Event{401, "configuration revision applied"}
 	RevisionRefused    = Event{402, "configuration revision refused"}
 	FeedLost           = Event{403, "configuration feed lost"}
@@ -67,6 +68,7 @@
 	MapInForce         = Event{603, "expert map in force"}
 	GroupUnread        = Event{604, "ranks of a group cannot all be read"}
 	GroupRead          = Event{605, "ranks of a group can all be read again"}
+	HoldEnded          = Event{606, "hold of a group ended without an agent"}
 )
 
 // Log writes events of one process.
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -94,6 +94,8 @@
 	waits map[string]wait.Estimate
 	// stalls holds groups that refused work because a rank is missing.
 	stalls map[string]stall
+	// pulses holds the groups with streams that have begun.
+	pulses map[string]pulse
 }
 
 // New starts a gateway.
@@ -101,7 +103,7 @@
 	gateway := &Gateway{
 		settings: settings, clock: ticker, log: log, view: feed.NewView(ticker), links: link.NewPool(), conns: conns.New(ticker),
 		random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), work: map[string]int{},
-		windows: map[string]*retry.Window{}, stalls: map[string]stall{}, waits: map[string]wait.Estimate{},
+		windows: map[string]*retry.Window{}, stalls: map[string]stall{}, pulses: map[string]pulse{}, waits: map[string]wait.Estimate{},
 	}
 	gateway.poller = poll.New(poll.Settings{
 		Node: settings.Node.Name, Zone: settings.Node.Zone, Sources: controlSources, Seeds: gateway.seeds, Loads: gateway.loads,
--- a/internal/gate/relay.go
+++ b/internal/gate/relay.go
@@ -33,9 +33,15 @@
 		events = on.stream.events.Next()
 	}
 	buffer := make([]byte, pieceSize)
+	begun := false
 	for {
 		size, err := response.Body.Read(buffer)
 		if whole := events.Events(buffer[:size]); len(whole) > 0 {
+			if !begun {
+				begun = true
+				on.gateway.beginStream(endpoint.Group.Name)
+				defer on.gateway.endStream(endpoint.Group.Name)
+			}
 			on.gateway.resume(endpoint.Group)
 			on.open(response)
 			on.stream.events = events
--- a/internal/gate/stall.go
+++ b/internal/gate/stall.go
@@ -1,6 +1,7 @@
 package gate
 
 import (
+	"github.com/hibiscuslug/hibiscuslug/internal/event"
 	"github.com/hibiscuslug/hibiscuslug/internal/hold"
 	"github.com/hibiscuslug/hibiscuslug/internal/roster"
 	"github.com/hibiscuslug/hibiscuslug/pkg/clock"
@@ -24,6 +25,31 @@
 	probe clock.Millis
 }
 
+// pulse is what the streams of a group show.
+type pulse struct {
+	// streams counts those that have begun and not ended, last is when one of
+	// them had an event.
+	streams int
+	last    clock.Millis
+}
+
+// beginStream and endStream count the streams of a group that have begun.
+func (gateway *Gateway) beginStream(group string) { gateway.countStream(group, 1) }
+
+func (gateway *Gateway) endStream(group string) { gateway.countStream(group, -1) }
+
+func (gateway *Gateway) countStream(group string, change int) {
+	gateway.mu.Lock()
+	defer gateway.mu.Unlock()
+	known := gateway.pulses[group]
+	known.streams += change
+	if known.streams <= 0 {
+		delete(gateway.pulses, group)
+		return
+	}
+	gateway.pulses[group] = known
+}
+
 // stall notes that a group refused work for the fault of another rank.
 func (gateway *Gateway) stall(group roster.Group) {
 	if group.Name == "" {
@@ -45,6 +71,21 @@
 	gateway.mu.Lock()
 	defer gateway.mu.Unlock()
 	delete(gateway.stalls, group.Name)
+	if known, ok := gateway.pulses[group.Name]; ok {
+		known.last = gateway.clock.Now()
+		gateway.pulses[group.Name] = known
+	}
+}
+
+// listenTo marks a group as stalled when none of its streams makes progress. The
+// caller holds mu.
+func (gateway *Gateway) listenTo(group roster.Group, now clock.Millis) {
+	pulse, ok := gateway.pulses[group.Name]
+	if _, isKnown := gateway.stalls[group.Name]; !ok || isKnown || !hold.IsSilent(pulse.streams, now-pulse.last) {
+		return
+	}
+	gateway.stalls[group.Name] = stall{epoch: group.Epoch, since: pulse.last, probe: now + probeEvery}
+	gateway.log.Write(event.GroupSilent, "group", group.Name, "epoch", group.Epoch, "streams", pulse.streams, "quiet", now-pulse.last)
 }
 
 // isStalled tells whether a group takes no work. It lets one request through
@@ -52,11 +93,12 @@
 func (gateway *Gateway) isStalled(group roster.Group) bool {
 	gateway.mu.Lock()
 	defer gateway.mu.Unlock()
+	now := gateway.clock.Now()
+	gateway.listenTo(group, now)
 	known, ok := gateway.stalls[group.Name]
 	if !ok || group.Epoch > known.epoch && !group.Broken {
 		return false
 	}
-	now := gateway.clock.Now()
 	if now < known.probe {
 		return true
 	}
--- a/internal/hold/hold.go
+++ b/internal/hold/hold.go
@@ -23,6 +23,12 @@
 	// leastOutage is how long a group is away at least after it began to refuse
 	// work: a rank that restarts needs seconds, and the group forms after it.
 	leastOutage = 2 * clock.Second
+	// silence is how long all streams of a group may pause before it counts as
+	// stalled. Passes take 230 ms at most after a shift of popularity.
+	silence = 700 * clock.Millis(1)
+	// leastStreams is how many streams must pause: a single one may wait for its
+	// own engine.
+	leastStreams = 2
 	// comeBack is when a caller may return to a group that has stalled. A rank
 	// takes seconds to come back, and callers wait a third of their time at most.
 	comeBack = 2700 * clock.Millis(1)
@@ -60,3 +66,9 @@
 	}
 	return Wait{Limit: min(clock.Millis(objectives*float64(objective)), patience/patienceParts), ComeBack: comeBack}
 }
+
+// IsSilent tells whether a group makes no progress: from the streams that have
+// begun there and the time since the last event of any of them.
+func IsSilent(streams int, quiet clock.Millis) bool {
+	return streams >= leastStreams && quiet > silence
+}
--- a/internal/hold/hold_test.go
+++ b/internal/hold/hold_test.go
@@ -134,4 +134,12 @@
 		Expect(hold.Starting(1500, 1000)).To(Equal(hold.Wait{Limit: 333, ComeBack: 1000}))
 		Expect(hold.Starting(1500, 8000)).To(Equal(hold.Wait{Limit: 1500, ComeBack: 1000}))
 	})
+
+	// Guards against sending work to a group that is held and does not say so
+	// (npwfa-doors trouble-2, node_freeze giver).
+	It("sees that a group makes no progress from the streams it has", func() {
+		Expect(hold.IsSilent(5, 1000)).To(BeTrue())
+		Expect(hold.IsSilent(5, 300)).To(BeFalse())
+		Expect(hold.IsSilent(1, 1000)).To(BeFalse())
+	})
 })
--- a/internal/steer/maps.go
+++ b/internal/steer/maps.go
@@ -134,7 +134,7 @@
 		return
 	}
 	known.wanted = next
-	wanted := swap.Newest(now) + 1
+	wanted := swap.Version(now)
 	known.swap.Want(wanted, epoch, steer.clock.Now())
 	steer.log.Write(event.MapWanted, "group", known.name, "version", wanted, "epoch", epoch, "copies", next.Copies(known.held),
 		"skewNow", rebal.MeanSkew(known.held, known.loads), "skewPlanned", rebal.MeanSkew(next, known.loads))
@@ -142,7 +142,7 @@
 
 // learn takes the map in use from the one that was wanted, or from the ranks.
 func (steer *Steer) learn(ctx context.Context, known *group, ranks []roster.Record, version, epoch uint64) error {
-	states, err := steer.read(ctx, ranks, func(int) *wire.RankRead { return &wire.RankRead{Maps: true} })
+	states, err := steer.read(ctx, readLimit, ranks, func(int) *wire.RankRead { return &wire.RankRead{Maps: true} })
 	if err != nil {
 		return err
 	}
--- /dev/null
+++ b/internal/steer/rescue.go
@@ -0,0 +1,60 @@
+package steer
+
+import (
+	"context"
+
+	"github.com/hibiscuslug/hibiscuslug/internal/event"
+	"github.com/hibiscuslug/hibiscuslug/internal/roster"
+	"github.com/hibiscuslug/hibiscuslug/internal/swap"
+	"github.com/hibiscuslug/hibiscuslug/pkg/wire"
+)
+
+// rescue ends a hold when the agent of a rank does not answer: a hold does not
+// expire, and the group makes no pass while it stands. It reads the ranks that
+// are missing in states from their engines and gives the order to the engine
+// itself. That is priced, so nothing else is done that way.
+func (steer *Steer) rescue(ctx context.Context, known *group, ranks []roster.Record, states []*wire.RankState) {
+	if !known.swap.Holds() || steer.settings.Engine == nil || !steer.settings.Leads() {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, readLimit.Duration())
+	defer cancel()
+	unread := 0
+	for at, state := range states {
+		if state != nil {
+			continue
+		}
+		unread++
+		var err error
+		if states[at], err = steer.readEngine(ctx, ranks[at].Address); err != nil {
+			// An empty state counts as one that is not armed.
+			states[at] = &wire.RankState{}
+			steer.log.Write(event.GroupUnread, "group", known.name, "error", err)
+		}
+	}
+	send, ok := known.swap.Rescue(rankStates(states))
+	if !ok {
+		return
+	}
+	done, err := steer.orderEngine(ctx, ranks[send.Rank].Address, send.Order, states[send.Rank])
+	if done {
+		known.swap.Released()
+	}
+	steer.log.Write(event.HoldEnded, "group", known.name, "rank", send.Rank, "version", known.version, "epoch", known.epoch,
+		"unread", unread, "done", done, "error", err)
+}
+
+func (steer *Steer) readEngine(ctx context.Context, address string) (*wire.RankState, error) {
+	engine := steer.settings.Engine(address)
+	defer engine.Close()
+	return engine.Read(ctx, &wire.RankRead{})
+}
+
+func (steer *Steer) orderEngine(ctx context.Context, address string, order swap.Order, state *wire.RankState) (bool, error) {
+	engine := steer.settings.Engine(address)
+	defer engine.Close()
+	made := message(order, nil)
+	made.Epoch, made.Expected = state.GetEpoch(), state.GetSequence()
+	reply, err := engine.Order(ctx, made)
+	return reply.GetDone(), err
+}
--- a/internal/steer/steer.go
+++ b/internal/steer/steer.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/sourcegraph/conc"
 
+	"github.com/hibiscuslug/hibiscuslug/internal/agent"
 	"github.com/hibiscuslug/hibiscuslug/internal/event"
 	"github.com/hibiscuslug/hibiscuslug/internal/expert"
 	"github.com/hibiscuslug/hibiscuslug/internal/link"
@@ -27,6 +28,9 @@
 	watchEvery = 150 * clock.Millis(1)
 	// waitEvery is the time between reads while ranks copy experts.
 	waitEvery = 50 * clock.Millis(1)
+	// heldReadLimit bounds it while the group may be stopped; a rank that does
+	// not answer in that time is read and ordered without its agent.
+	heldReadLimit = 200 * clock.Millis(1)
 	// readLimit bounds the read of all ranks. One takes a few milliseconds, but
 	// they share the processor of a control VM.
 	readLimit = 600 * clock.Millis(1)
@@ -50,6 +54,9 @@
 	Plan func() *plan.Plan
 	// Endpoints returns all endpoints of a service that are not gone.
 	Endpoints func(service string) []roster.Record
+	// Engine returns a client of the engine at an address, for when its agent
+	// does not answer. Its states are some hundred milliseconds old.
+	Engine func(address string) agent.Engine
 	// Leads tells whether this process is the control leader beyond doubt.
 	Leads func() bool
 }
@@ -180,9 +187,14 @@
 		if round == 0 {
 			counted = mostCounted
 		}
-		states, err := steer.read(ctx, ranks, known.rotate(counted, len(ranks)))
+		limit := readLimit
+		if known.swap.Holds() {
+			limit = heldReadLimit
+		}
+		states, err := steer.read(ctx, limit, ranks, known.rotate(counted, len(ranks)))
 		if err != nil {
 			steer.note(known, err)
+			steer.rescue(ctx, known, ranks, states)
 			return known.swap.Busy()
 		}
 		steer.note(known, nil)
@@ -195,6 +207,13 @@
 		if len(sends) == 0 || !steer.settings.Leads() {
 			break
 		}
+		if !known.known {
+			// A new coordinator needs the map in use to void its predecessor's try.
+			if err := steer.learn(ctx, known, ranks, states[0].GetMap(), states[0].GetEpoch()); err != nil {
+				steer.note(known, err)
+				break
+			}
+		}
 		steer.order(ctx, known, ranks, states, sends)
 		if _, copying := sends[0].Order.(swap.Prepare); copying {
 			break
@@ -251,9 +270,12 @@
 	}
 }
 
-// read reads all ranks at once; it fails when one cannot be read.
-func (steer *Steer) read(ctx context.Context, ranks []roster.Record, what func(rank int) *wire.RankRead) ([]*wire.RankState, error) {
-	ctx, cancel := context.WithTimeout(ctx, readLimit.Duration())
+// read reads all ranks at once; it fails when one cannot be read, and returns
+// the states of the others.
+func (steer *Steer) read(
+	ctx context.Context, limit clock.Millis, ranks []roster.Record, what func(rank int) *wire.RankRead,
+) ([]*wire.RankState, error) {
+	ctx, cancel := context.WithTimeout(ctx, limit.Duration())
 	defer cancel()
 	states := make([]*wire.RankState, len(ranks))
 	failures := make([]error, len(ranks))
@@ -265,16 +287,19 @@
 				failures[at] = err
 				return
 			}
-			if states[at], err = client.Read(ctx, what(at)); err != nil {
+			state, err := client.Read(ctx, what(at))
+			if err != nil {
 				steer.pool.Discard(address)
 				failures[at] = errors.Wrapf(err, "rank %d at %s", at, address)
+				return
 			}
+			states[at] = state
 		})
 	}
 	reading.Wait()
 	for _, err := range failures {
 		if err != nil {
-			return nil, err
+			return states, err
 		}
 	}
 	return states, nil
@@ -286,6 +311,9 @@
 	ctx, cancel := context.WithTimeout(ctx, readLimit.Duration())
 	defer cancel()
 	sets := encode(known.wanted)
+	if prepare, ok := sends[0].Order.(swap.Prepare); ok && prepare.Void {
+		sets = encode(known.held)
+	}
 	var mu sync.Mutex
 	refused := 0
 	var ordering conc.WaitGroup
--- a/internal/swap/swap.go
+++ b/internal/swap/swap.go
@@ -4,7 +4,9 @@
 // A hold stops the group before the step of the switch, so that no rank begins
 // it before every rank is known to be armed, or known not to be. A map version
 // is used for one try only: an order of an earlier try that is carried out late
-// then names a version or a step that no longer fits.
+// then names a version or a step that no longer fits. Switches use odd versions.
+// A try that is given up is voided before the group goes on: every rank prepares
+// the map in use under an even version, and refuses late orders to arm.
 package swap
 
 import "github.com/hibiscuslug/hibiscuslug/pkg/clock"
@@ -13,6 +15,18 @@
 	// lead is how many steps after the last one known the switch happens. It
 	// covers the orders of a calm try, so that the hold stops nobody.
 	lead = 2
+	// shortLead is that while passes are long: a stream is late then anyway, and
+	// the better map matters more than the moment for which the hold stops it.
+	shortLead = 1
+	// longPass is a pass that makes streams late.
+	longPass = 150 * clock.Millis(1)
+	// firstVersion is the first one of an epoch; nobody switched before it.
+	firstVersion = 1
+	// firstLead is that of a new coordinator's first switch, beyond the steps of
+	// its predecessor's last one.
+	firstLead = 6
+	// holdRank is the rank that holds the step for the group.
+	holdRank = 0
 	// prepareAgain is when a rank that has not copied its experts is ordered
 	// again; copies take about a second.
 	prepareAgain = 1500 * clock.Millis(1)
@@ -37,8 +51,12 @@
 type Order interface{ order() }
 
 type (
-	// Prepare has the rank copy the experts of a map.
-	Prepare struct{ Version uint64 }
+	// Prepare has the rank copy the experts of a map: the one wanted or, where
+	// Void is set, the one in use.
+	Prepare struct {
+		Version uint64
+		Void    bool
+	}
 	// Arm has the rank take a map into use as a step begins.
 	Arm struct{ Version, Step uint64 }
 	// Disarm takes that back.
@@ -72,6 +90,14 @@
 	// step is where the switch happens, once chosen, and armedSince when.
 	step       uint64
 	armedSince clock.Millis
+	// arming is set once a rank was ordered to arm for the step.
+	arming bool
+	// released is the highest step for which a hold was ended.
+	released uint64
+	// newest is the last step seen, seen when that was, and pass how long the
+	// latest passes took.
+	newest     uint64
+	seen, pass clock.Millis
 }
 
 // Busy tells whether a map is on its way.
@@ -79,7 +105,47 @@
 
 // Want begins the switch to a version, which must be higher than all before.
 func (swap *Swap) Want(version, epoch uint64, now clock.Millis) {
-	*swap = Swap{target: version, epoch: epoch, since: now, asked: map[int]clock.Millis{}}
+	*swap = Swap{target: version, epoch: epoch, since: now, asked: map[int]clock.Millis{}, released: swap.released,
+		newest: swap.newest, seen: swap.seen, pass: swap.pass}
+}
+
+// end gives the try up. Its version is not used again.
+func (swap *Swap) end() {
+	*swap = Swap{epoch: swap.epoch, released: swap.released, newest: swap.newest, seen: swap.seen, pass: swap.pass}
+}
+
+// watch measures the passes.
+func (swap *Swap) watch(ranks []Rank, now clock.Millis) {
+	newest := uint64(0)
+	for _, rank := range ranks {
+		newest = max(newest, rank.Step)
+	}
+	if newest == swap.newest {
+		return
+	}
+	if newest > swap.newest && swap.newest > 0 {
+		swap.pass = (now - swap.seen) / clock.Millis(newest-swap.newest)
+	}
+	swap.newest, swap.seen = newest, now
+}
+
+// release returns the order that ends a hold.
+func (swap *Swap) release(rank int, step uint64) Send {
+	swap.released = max(swap.released, step)
+	return Send{rank, Go{step}}
+}
+
+// choose returns the step of the next switch. It is none for which a hold was
+// ended: that order may be carried out late, and would end the next hold too. A
+// coordinator that has ended none does not know what its predecessor ended.
+func (swap *Swap) choose(newest uint64) uint64 {
+	switch {
+	case swap.released == 0 && swap.target > firstVersion:
+		return newest + firstLead
+	case swap.pass > longPass:
+		return max(newest+shortLead, swap.released+1)
+	}
+	return max(newest+lead, swap.released+1)
 }
 
 // Unanswered tells that a rank gave no answer to an order, so that it is given
@@ -95,6 +161,21 @@
 	return newest
 }
 
+// Version returns the version for the next switch.
+func Version(ranks []Rank) uint64 { return (Newest(ranks) + 1) | 1 }
+
+// void returns the orders after which no rank can be armed for an earlier try.
+func void(ranks []Rank) []Send {
+	version := (Newest(ranks) + 2) &^ 1
+	var sends []Send
+	for at, rank := range ranks {
+		if rank.Prepared > rank.Map && rank.Prepared%2 == 1 {
+			sends = append(sends, Send{at, Prepare{Version: version, Void: true}})
+		}
+	}
+	return sends
+}
+
 // Uniform tells whether all ranks are in one epoch with one map.
 func Uniform(ranks []Rank) bool {
 	for _, rank := range ranks {
@@ -110,9 +191,14 @@
 	if len(ranks) == 0 || !Uniform(ranks) {
 		return nil
 	}
-	if swap.Busy() && (ranks[0].Epoch != swap.epoch || ranks[0].Map == swap.target) {
-		*swap = Swap{}
+	if ranks[0].Epoch != swap.epoch {
+		// Steps begin anew, and orders of another epoch are refused.
+		*swap = Swap{epoch: ranks[0].Epoch}
+	}
+	if swap.Busy() && ranks[0].Map == swap.target {
+		swap.end()
 	}
+	swap.watch(ranks, now)
 	if holder, step := held(ranks); step != 0 {
 		return swap.holding(ranks, holder, step, now)
 	}
@@ -133,22 +219,28 @@
 		version = ranks[armedRanks[0]].Armed
 	}
 	if version != 0 && all(ranks, func(rank Rank) bool { return rank.Armed == version && rank.ArmedStep == step }) {
-		return []Send{{holder, Go{step}}}
+		return []Send{swap.release(holder, step)}
 	}
 	if swap.Busy() && swap.step == step && now-swap.armedSince <= armLimit {
 		var sends []Send
 		for at, rank := range ranks {
 			if rank.Armed != swap.target {
+				swap.arming = true
 				sends = append(sends, Send{at, Arm{swap.target, step}})
 			}
 		}
 		return sends
 	}
-	*swap = Swap{}
-	if len(armedRanks) == 0 {
-		return []Send{{holder, Go{step}}}
+	// Without an order to arm nothing can come late.
+	isArming := swap.step != step || swap.arming
+	swap.end()
+	if len(armedRanks) > 0 {
+		return disarm(ranks, armedRanks)
+	}
+	if sends := void(ranks); len(sends) > 0 && isArming {
+		return sends
 	}
-	return disarm(ranks, armedRanks)
+	return []Send{swap.release(holder, step)}
 }
 
 // unheld decides when ranks are armed and no step is held: another coordinator
@@ -158,18 +250,18 @@
 	if all(ranks, func(rank Rank) bool { return rank.Armed == first.Armed && rank.ArmedStep == first.ArmedStep }) {
 		return nil
 	}
-	*swap = Swap{}
+	swap.end()
 	step := first.ArmedStep
 	for _, at := range armedRanks {
 		step = min(step, ranks[at].ArmedStep)
 	}
-	return append([]Send{{0, Hold{step}}}, disarm(ranks, armedRanks)...)
+	return append([]Send{{holdRank, Hold{step}}}, disarm(ranks, armedRanks)...)
 }
 
 // prepare has the experts copied, and then chooses the step.
 func (swap *Swap) prepare(ranks []Rank, now clock.Millis) []Send {
 	if now-swap.since > prepareLimit {
-		*swap = Swap{}
+		swap.end()
 		return nil
 	}
 	var sends []Send
@@ -182,17 +274,44 @@
 		ready = false
 		if last, ok := swap.asked[at]; !ok || now-last > prepareAgain {
 			swap.asked[at] = now
-			sends = append(sends, Send{at, Prepare{swap.target}})
+			sends = append(sends, Send{at, Prepare{Version: swap.target}})
 		}
 	}
 	if !ready {
 		return sends
 	}
 	// A step chosen before was not held in time; nobody was armed for it.
-	swap.step, swap.armedSince = step+lead, now
-	return []Send{{0, Hold{swap.step}}}
+	swap.step, swap.armedSince, swap.arming = swap.choose(step), now, false
+	return []Send{{holdRank, Hold{swap.step}}}
+}
+
+// Holds tells whether the group may be stopped by a hold of this switch.
+func (swap *Swap) Holds() bool { return swap.step != 0 }
+
+// Rescue returns the order that ends a hold of this switch when some ranks
+// cannot be read through their agents; the states of those may be old. Without
+// an order to arm, no rank can switch at the step, whatever is still under way.
+// Once ranks were told to arm, all of them must be seen armed, which an old
+// state shows as well as a new one: nobody else takes it back.
+func (swap *Swap) Rescue(ranks []Rank) (Send, bool) {
+	step := swap.step
+	switch {
+	case step == 0:
+		return Send{}, false
+	case !swap.arming:
+		// The try ends here, also when the order is carried out late.
+		swap.target = 0
+	case !all(ranks, func(rank Rank) bool {
+		return rank.Epoch == swap.epoch && rank.Armed == swap.target && rank.ArmedStep == step
+	}):
+		return Send{}, false
+	}
+	return swap.release(holdRank, step), true
 }
 
+// Released tells that the hold was ended by the order of Rescue.
+func (swap *Swap) Released() { swap.step = 0 }
+
 func held(ranks []Rank) (int, uint64) {
 	for at, rank := range ranks {
 		if rank.Held != 0 {
--- a/internal/swap/swap_test.go
+++ b/internal/swap/swap_test.go
@@ -47,6 +47,17 @@
 	// which the group makes no passes.
 	unanswered, idle float64
 	switched, stuck  int
+	// frozen is the rank whose agent does not answer until thaw, and past the
+	// states of all ranks from reportLag ago on.
+	frozen int
+	thaw   clock.Millis
+	past   []instant
+}
+
+// instant is the state of all ranks at one time.
+type instant struct {
+	at    clock.Millis
+	ranks []rank
 }
 
 func (world *world) take(at int, order swap.Order, expected uint64) bool {
@@ -165,6 +176,13 @@
 	return list
 }
 
+const (
+	// freeze is how long an agent is stopped.
+	freeze = 4 * clock.Second
+	// reportLag is how old an engine's report is when another VM asks for it.
+	reportLag = 300 * clock.Millis(1)
+)
+
 type script struct {
 	Name       string  `json:"name"`
 	Ranks      int     `json:"ranks"`
@@ -172,6 +190,10 @@
 	Idle       float64 `json:"idle"`
 	// Replaced is the share of rounds after which another coordinator goes on.
 	Replaced float64 `json:"replaced"`
+	// Frozen is the share of orders after which the rank's agent does not
+	// answer for freeze; Rescued tells whether the coordinator goes around it.
+	Frozen  float64 `json:"frozen"`
+	Rescued bool    `json:"rescued"`
 	// Lost is the share of orders that a coordinator does not get to give.
 	Lost  float64      `json:"lost"`
 	For   clock.Millis `json:"for"`
@@ -191,24 +213,63 @@
 	var coordinator swap.Swap
 	for world.now < script.For {
 		states := world.states()
+		if world.now < world.thaw {
+			// The engine's own report of the frozen rank is old.
+			states[world.frozen] = world.past[0].ranks[world.frozen].Rank
+			if send, ok := coordinator.Rescue(states); ok && script.Rescued {
+				world.direct(send, script.Unanswered, &coordinator)
+			}
+			if err := world.step(); err != nil {
+				return world, err
+			}
+			continue
+		}
 		if !coordinator.Busy() {
-			coordinator.Want(swap.Newest(states)+1, 1, world.now)
+			coordinator.Want(swap.Version(states), 1, world.now)
 		}
 		for _, send := range coordinator.Next(states, world.now) {
 			if world.random.Float64() >= script.Lost {
 				world.give(send, states[send.Rank].Sequence)
 			}
+			if world.random.Float64() < script.Frozen {
+				world.freeze(send.Rank)
+			}
 		}
 		if world.random.Float64() < script.Replaced {
 			coordinator = swap.Swap{}
 		}
-		if err := world.advance(clock.Millis(5 + world.random.Int64N(60))); err != nil {
+		if err := world.step(); err != nil {
 			return world, err
 		}
 	}
 	return world, nil
 }
 
+// freeze stops the agent of a rank. Orders that it has are carried out after.
+func (world *world) freeze(rank int) {
+	world.frozen, world.thaw = rank, world.now+freeze
+}
+
+// direct gives an order to the engine itself, which may answer or not.
+func (world *world) direct(send swap.Send, unanswered float64, coordinator *swap.Swap) {
+	if world.random.Float64() < unanswered {
+		at := world.now + clock.Millis(2000+world.random.Int64N(10_000))
+		world.late = append(world.late, late{send.Rank, send.Order, world.ranks[send.Rank].Sequence, at})
+		return
+	}
+	world.take(send.Rank, send.Order, world.ranks[send.Rank].Sequence)
+	coordinator.Released()
+}
+
+// step advances by a short time and keeps the states before it.
+func (world *world) step() error {
+	world.past = append(world.past, instant{world.now, append([]rank(nil), world.ranks...)})
+	for len(world.past) > 1 && world.past[1].at <= world.now-reportLag {
+		world.past = world.past[1:]
+	}
+	return world.advance(clock.Millis(5 + world.random.Int64N(60)))
+}
+
 var _ = Describe("the switch of a group to another map", func() {
 	text, err := os.ReadFile("testdata/switches.json")
 	if err != nil {
@@ -230,6 +291,24 @@
 		})
 	}
 
+	// Guards against a group that makes no pass for as long as the agent of the
+	// rank that holds it is stopped (npwfa-doors trouble-2, node_freeze giver).
+	It("stops a group for a shorter time when it ends the hold without the agent", func() {
+		plain, rescued := 0, 0
+		for seed := range uint64(50) {
+			script := script{Ranks: 12, For: 60 * clock.Second, Frozen: 0.02}
+			world, err := drive(script, seed)
+			Expect(err).NotTo(HaveOccurred(), "seed %d", seed)
+			plain += world.stuck
+			script.Rescued = true
+			world, err = drive(script, seed)
+			Expect(err).NotTo(HaveOccurred(), "seed %d", seed)
+			rescued += world.stuck
+		}
+		GinkgoWriter.Println("passes not made, with agents only and without:", plain, rescued)
+		Expect(rescued).To(BeNumerically("<", plain/2))
+	})
+
 	// Guards against a check that cannot fail: without holds, ranks that are
 	// armed one by one begin a pass apart.
 	It("is noticed when ranks switch at different steps", func() {
