gate: limit the streams at once by the pauses seen; steer: stages bounded by copy time

Callers that have returned and the most urgent work are exempt. A stage of a map copies for 100 ms at most. Line 240 tells the first byte and the longest pause. The coordinator gets tests of its own.

--- a/internal/gate/attempt.go
+++ b/internal/gate/attempt.go
@@ -161,13 +161,16 @@
 func (on *journey) logAnswered(status int) {
 	now := on.gateway.clock.Now()
 	on.gateway.answered.Add(kindNames[on.route.Kind] + ".answered")
+	firstByte, longestPause := now-on.arrived, clock.Millis(0)
 	if on.stream == nil {
-		on.gateway.first.Record(kindNames[on.route.Kind], int64(now-on.arrived))
+		on.gateway.first.Record(kindNames[on.route.Kind], int64(firstByte))
 	} else {
-		on.gateway.gaps.Record(kindNames[on.route.Kind], int64(on.stream.gap))
+		firstByte, longestPause = on.stream.began-on.arrived, on.stream.gap
+		on.gateway.gaps.Record(kindNames[on.route.Kind], int64(longestPause))
 	}
 	on.gateway.log.Write(event.RequestEnded, "id", on.task.ID, "outcome", "answered", "status", status, "customer", on.customer,
-		"route", on.route.Name, "version", on.version, "runs", on.runs+1, "unrun", on.unrun, "took", now-on.arrived)
+		"route", on.route.Name, "version", on.version, "runs", on.runs+1, "unrun", on.unrun,
+		"firstByte", firstByte, "longestPause", longestPause, "took", now-on.arrived)
 }
 
 // connectionHeaders concern the endpoint's connection only.
--- a/internal/gate/forward.go
+++ b/internal/gate/forward.go
@@ -8,9 +8,12 @@
 
 	"github.com/hibiscuslug/hibiscuslug/internal/choose"
 	"github.com/hibiscuslug/hibiscuslug/internal/event"
+	"github.com/hibiscuslug/hibiscuslug/internal/hold"
+	"github.com/hibiscuslug/hibiscuslug/internal/pace"
 	"github.com/hibiscuslug/hibiscuslug/internal/plan"
 	"github.com/hibiscuslug/hibiscuslug/internal/retry"
 	"github.com/hibiscuslug/hibiscuslug/internal/roster"
+	"github.com/hibiscuslug/hibiscuslug/internal/wait"
 	"github.com/hibiscuslug/hibiscuslug/pkg/clock"
 )
 
@@ -59,7 +62,7 @@
 	// work is what the endpoint chosen last had, as far as known here.
 	work int
 	// mean is the mean work at the endpoints that take new work.
-	mean int
+	mean float64
 	// runs counts attempts that may have run, unrun those that have not.
 	runs, unrun int
 	// kept is an endpoint's error, delivered when no other attempt does better.
@@ -213,25 +216,51 @@
 		return roster.Record{}, false
 	}
 	on.work, on.mean = candidates[at].Work, mean(candidates)
+	gateway.means[on.service.Name] = on.mean
 	gateway.detector = gateway.detector.WithSent(incarnation(open[at]), now)
 	return open[at], true
 }
 
-// fullness returns what decides that the endpoints of a service would keep a new
-// stream waiting beyond what is good for it, or nil when they would not. What
-// has begun goes on. The mean decides: the work at one endpoint is known late.
+// fullness returns what decides that a new stream is better refused, or nil
+// when it is not: it would wait too long for a slot, or lengthen the pauses of
+// all streams beyond their objective. A caller that has returned is late in any
+// case and is spared the second. What has begun goes on. The mean decides: the
+// work at one endpoint is known late.
 func (on *journey) fullness(endpoint roster.Record) []any {
 	if on.route.Kind != plan.Streaming || on.runs+on.unrun > 0 || on.stream != nil {
 		return nil
 	}
-	gateway := on.gateway
+	gateway, now := on.gateway, on.gateway.clock.Now()
 	gateway.mu.Lock()
 	defer gateway.mu.Unlock()
-	work, places, estimate := on.mean, slots(endpoint, on.service), gateway.waits[on.service.Name]
-	if estimate.Admits(work, places, on.route.Objective, on.urgency) {
+	work, places, estimate := int(on.mean), slots(endpoint, on.service), gateway.waits[on.service.Name]
+	limit := float64(places)
+	if on.service.Engine != nil && on.urgency > wait.MostUrgent && !hold.HasReturned(on.patience(), on.route.Timeout) {
+		limit = gateway.paces[on.service.Name].Limit(now, on.route.Gap, places, cost(on.service.Engine))
+	}
+	if estimate.Admits(work, places, on.route.Objective, on.urgency) && (on.mean < limit || limit >= float64(places)) {
 		return nil
 	}
-	return []any{"meanWork", work, "slots", places, "wait", estimate.Behind(work, places), "urgency", on.urgency}
+	return []any{
+		"meanWork", on.mean, "slots", places, "limit", limit, "wait", estimate.Behind(work, places), "urgency", on.urgency,
+		"patience", on.patience(),
+	}
+}
+
+// paused notes a pause between two events of a stream.
+func (on *journey) paused(pause clock.Millis) {
+	gateway, name := on.gateway, on.service.Name
+	if on.service.Engine == nil || pause < on.route.Gap/2 {
+		return
+	}
+	gateway.mu.Lock()
+	defer gateway.mu.Unlock()
+	running := min(gateway.means[name], float64(on.service.Engine.Slots))
+	gateway.paces[name] = gateway.paces[name].WithPause(gateway.clock.Now(), pause, on.route.Gap, running, cost(on.service.Engine))
+}
+
+func cost(engine *plan.Engine) pace.Cost {
+	return pace.Cost{Step: engine.StepMillis, PerStream: engine.PerSequenceMillis}
 }
 
 // lasted notes how long a stream of a service took from its first event to its end.
@@ -241,12 +270,12 @@
 	gateway.waits[service] = gateway.waits[service].WithDuration(took)
 }
 
-func mean(candidates []choose.Candidate) int {
+func mean(candidates []choose.Candidate) float64 {
 	sum := 0
 	for _, candidate := range candidates {
 		sum += candidate.Work
 	}
-	return sum / max(len(candidates), 1)
+	return float64(sum) / float64(max(len(candidates), 1))
 }
 
 func slots(record roster.Record, service plan.Service) int {
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -21,6 +21,7 @@
 	"github.com/hibiscuslug/hibiscuslug/internal/link"
 	"github.com/hibiscuslug/hibiscuslug/internal/meter"
 	"github.com/hibiscuslug/hibiscuslug/internal/opts"
+	"github.com/hibiscuslug/hibiscuslug/internal/pace"
 	"github.com/hibiscuslug/hibiscuslug/internal/plan"
 	"github.com/hibiscuslug/hibiscuslug/internal/poll"
 	"github.com/hibiscuslug/hibiscuslug/internal/retry"
@@ -92,6 +93,10 @@
 	windows  map[string]*retry.Window
 	// waits holds what is known of the streams of each service.
 	waits map[string]wait.Estimate
+	// paces holds what pauses of the streams of each service have shown, and means
+	// the mean work at its endpoints as last known.
+	paces map[string]pace.Pace
+	means map[string]float64
 	// stalls holds groups that refused work because a rank is missing.
 	stalls map[string]stall
 	// pulses holds the groups with streams that have begun.
@@ -103,7 +108,7 @@
 	gateway := &Gateway{
 		settings: settings, clock: ticker, log: log, view: feed.NewView(ticker), links: link.NewPool(), conns: conns.New(ticker),
 		random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), work: map[string]int{},
-		windows: map[string]*retry.Window{}, stalls: map[string]stall{}, pulses: map[string]pulse{}, waits: map[string]wait.Estimate{},
+		windows: map[string]*retry.Window{}, stalls: map[string]stall{}, pulses: map[string]pulse{}, paces: map[string]pace.Pace{}, means: map[string]float64{}, waits: map[string]wait.Estimate{},
 	}
 	gateway.poller = poll.New(poll.Settings{
 		Node: settings.Node.Name, Zone: settings.Node.Zone, Sources: controlSources, Seeds: gateway.seeds, Loads: gateway.loads,
--- a/internal/gate/relay.go
+++ b/internal/gate/relay.go
@@ -82,7 +82,9 @@
 
 func (on *journey) write(events []byte) error {
 	now := on.gateway.clock.Now()
-	on.stream.gap, on.stream.last = max(on.stream.gap, now-on.stream.last), now
+	pause := now - on.stream.last
+	on.stream.gap, on.stream.last = max(on.stream.gap, pause), now
+	on.paused(pause)
 	if _, err := on.w.Write(events); err != nil {
 		return err
 	}
--- a/internal/hold/hold.go
+++ b/internal/hold/hold.go
@@ -61,12 +61,16 @@
 // has returned waits, because it is unlikely to return again. Nobody waits for
 // a group that cannot be back within the wait.
 func Stalled(age, patience, timeout, objective clock.Millis) Verdict {
-	if age < leastOutage || timeout-patience < timeout/freshParts {
+	if age < leastOutage || !HasReturned(patience, timeout) {
 		return Refuse{ComeBack: comeBack}
 	}
 	return Wait{Limit: min(clock.Millis(objectives*float64(objective)), patience/patienceParts), ComeBack: comeBack}
 }
 
+// HasReturned tells from a caller's time and its route's timeout that the caller
+// has been refused before.
+func HasReturned(patience, timeout clock.Millis) bool { return timeout-patience >= timeout/freshParts }
+
 // IsSilent tells whether a group makes no progress: from the streams that have
 // begun there and the time since the last event of any of them.
 func IsSilent(streams int, quiet clock.Millis) bool {
--- a/internal/plan/plan.go
+++ b/internal/plan/plan.go
@@ -74,6 +74,8 @@
 	// Sets, Experts, Places and Spare describe the expert map of the group.
 	Sets, Experts, Places, Spare int
 	ExpertShare                  float64
+	// CopyMillis is how long a rank copies one expert; 0 when that is not known.
+	CopyMillis float64
 	// FormTime is how long a group takes to open once all ranks are back.
 	FormTime clock.Millis
 }
--- a/internal/steer/maps.go
+++ b/internal/steer/maps.go
@@ -7,18 +7,32 @@
 
 	"github.com/hibiscuslug/hibiscuslug/internal/event"
 	"github.com/hibiscuslug/hibiscuslug/internal/expert"
+	"github.com/hibiscuslug/hibiscuslug/internal/plan"
 	"github.com/hibiscuslug/hibiscuslug/internal/rebal"
 	"github.com/hibiscuslug/hibiscuslug/internal/roster"
 	"github.com/hibiscuslug/hibiscuslug/internal/swap"
+	"github.com/hibiscuslug/hibiscuslug/pkg/clock"
 	"github.com/hibiscuslug/hibiscuslug/pkg/wire"
 )
 
-// perStage is how many experts may be new to a rank in one set at a time. Copies
-// take about 0.1 s each, and a stage that copies few is in force sooner.
+// perStage is how many experts may be new to a rank in one set at a time.
 const perStage = 1
 
-// perStageAll bounds them over all sets, for the same reason.
-const perStageAll = 2
+// stageCopy is how long a rank may copy in one stage. Popularity shifts every
+// few seconds, and a stage that copies little is in force sooner.
+const stageCopy = 100 * clock.Millis(1)
+
+// mostPerStage bounds the experts of a stage however short a copy is: passes are
+// longer while ranks copy.
+const mostPerStage = 2
+
+// perStageAll is how many experts may be new to a rank in all sets together.
+func perStageAll(engine plan.Engine) int {
+	if engine.CopyMillis <= 0 {
+		return perStage
+	}
+	return min(max(1, int(float64(stageCopy)/engine.CopyMillis)), mostPerStage)
+}
 
 // weight is that of a new measurement in the loads: enough to follow a shift
 // within two reads, and little enough not to follow single requests.
@@ -48,7 +62,7 @@
 		taken += int(state.GetRunning() + state.GetWaiting())
 	}
 	fill := float64(taken) / float64(max(len(states)*known.engine.Slots, 1))
-	settings := rebal.Settings{MaxCopies: perStage * known.held.Ranks(), PerRank: perStage, PerRankAll: perStageAll}
+	settings := rebal.Settings{MaxCopies: perStage * known.held.Ranks(), PerRank: perStage, PerRankAll: perStageAll(known.engine)}
 	for _, level := range efforts {
 		if fill >= level.fill {
 			settings.Start, settings.Stop, settings.LeastGain = level.start, level.stop, level.gain
--- /dev/null
+++ b/internal/steer/steer_test.go
@@ -0,0 +1,258 @@
+package steer_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/sourcegraph/conc"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/hibiscuslug/hibiscuslug/internal/agent"
+	"github.com/hibiscuslug/hibiscuslug/internal/event"
+	"github.com/hibiscuslug/hibiscuslug/internal/opts"
+	"github.com/hibiscuslug/hibiscuslug/internal/plan"
+	"github.com/hibiscuslug/hibiscuslug/internal/ports"
+	"github.com/hibiscuslug/hibiscuslug/internal/roster"
+	"github.com/hibiscuslug/hibiscuslug/internal/steer"
+	"github.com/hibiscuslug/hibiscuslug/pkg/clock"
+	"github.com/hibiscuslug/hibiscuslug/pkg/wire"
+)
+
+func TestSteer(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "Steer")
+}
+
+const (
+	limit   = 30 * time.Second
+	size    = 3
+	experts = 6
+	places  = 3
+	// passEvery is the time between passes, choices what a rank counts in one.
+	passEvery = 20 * time.Millisecond
+	choices   = 10_000
+)
+
+// group is a fake group of ranks with one set of experts, of which the first is
+// chosen most.
+type group struct {
+	mu     sync.Mutex
+	ranks  [size]*wire.RankState
+	newest [size]uint64
+	ready  [size][][]uint32
+	mixed  bool
+	// ends is set when the agent of a rank that holds answers nothing from then
+	// on, ended once that is so.
+	ends, ended bool
+}
+
+func newGroup() *group {
+	group := &group{}
+	for at := range group.ranks {
+		held := &wire.RankSet{}
+		for number := at; number < experts; number += size {
+			held.Experts = append(held.Experts, uint32(number))
+		}
+		group.ranks[at] = &wire.RankState{
+			Born: 1, Epoch: 1, Running: 4, Counts: make([]uint64, experts), Experts: []*wire.RankSet{held},
+		}
+	}
+	return group
+}
+
+// pass begins the next pass unless a rank holds it.
+func (group *group) pass() {
+	group.mu.Lock()
+	defer group.mu.Unlock()
+	step := group.ranks[0].Step + 1
+	if slices.ContainsFunc(group.ranks[:], func(rank *wire.RankState) bool { return rank.Held == step }) {
+		return
+	}
+	for at, rank := range group.ranks {
+		rank.Step = step
+		for number := range rank.Counts {
+			rank.Counts[number] += choices / experts
+		}
+		rank.Counts[0] += choices
+		if rank.Armed != 0 && rank.ArmedStep == step {
+			rank.Map, rank.Armed, rank.ArmedStep = rank.Armed, 0, 0
+			rank.Experts = []*wire.RankSet{{Experts: group.ready[at][0]}}
+		}
+	}
+	for _, rank := range group.ranks {
+		group.mixed = group.mixed || rank.Map != group.ranks[0].Map
+	}
+}
+
+func (group *group) step() uint64 {
+	group.mu.Lock()
+	defer group.mu.Unlock()
+	return group.ranks[0].Step
+}
+
+func (group *group) hasEnded() bool {
+	group.mu.Lock()
+	defer group.mu.Unlock()
+	return group.ended
+}
+
+// hot counts the ranks that hold the expert that is chosen most.
+func (group *group) hot() int {
+	group.mu.Lock()
+	defer group.mu.Unlock()
+	found := 0
+	for _, rank := range group.ranks {
+		if slices.Contains(rank.Experts[0].GetExperts(), 0) {
+			found++
+		}
+	}
+	return found
+}
+
+// engine is one rank of the group.
+type engine struct {
+	group *group
+	at    int
+}
+
+func (engine engine) Close() {}
+
+func (engine engine) Read(context.Context, *wire.RankRead) (*wire.RankState, error) {
+	engine.group.mu.Lock()
+	defer engine.group.mu.Unlock()
+	return proto.CloneOf(engine.group.ranks[engine.at]), nil
+}
+
+func (engine engine) Order(_ context.Context, order *wire.RankOrder) (*wire.RankReply, error) {
+	group := engine.group
+	group.mu.Lock()
+	defer group.mu.Unlock()
+	rank := group.ranks[engine.at]
+	switch order.GetOperation() {
+	case wire.RankOrder_OPERATION_PREPARE:
+		if order.GetVersion() <= group.newest[engine.at] {
+			return &wire.RankReply{Error: "old version"}, nil
+		}
+		group.newest[engine.at], rank.Prepared = order.GetVersion(), order.GetVersion()
+		group.ready[engine.at] = [][]uint32{order.GetSets()[0].GetRanks()[engine.at].GetExperts()}
+	case wire.RankOrder_OPERATION_ARM:
+		if order.GetVersion() != rank.Prepared || order.GetStep() <= rank.Step {
+			return &wire.RankReply{Error: "does not fit"}, nil
+		}
+		rank.Armed, rank.ArmedStep = order.GetVersion(), order.GetStep()
+	case wire.RankOrder_OPERATION_DISARM:
+		rank.Armed, rank.ArmedStep = 0, 0
+	case wire.RankOrder_OPERATION_HOLD:
+		if order.GetStep() <= rank.Step {
+			return &wire.RankReply{Error: "the step has begun"}, nil
+		}
+		rank.Held = order.GetStep()
+		group.ended = group.ends
+	case wire.RankOrder_OPERATION_UNSPECIFIED:
+		return &wire.RankReply{Error: "no such order"}, nil
+	case wire.RankOrder_OPERATION_GO:
+		if rank.Held == order.GetStep() {
+			rank.Held = 0
+		}
+	}
+	return &wire.RankReply{Done: true}, nil
+}
+
+// guarded is an engine behind an agent that may not answer.
+type guarded struct{ engine }
+
+var errEnded = errors.New("the agent has ended")
+
+func (guarded guarded) ended() bool {
+	guarded.group.mu.Lock()
+	defer guarded.group.mu.Unlock()
+	return guarded.at == 0 && guarded.group.ended
+}
+
+func (guarded guarded) Read(ctx context.Context, read *wire.RankRead) (*wire.RankState, error) {
+	if guarded.ended() {
+		return nil, errEnded
+	}
+	return guarded.engine.Read(ctx, read)
+}
+
+func (guarded guarded) Order(ctx context.Context, order *wire.RankOrder) (*wire.RankReply, error) {
+	if guarded.ended() {
+		return nil, errEnded
+	}
+	return guarded.engine.Order(ctx, order)
+}
+
+// address is where the agent of a rank listens; engines share the host.
+func address(at int, port string) string { return fmt.Sprintf("127.0.0.%d:%s", at+2, port) }
+
+// start runs agents for the ranks and a coordinator.
+func start(group *group) {
+	listener, err := ports.Listen()
+	Expect(err).NotTo(HaveOccurred())
+	_, port, err := net.SplitHostPort(listener.Addr().String())
+	Expect(err).NotTo(HaveOccurred())
+	Expect(listener.Close()).To(Succeed())
+	records := make([]roster.Record, size)
+	for at := range records {
+		beside, err := agent.New(opts.Node{Name: "agent", Listen: address(at, port)}, guarded{engine{group, at}}, event.Discard())
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(beside.Close)
+		records[at] = roster.Record{
+			ID: fmt.Sprintf("e%d", at), Service: "llm", Address: address(at, "1"), Born: 1,
+			Group: roster.Group{Name: "g", Epoch: 1, Rank: at, Size: size},
+		}
+	}
+	document, err := plan.New(1, nil, []plan.Service{{Name: "llm", Engine: &plan.Engine{
+		Slots: 4, Sets: 1, Experts: experts, Places: places, Spare: 2, ExpertShare: 0.85, CopyMillis: 14,
+	}}}, nil, plan.Limits{})
+	Expect(err).NotTo(HaveOccurred())
+	ctx, cancel := context.WithCancel(context.Background())
+	var passing conc.WaitGroup
+	DeferCleanup(func() { cancel(); passing.Wait() })
+	passing.Go(func() {
+		for ctx.Err() == nil {
+			group.pass()
+			time.Sleep(passEvery)
+		}
+	})
+	running := steer.New(steer.Settings{
+		Listen: "127.0.0.1:" + port, Plan: func() *plan.Plan { return document },
+		Endpoints: func(string) []roster.Record { return records }, Leads: func() bool { return true },
+		Engine: func(at string) agent.Engine {
+			return engine{group, slices.IndexFunc(records, func(record roster.Record) bool { return record.Address == at })}
+		},
+	}, clock.NewSystem(), event.Discard())
+	DeferCleanup(running.Close)
+}
+
+var _ = It("gives more ranks the expert that is chosen most", func() {
+	group := newGroup()
+	start(group)
+	Eventually(group.hot).WithTimeout(limit).Should(BeNumerically(">", 1))
+	group.mu.Lock()
+	defer group.mu.Unlock()
+	Expect(group.mixed).To(BeFalse())
+})
+
+// Guards against a group that makes no pass until the agent that stopped it is
+// back (npwfa-doors trouble-1, node_kill giver).
+var _ = It("lets a group go on when the agent that held it has ended", func() {
+	group := newGroup()
+	group.ends = true
+	start(group)
+	Eventually(group.hasEnded).WithTimeout(limit).Should(BeTrue())
+	began := group.step()
+	Eventually(group.step).WithTimeout(limit).Should(BeNumerically(">", began+5))
+	group.mu.Lock()
+	defer group.mu.Unlock()
+	Expect(group.mixed).To(BeFalse())
+})
--- a/internal/wait/wait.go
+++ b/internal/wait/wait.go
@@ -18,10 +18,11 @@
 	// urgentPatience is that of the most urgent customers and routes, so that
 	// their work is admitted when other work no longer is.
 	urgentPatience = 1.2
-	// mostUrgent is the urgency of those.
-	mostUrgent = 0
 )
 
+// MostUrgent is the urgency of work that is admitted longest.
+const MostUrgent = 0
+
 // Estimate is what a gateway knows of the time that an endpoint works on a
 // request. It is an immutable value; the zero value admits everything.
 type Estimate struct {
@@ -52,7 +53,7 @@
 // Admits tells whether a request with a latency objective may join the others.
 func (estimate Estimate) Admits(work, slots int, objective clock.Millis, urgency int) bool {
 	limit := patience
-	if urgency <= mostUrgent {
+	if urgency <= MostUrgent {
 		limit = urgentPatience
 	}
 	return float64(estimate.Behind(work, slots)) <= limit*float64(objective)
