hold: return plain times; gate: read and classify in one place

Cause: on reading the change, two of the verdicts' variants were handled the same way everywhere, and ServeHTTP kept a flag on whether the body was read.

Change: hold returns how long a request may wait, 0 for an answer at once; the times to come back are its constants. Meters and logs share one bound for an age without a confirmation.

--- a/internal/feed/view.go
+++ b/internal/feed/view.go
@@ -42,12 +42,13 @@
 	return view.clock.Now() - view.confirmed
 }
 
-// never is an age that only a view without a confirmation has.
-const never = 365 * 24 * clock.Hour
+// Never is an age that only a revision never confirmed by control can have: its
+// process counts from the Unix epoch.
+const Never = 10 * 365 * 24 * clock.Hour
 
 // AgeText returns the age for logs, or "never" without a confirmation.
 func (view *View) AgeText() string {
-	if age := view.Age(); age < never {
+	if age := view.Age(); age < Never {
 		return age.String()
 	}
 	return "never"
--- a/internal/gate/forward.go
+++ b/internal/gate/forward.go
@@ -66,8 +66,6 @@
 	runs, unrun int
 	// kept is an endpoint's error, delivered when no other attempt does better.
 	kept *answer
-	// group is the group of ranks that took no work, if one did.
-	group roster.Group
 	// probes is set when the next attempt finds out whether a stalled group is back.
 	probes bool
 	// stream is set once the head of a stream was sent to the caller.
--- a/internal/gate/hold.go
+++ b/internal/gate/hold.go
@@ -35,9 +35,8 @@
 // awaitStart holds a request until the configuration is confirmed or the
 // caller is better told to return.
 func (gateway *Gateway) awaitStart(ctx context.Context, asked *call) {
-	if verdict, ok := hold.Starting(gateway.settings.Gateway.StartWait, asked.patience()).(hold.Wait); ok {
-		gateway.hold(ctx, asked, "no configuration yet", verdict.Limit, func() bool { return !gateway.isStarting() })
-	}
+	limit := hold.Starting(gateway.settings.Gateway.StartWait, asked.patience())
+	gateway.hold(ctx, asked, "no configuration yet", limit, func() bool { return !gateway.isStarting() })
 }
 
 // hold waits until something is over, and tells whether it is. It does not ask
@@ -65,22 +64,16 @@
 // returned tells whether the caller has been refused before.
 func (on *journey) returned() bool { return hold.HasReturned(on.patience(), on.route.Timeout) }
 
-// stalled decides on the request while the group of ranks takes no work.
-func (on *journey) stalled(group roster.Group) hold.Verdict {
-	return hold.Stalled(on.gateway.stallAge(group.Name), on.patience(), on.route.Timeout, on.route.Objective)
-}
-
 // awaitGroup holds the request until the group may be back. It returns false
 // when the caller is to be told to return.
 func (on *journey) awaitGroup(ctx context.Context, group roster.Group) bool {
 	gateway := on.gateway
-	on.group = group
-	verdict, ok := on.stalled(group).(hold.Wait)
-	if !ok || on.stream != nil {
+	limit := hold.Stalled(gateway.stallAge(group.Name), on.patience(), on.route.Timeout, on.route.Objective)
+	left := limit - (gateway.clock.Now() - on.arrived)
+	if left <= 0 || on.stream != nil {
 		return false
 	}
-	left := verdict.Limit - (gateway.clock.Now() - on.arrived)
-	return left > 0 && gateway.hold(ctx, on.call, "the group of ranks is stalled", left, func() bool {
+	return gateway.hold(ctx, on.call, "the group of ranks is stalled", left, func() bool {
 		return !gateway.isStalled(gateway.poller.Group(on.service.Name, group), true)
 	})
 }
--- a/internal/gate/serve.go
+++ b/internal/gate/serve.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/hibiscuslug/hibiscuslug/internal/event"
+	"github.com/hibiscuslug/hibiscuslug/internal/hold"
 	"github.com/hibiscuslug/hibiscuslug/internal/plan"
 	"github.com/hibiscuslug/hibiscuslug/internal/task"
 	"github.com/hibiscuslug/hibiscuslug/pkg/clock"
@@ -20,9 +21,6 @@
 	// keyMargin is kept to the limit on keys for the time between the check and
 	// the start of the work.
 	keyMargin = 500 * clock.Millis(1)
-	// startRetry is when a caller may return to a process that got no
-	// configuration while the caller waited for it.
-	startRetry = clock.Second
 	// busyRetry is when a caller may return after no endpoint took its request.
 	busyRetry = 250 * clock.Millis(1)
 	// defaultBody bounds a body when the configuration gives no limit, in bytes.
@@ -70,22 +68,7 @@
 	if gateway.stopping.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	isRead := false
-	if gateway.isStarting() {
-		// A caller leaves a request that nobody reads.
-		refused := gateway.read(w, request, asked)
-		if refused != nil {
-			gateway.refuse(w, asked, *refused)
-			return
-		}
-		isRead = true
-		gateway.awaitStart(request.Context(), asked)
-	}
-	refused := gateway.classify(asked)
-	if refused == nil && !isRead {
-		refused = gateway.read(w, request, asked)
-	}
-	if refused != nil {
+	if refused := gateway.take(w, request, asked); refused != nil {
 		gateway.refuse(w, asked, *refused)
 		return
 	}
@@ -94,11 +77,27 @@
 	gateway.forward(ctx, w, asked)
 }
 
+// take reads the request and classifies it.
+func (gateway *Gateway) take(w http.ResponseWriter, request *http.Request, asked *call) *refusal {
+	if !gateway.isStarting() {
+		if refused := gateway.classify(asked); refused != nil {
+			return refused
+		}
+		return gateway.read(w, request, asked)
+	}
+	// A caller leaves a request that nobody reads.
+	if refused := gateway.read(w, request, asked); refused != nil {
+		return refused
+	}
+	gateway.awaitStart(request.Context(), asked)
+	return gateway.classify(asked)
+}
+
 // classify finds the route and the customer.
 func (gateway *Gateway) classify(asked *call) *refusal {
 	now := gateway.plan.Load()
 	if now == nil {
-		return &refusal{status: http.StatusServiceUnavailable, reason: "no configuration yet", retry: startRetry}
+		return &refusal{status: http.StatusServiceUnavailable, reason: "no configuration yet", retry: hold.StartBack}
 	}
 	asked.version = now.Version()
 	path, _, _ := strings.Cut(asked.task.Target, "?")
--- a/internal/gate/stall.go
+++ b/internal/gate/stall.go
@@ -136,13 +136,7 @@
 	if on.service.Engine == nil || on.gateway.stalled() == 0 {
 		return busyRetry
 	}
-	switch verdict := on.stalled(on.group).(type) {
-	case hold.Refuse:
-		return on.gateway.spread(verdict.ComeBack)
-	case hold.Wait:
-		return on.gateway.spread(verdict.ComeBack)
-	}
-	return busyRetry
+	return on.gateway.spread(hold.ComeBack)
 }
 
 // spread draws a time to come back, so that callers do not return all at once.
--- a/internal/hold/hold.go
+++ b/internal/hold/hold.go
@@ -10,6 +10,13 @@
 import "github.com/hibiscuslug/hibiscuslug/pkg/clock"
 
 const (
+	// ComeBack is when a caller may return to a group that has stalled. A rank
+	// takes seconds to come back, and callers wait a third of their time at most.
+	ComeBack = 2700 * clock.Millis(1)
+	// StartBack is when a caller may return to a process that got no
+	// configuration while the caller waited; an election takes about as long.
+	StartBack = clock.Second
+
 	// startParts is the part of its time that a caller is kept before it is told
 	// to return; as much again passes before it does, and the rest is for its
 	// last try. A caller that has returned is kept for one of returnedParts.
@@ -30,42 +37,24 @@
 	// leastStreams is how many streams must pause: a single one may wait for its
 	// own engine.
 	leastStreams = 2
-	// comeBack is when a caller may return to a group that has stalled. A rank
-	// takes seconds to come back, and callers wait a third of their time at most.
-	comeBack = 2700 * clock.Millis(1)
-	// startBack is when a caller may return to a process that got no
-	// configuration while the caller waited; an election takes about as long.
-	startBack = clock.Second
 )
 
-// Verdict is what becomes of a request that cannot be sent now.
-type Verdict interface{ verdict() }
-
-// Wait keeps the request for a time at most; then its caller is sent away.
-type Wait struct{ Limit, ComeBack clock.Millis }
-
-// Refuse sends the caller away for a time.
-type Refuse struct{ ComeBack clock.Millis }
-
-func (Wait) verdict()   {}
-func (Refuse) verdict() {}
-
-// Starting decides on a request at a process that has no configuration yet,
-// from the longest wait and the time that the caller gives it.
-func Starting(limit, patience clock.Millis) Verdict {
-	return Wait{Limit: min(limit, patience/startParts), ComeBack: startBack}
+// Starting returns how long a request may wait at a process that has no
+// configuration yet, from the longest wait and the time that its caller gives it.
+func Starting(limit, patience clock.Millis) clock.Millis {
+	return min(limit, patience/startParts)
 }
 
-// Stalled decides on a request to a group that has taken no work for a time:
-// from that, the time that the caller gives it, the route's timeout and the
-// route's objective. A caller with all of its time is told to return. One that
-// has returned waits, because it is unlikely to return again. Nobody waits for
-// a group that cannot be back within the wait.
-func Stalled(age, patience, timeout, objective clock.Millis) Verdict {
+// Stalled returns how long a request may wait for a group that has shown no
+// progress for a time: from that, the time that the caller gives it, the route's
+// timeout and the route's objective. It is 0 for a caller with all of its time,
+// which is told to return, and while the group cannot be back. One that has
+// returned waits, because it is unlikely to return again.
+func Stalled(age, patience, timeout, objective clock.Millis) clock.Millis {
 	if age < leastOutage || !HasReturned(patience, timeout) {
-		return Refuse{ComeBack: comeBack}
+		return 0
 	}
-	return Wait{Limit: min(clock.Millis(objectives*float64(objective)), patience/returnedParts), ComeBack: comeBack}
+	return min(clock.Millis(objectives*float64(objective)), patience/returnedParts)
 }
 
 // HasReturned tells from a caller's time and its route's timeout that the caller
--- a/internal/hold/hold_test.go
+++ b/internal/hold/hold_test.go
@@ -49,7 +49,7 @@
 }
 
 // play lets callers arrive while a group is down and after.
-func play(script script, decide func(age, patience clock.Millis) hold.Verdict) outcome {
+func play(script script, decide func(age, patience clock.Millis) clock.Millis) outcome {
 	got := outcome{}
 	for range script.Broken {
 		// Streams that broke when the group stopped; their callers return at once,
@@ -71,25 +71,21 @@
 }
 
 // serves follows one caller through its tries.
-func (script script) serves(now, due clock.Millis, tries int, decide func(age, patience clock.Millis) hold.Verdict, got *outcome) bool {
+func (script script) serves(now, due clock.Millis, tries int, decide func(age, patience clock.Millis) clock.Millis, got *outcome) bool {
 	for range tries {
 		if now >= script.Outage {
 			return now < due
 		}
-		away := clock.Millis(0)
-		switch verdict := decide(now, due-now).(type) {
-		case hold.Wait:
-			until := min(now+verdict.Limit, now+leaves*script.Objective, due)
+		if wait := decide(now, due-now); wait > 0 {
+			until := min(now+wait, now+leaves*script.Objective, due)
 			got.kept = max(got.kept, min(until, script.Outage)-now)
 			if script.Outage <= until {
 				return true
 			}
 			got.inVain++
-			now, away = until, verdict.ComeBack
-		case hold.Refuse:
-			away = verdict.ComeBack
+			now = until
 		}
-		now += min(away, (due-now)/returnPart)
+		now += min(hold.ComeBack, (due-now)/returnPart)
 	}
 	return false
 }
@@ -107,8 +103,8 @@
 		// Guards against callers that return as they were told, are refused again
 		// and do not try a third time.
 		It("serves more callers when those who return wait: "+script.Name, func() {
-			refusing := play(script, func(_, _ clock.Millis) hold.Verdict { return hold.Refuse{ComeBack: script.Timeout} })
-			holding := play(script, func(age, patience clock.Millis) hold.Verdict {
+			refusing := play(script, func(_, _ clock.Millis) clock.Millis { return 0 })
+			holding := play(script, func(age, patience clock.Millis) clock.Millis {
 				return hold.Stalled(age, patience, script.Timeout, script.Objective)
 			})
 			GinkgoWriter.Printf("refusing %+v holding %+v\n", refusing, holding)
@@ -121,18 +117,18 @@
 	}
 
 	It("answers a caller with all of its time at once", func() {
-		Expect(hold.Stalled(2500, 8000, 8000, 500)).To(BeAssignableToTypeOf(hold.Refuse{}))
-		Expect(hold.Stalled(2500, 5300, 8000, 500)).To(BeAssignableToTypeOf(hold.Wait{}))
+		Expect(hold.Stalled(2500, 8000, 8000, 500)).To(BeZero())
+		Expect(hold.Stalled(2500, 5300, 8000, 500)).To(BeNumerically(">", 0))
 	})
 
 	It("answers everybody at once while the group cannot be back yet", func() {
-		Expect(hold.Stalled(0, 5300, 8000, 500)).To(BeAssignableToTypeOf(hold.Refuse{}))
+		Expect(hold.Stalled(0, 5300, 8000, 500)).To(BeZero())
 	})
 
 	It("leaves a caller most of its time for another try", func() {
-		Expect(hold.Stalled(2500, 800, 8000, 500)).To(Equal(hold.Wait{Limit: 400, ComeBack: 2700}))
-		Expect(hold.Starting(1500, 1000)).To(Equal(hold.Wait{Limit: 333, ComeBack: 1000}))
-		Expect(hold.Starting(1500, 8000)).To(Equal(hold.Wait{Limit: 1500, ComeBack: 1000}))
+		Expect(hold.Stalled(2500, 800, 8000, 500)).To(Equal(clock.Millis(400)))
+		Expect(hold.Starting(1500, 1000)).To(Equal(clock.Millis(333)))
+		Expect(hold.Starting(1500, 8000)).To(Equal(clock.Millis(1500)))
 	})
 
 	// Guards against sending work to a group that is held and does not say so
--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -17,6 +17,7 @@
 
 	"github.com/hibiscuslug/hibiscuslug/internal/feed"
 	"github.com/hibiscuslug/hibiscuslug/internal/opts"
+	"github.com/hibiscuslug/hibiscuslug/pkg/clock"
 )
 
 // Metric is a declared metric.
@@ -47,10 +48,6 @@
 
 var all = []Metric{Requests, InFlight, Attempts, QueueLength, Running, Revision, RevisionAge, Answered, Sends, FirstByte, EventGap, Dialed, Version, Stalled, Members, ControlBytesIn, ControlBytesOut}
 
-// never is an age, in milliseconds, that only a revision never confirmed by
-// control can have: its process counts from the Unix epoch.
-const never = int64(10 * 365 * 24 * time.Hour / time.Millisecond)
-
 // waitLimit bounds the wait of one request to /debug/revision.
 const waitLimit = 30 * time.Second
 
@@ -73,15 +70,15 @@
 		meter.vars.Set(name, text)
 	}
 	meter.Gauge(Revision, func() any { return view.State().Revision() })
-	meter.Gauge(RevisionAge, func() any { return age(int64(view.Age())) })
+	meter.Gauge(RevisionAge, func() any { return age(view.Age()) })
 	return meter
 }
 
-func age(millis int64) int64 {
-	if millis > never {
+func age(age clock.Millis) int64 {
+	if age >= feed.Never {
 		return -1
 	}
-	return millis
+	return int64(age)
 }
 
 // Gauge reads a metric when it is asked for.
