--- a/internal/gate/hold_test.go
+++ b/internal/gate/hold_test.go
@@ -1,6 +1,9 @@
 package gate_test
 
 import (
+	"bufio"
+	"context"
+	"net"
 	"net/http"
 	"strconv"
 	"time"
@@ -20,6 +23,8 @@
 	missing = "HTTP/1.1 503 No\r\nHibiscuslug-Request-Id: {id}\r\nHibiscuslug-Not-Executed: 1\r\nAt-Server: e9\r\nContent-Length: 0\r\n\r\n"
 	// longWait outlasts a start on a busy machine.
 	longWait = clock.Minute
+	// silence is longer than the pause after which a group counts as silent.
+	silence = 900 * time.Millisecond
 	// leastOutage is longer than the time for which nobody waits for a group.
 	leastOutage = 2600 * time.Millisecond
 )
@@ -92,3 +97,23 @@
 	Expect(wait).To(BeNumerically(">", 0))
 	Expect(back.Seen()).To(HaveLen(1))
 })
+
+// Guards against endpoints without a group being taken for one group that is
+// away when two of their streams pause.
+var _ = It("takes endpoints without a group one by one", func() {
+	site := newSite()
+	site.back([]fake.Step{{Text: hanging, Then: "hang"}, {Text: hanging, Then: "hang"}, {Text: whole}}, 3)
+	for range 2 {
+		conn, err := (&net.Dialer{}).DialContext(context.Background(), "tcp", site.gateway.Address())
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(conn.Close)
+		Expect(request(script{Method: "POST", Path: "/long/1", Send: "p", Patience: 400_000}).Write(conn)).To(Succeed())
+		line, err := bufio.NewReader(conn).ReadString('\n')
+		Expect(err).NotTo(HaveOccurred())
+		Expect(line).To(ContainSubstring("200"))
+	}
+	time.Sleep(silence)
+	response, _, err := site.send(request(script{Method: "POST", Path: "/long/1", Send: "p", Patience: 200_000}))
+	Expect(err).NotTo(HaveOccurred())
+	Expect(response.StatusCode).To(Equal(http.StatusOK))
+})
--- a/internal/gate/stall.go
+++ b/internal/gate/stall.go
@@ -86,6 +86,9 @@
 // listenTo marks a group as stalled when none of its streams makes progress. The
 // caller holds mu.
 func (gateway *Gateway) listenTo(group roster.Group, now clock.Millis) {
+	if group.Name == "" {
+		return
+	}
 	pulse, ok := gateway.pulses[group.Name]
 	if _, isKnown := gateway.stalls[group.Name]; !ok || isKnown || !hold.IsSilent(pulse.streams, now-pulse.last) {
 		return
