swap: a hold is not kept for good when ranks refuse to be voided

Cause: read in review. A rank that refuses the even version would have kept the group stopped for ever.

Change: after 13 s, when no late order can come any more, the hold is ended.

--- a/internal/swap/swap.go
+++ b/internal/swap/swap.go
@@ -35,6 +35,9 @@
 	// armLimit ends a try in which a rank could not be armed. The group may be
 	// stopped meanwhile.
 	armLimit = clock.Second
+	// lateLimit is after which an order that got no answer is not carried out any
+	// more; engines are up to 12 s late.
+	lateLimit = 13 * clock.Second
 )
 
 // Rank is the state that a rank's engine reports at this moment.
@@ -94,6 +97,8 @@
 	arming bool
 	// released is the highest step for which a hold was ended.
 	released uint64
+	// givenUp is when the try was given up whose hold still stands; 0 for none.
+	givenUp clock.Millis
 	// newest is the last step seen, seen when that was, and pass how long the
 	// latest passes took.
 	newest     uint64
@@ -111,7 +116,9 @@
 
 // end gives the try up. Its version is not used again.
 func (swap *Swap) end() {
-	*swap = Swap{epoch: swap.epoch, released: swap.released, newest: swap.newest, seen: swap.seen, pass: swap.pass}
+	*swap = Swap{
+		epoch: swap.epoch, released: swap.released, givenUp: swap.givenUp, newest: swap.newest, seen: swap.seen, pass: swap.pass,
+	}
 }
 
 // watch measures the passes.
@@ -131,6 +138,7 @@
 
 // release returns the order that ends a hold.
 func (swap *Swap) release(rank int, step uint64) Send {
+	swap.givenUp = 0
 	swap.released = max(swap.released, step)
 	return Send{rank, Go{step}}
 }
@@ -237,7 +245,11 @@
 	if len(armedRanks) > 0 {
 		return disarm(ranks, armedRanks)
 	}
-	if sends := void(ranks); len(sends) > 0 && isArming {
+	if swap.givenUp == 0 {
+		swap.givenUp = now
+	}
+	// A group whose ranks refuse to be voided is not stopped for good.
+	if sends := void(ranks); len(sends) > 0 && isArming && now-swap.givenUp <= lateLimit {
 		return sends
 	}
 	return []Send{swap.release(holder, step)}
--- a/internal/swap/swap_test.go
+++ b/internal/swap/swap_test.go
@@ -309,6 +309,18 @@
 		Expect(rescued).To(BeNumerically("<", plain/2))
 	})
 
+	// Guards against a group that is held for good because a rank refuses to
+	// prepare the map in use again.
+	It("ends a hold once no late order can come any more", func() {
+		ranks := []swap.Rank{{Epoch: 1, Step: 9, Prepared: 3, Held: 11}, {Epoch: 1, Step: 9, Prepared: 3}}
+		var coordinator swap.Swap
+		first := coordinator.Next(ranks, 1000)
+		Expect(first).To(HaveLen(2))
+		Expect(first[0].Order).To(Equal(swap.Prepare{Version: 4, Void: true}))
+		Expect(coordinator.Next(ranks, 13_900)).To(Equal(first))
+		Expect(coordinator.Next(ranks, 14_100)).To(Equal([]swap.Send{{Rank: 0, Order: swap.Go{Step: 11}}}))
+	})
+
 	// Guards against a check that cannot fail: without holds, ranks that are
 	// armed one by one begin a pass apart.
 	It("is noticed when ranks switch at different steps", func() {
