steer: ranks answer orders with their state

Change: an agent reads its engine after an order and answers with the state; the coordinator goes on with those states and reads all ranks only when one is missing.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -50,9 +50,17 @@
 	return agent.engine.Read(ctx, read)
 }
 
-// Order passes an order on.
+// Order passes an order on. The engine's state after it saves the coordinator,
+// which may have stopped the group, another read of all ranks.
 func (agent *Agent) Order(ctx context.Context, order *wire.RankOrder) (*wire.RankReply, error) {
 	reply, err := agent.engine.Order(ctx, order)
+	if reply.GetDone() && order.GetOperation() != wire.RankOrder_OPERATION_PREPARE {
+		state, failure := agent.engine.Read(ctx, &wire.RankRead{})
+		if failure != nil {
+			agent.log.Write(event.RankUnread, "error", failure)
+		}
+		reply.State = state
+	}
 	agent.log.Write(event.RankOrdered, "operation", order.GetOperation(), "version", order.GetVersion(), "step", order.GetStep(),
 		"epoch", order.GetEpoch(), "expected", order.GetExpected(), "done", reply.GetDone(), "refusal", reply.GetError(), "error", err)
 	return reply, err
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -69,6 +69,7 @@
 	GroupUnread        = Event{604, "ranks of a group cannot all be read"}
 	GroupRead          = Event{605, "ranks of a group can all be read again"}
 	HoldEnded          = Event{606, "hold of a group ended without an agent"}
+	RankUnread         = Event{607, "engine cannot be read after an order"}
 )
 
 // Log writes events of one process.
--- a/internal/steer/steer.go
+++ b/internal/steer/steer.go
@@ -204,22 +204,35 @@
 			steer.plan(ctx, known, ranks, states)
 			sends = known.swap.Next(rankStates(states), steer.clock.Now())
 		}
-		if len(sends) == 0 || !steer.settings.Leads() {
+		if !steer.follow(ctx, known, ranks, states, sends) {
 			break
 		}
+	}
+	return known.swap.Busy()
+}
+
+// follow gives orders for as long as every rank answers with its state, which
+// decides the next ones. It returns whether the ranks are to be read again at
+// once.
+func (steer *Steer) follow(ctx context.Context, known *group, ranks []roster.Record, states []*wire.RankState, sends []swap.Send) bool {
+	for len(sends) > 0 && steer.settings.Leads() {
 		if !known.known {
 			// A new coordinator needs the map in use to void its predecessor's try.
 			if err := steer.learn(ctx, known, ranks, states[0].GetMap(), states[0].GetEpoch()); err != nil {
 				steer.note(known, err)
-				break
+				return false
 			}
 		}
-		steer.order(ctx, known, ranks, states, sends)
+		told := steer.order(ctx, known, ranks, states, sends)
 		if _, copying := sends[0].Order.(swap.Prepare); copying {
-			break
+			return false
+		}
+		if !told {
+			return true
 		}
+		sends = known.swap.Next(rankStates(states), steer.clock.Now())
 	}
-	return known.swap.Busy()
+	return false
 }
 
 func (steer *Steer) note(known *group, err error) {
@@ -305,9 +318,10 @@
 	return states, nil
 }
 
-// order gives orders to several ranks at once. What an order did shows when the
-// ranks are read again.
-func (steer *Steer) order(ctx context.Context, known *group, ranks []roster.Record, states []*wire.RankState, sends []swap.Send) {
+// order gives orders to several ranks at once and puts the states that they
+// answer with in the place of those before. It returns whether all did; else
+// what the orders did shows when the ranks are read again.
+func (steer *Steer) order(ctx context.Context, known *group, ranks []roster.Record, states []*wire.RankState, sends []swap.Send) bool {
 	ctx, cancel := context.WithTimeout(ctx, readLimit.Duration())
 	defer cancel()
 	sets := encode(known.wanted)
@@ -315,11 +329,12 @@
 		sets = encode(known.held)
 	}
 	var mu sync.Mutex
-	refused := 0
+	refused, told := 0, 0
+	before, epoch := slices.Clone(states), states[0].GetEpoch()
 	var ordering conc.WaitGroup
 	for _, send := range sends {
 		made := message(send.Order, sets)
-		made.Epoch, made.Expected = states[send.Rank].GetEpoch(), states[send.Rank].GetSequence()
+		made.Epoch, made.Expected = before[send.Rank].GetEpoch(), before[send.Rank].GetSequence()
 		ordering.Go(func() {
 			client, address, err := steer.client(ctx, ranks[send.Rank])
 			var reply *wire.RankReply
@@ -329,17 +344,22 @@
 			if err != nil {
 				steer.pool.Discard(address)
 			}
+			mu.Lock()
+			defer mu.Unlock()
 			if err != nil || !reply.GetDone() {
-				mu.Lock()
 				refused++
 				known.swap.Unanswered(send.Rank)
-				mu.Unlock()
+			}
+			if reply.GetState() != nil {
+				told++
+				states[send.Rank] = reply.GetState()
 			}
 		})
 	}
 	ordering.Wait()
 	steer.log.Write(event.RankOrdered, "group", known.name, "operation", message(sends[0].Order, nil).GetOperation(), "ranks", len(sends),
-		"notDone", refused, "version", message(sends[0].Order, nil).GetVersion(), "step", message(sends[0].Order, nil).GetStep(), "epoch", states[0].GetEpoch())
+		"notDone", refused, "version", message(sends[0].Order, nil).GetVersion(), "step", message(sends[0].Order, nil).GetStep(), "epoch", epoch)
+	return told == len(sends)
 }
 
 func message(order swap.Order, sets []*wire.RankMap) *wire.RankOrder {
