--- a/internal/swap/swap.go
+++ b/internal/swap/swap.go
@@ -15,11 +15,11 @@
 	// lead is how many steps after the last one known the switch happens. It
 	// covers the orders of a calm try, so that the hold stops nobody.
 	lead = 2
-	// shortLead is that while passes are long: a stream is late then anyway, and
-	// the better map matters more than the moment for which the hold stops it.
+	// shortLead is that while passes are long: the better map matters more than
+	// the moment for which the hold may stop the group.
 	shortLead = 1
-	// longPass is a pass that makes streams late.
-	longPass = 150 * clock.Millis(1)
+	// longPass is three times as long as the orders of a calm try take.
+	longPass = 100 * clock.Millis(1)
 	// firstVersion is the first one of an epoch; nobody switched before it.
 	firstVersion = 1
 	// firstLead is that of a new coordinator's first switch, beyond the steps of
