--- a/internal/gate/stall.go
+++ b/internal/gate/stall.go
@@ -83,9 +83,9 @@
 	}
 }
 
-// listenTo marks a group as stalled when none of its streams makes progress. The
+// noticeSilence marks a group as stalled when none of its streams makes progress. The
 // caller holds mu.
-func (gateway *Gateway) listenTo(group roster.Group, now clock.Millis) {
+func (gateway *Gateway) noticeSilence(group roster.Group, now clock.Millis) {
 	if group.Name == "" {
 		return
 	}
@@ -103,7 +103,7 @@
 	gateway.mu.Lock()
 	defer gateway.mu.Unlock()
 	now := gateway.clock.Now()
-	gateway.listenTo(group, now)
+	gateway.noticeSilence(group, now)
 	known, ok := gateway.stalls[group.Name]
 	if !ok || group.Epoch > known.epoch && !group.Broken || !known.told && !returned {
 		return false
