conns, stream: give up an endpoint that sends bytes without end

Cause: the header of a response, interim responses, responses of other requests and an event of a stream were read without a limit until the caller's deadline, so one faulty endpoint could fill a gateway's memory. Change: 256 KiB before the header of the response is complete, 256 KiB for an event; a discarded body counts as read only at its end.

--- a/internal/conns/conns.go
+++ b/internal/conns/conns.go
@@ -6,6 +6,7 @@
 	"bufio"
 	"context"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"sync"
@@ -41,12 +42,20 @@
 	// maxInlineBody is the largest body, in bytes, that is written before the response
 	// is read; it fits into the TCP windows of a new connection.
 	maxInlineBody = 16 << 10
+	// maxHeadBytes bounds what an endpoint may send before the header of the response
+	// is complete, interim responses and those of other requests included. A faulty
+	// endpoint sends such bytes without end.
+	maxHeadBytes = 256 << 10
 )
 
 // ErrNotSent marks errors of requests that were not sent because no connection could
 // be established.
 var ErrNotSent = errors.New("no connection to the endpoint")
 
+// ErrTooLong is the error of an endpoint that sends more than maxHeadBytes without
+// the header of a response.
+var ErrTooLong = errors.New("endpoint sends bytes without a response header")
+
 // ErrStale marks errors of requests that failed on a reused connection before any byte
 // of a response arrived; the endpoint may have closed the connection while it was idle.
 var ErrStale = errors.New("reused connection failed")
@@ -59,11 +68,36 @@
 type conn struct {
 	net.Conn
 	reader  *bufio.Reader
+	limit   *limitedReader
 	address string
 	// reused is set once the connection was returned to the pool.
 	reused bool
 }
 
+// limitedReader fails with ErrTooLong when more bytes are read than remain.
+type limitedReader struct {
+	source    io.Reader
+	remaining int64
+}
+
+func (limited *limitedReader) Read(into []byte) (int, error) {
+	if limited.remaining <= 0 {
+		return 0, ErrTooLong
+	}
+	size, err := limited.source.Read(into[:min(int64(len(into)), limited.remaining)])
+	limited.remaining -= int64(size)
+	return size, err
+}
+
+// mark marks an error as ErrTooLong if the limit is its cause. Parsers report a
+// line that the limit cuts off as malformed.
+func (limited *limitedReader) mark(err error) error {
+	if limited.remaining <= 0 {
+		return errors.Mark(err, ErrTooLong)
+	}
+	return err
+}
+
 // Pool holds idle connections by address.
 type Pool struct {
 	clock *clock.Clock
@@ -173,7 +207,8 @@
 	if err := setUserTimeout(opened); err != nil {
 		return nil, errors.CombineErrors(errors.Mark(err, ErrNotSent), opened.Close())
 	}
-	return &conn{Conn: opened, reader: bufio.NewReaderSize(opened, bufferSize), address: address}, nil
+	limit := &limitedReader{source: opened}
+	return &conn{Conn: opened, reader: bufio.NewReaderSize(limit, bufferSize), limit: limit, address: address}, nil
 }
 
 func setUserTimeout(opened net.Conn) error {
@@ -255,25 +290,27 @@
 			exchange.written.Store(err == nil)
 		})
 	}
+	conn.limit.remaining = maxHeadBytes
 	if _, err := conn.reader.Peek(1); err != nil {
 		return exchange.noResponse(err)
 	}
 	for {
 		response, err := http.ReadResponse(conn.reader, &http.Request{Method: request.Method})
 		if err != nil {
-			return errors.Wrapf(err, "read response header of %s", conn.address)
+			return conn.limit.mark(errors.Wrapf(err, "read response header of %s", conn.address))
 		}
 		if response.StatusCode < http.StatusOK {
 			continue
 		}
 		if request.Matches(response.Header) {
+			conn.limit.remaining = math.MaxInt64
 			exchange.Response = response
 			return nil
 		}
 		// The response belongs to an earlier request; the matching one follows.
 		_, err = io.Copy(io.Discard, response.Body)
 		if err := errors.CombineErrors(err, response.Body.Close()); err != nil || response.Close {
-			return errors.Newf("response of %s belongs to another request and none follows", conn.address)
+			return conn.limit.mark(errors.Newf("response of %s belongs to another request and none follows", conn.address))
 		}
 	}
 }
--- a/internal/conns/conns_test.go
+++ b/internal/conns/conns_test.go
@@ -79,6 +79,46 @@
 	Entry("a response without a length that ends with its connection", fake.Step{Text: "HTTP/1.1 200 OK\r\n\r\nok", Then: "close"}, 3),
 )
 
+// Guards against an endpoint that fills the memory of a gateway with bytes that are
+// no response, for as long as the caller waits.
+var _ = DescribeTable("gives up an endpoint that sends no end of bytes",
+	func(start, more string) {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		var serving conc.WaitGroup
+		DeferCleanup(func() { Expect(listener.Close()).To(Succeed()); serving.Wait() })
+		sent := make(chan int, 1)
+		serving.Go(func() {
+			conn, err := listener.Accept()
+			Expect(err).NotTo(HaveOccurred())
+			size, err := io.WriteString(conn, start)
+			chunk := bytes.Repeat([]byte(more), 4<<10/len(more))
+			for total := size; err == nil; total += size {
+				sent <- total
+				size, err = conn.Write(chunk)
+				<-sent
+			}
+			sent <- 0
+			Expect(conn.Close()).To(Succeed())
+		})
+		ctx, cancel := context.WithTimeout(context.Background(), limit)
+		DeferCleanup(cancel)
+		_, err = newPool().Do(ctx, conns.Request{
+			Address: listener.Addr().String(), Method: http.MethodGet, Head: []byte("GET / HTTP/1.1\r\nHost: h\r\n\r\n"),
+			Matches: func(http.Header) bool { return false },
+		})
+		Expect(errors.Is(err, conns.ErrTooLong)).To(BeTrue(), "%v", err)
+		Expect(ctx.Err()).NotTo(HaveOccurred())
+		Eventually(sent).WithTimeout(limit).Should(Receive(Equal(0)))
+	},
+	Entry("one line of a header", "HTTP/1.1 200 OK\r\nX: ", "x"),
+	Entry("lines of a header", "HTTP/1.1 200 OK\r\n", "X: x\r\n"),
+	Entry("interim responses", "", "HTTP/1.1 102 Processing\r\n\r\n"),
+	Entry("bytes without a line", "", "x"),
+	Entry("the body of another request's response", "HTTP/1.1 200 OK\r\n\r\n", "x"),
+	Entry("responses of other requests", "", "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"),
+)
+
 var _ = It("distinguishes a request that was not sent from one that may have run", func() {
 	pool := newPool()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
--- a/internal/gate/attempt.go
+++ b/internal/gate/attempt.go
@@ -103,10 +103,14 @@
 }
 
 // discard reads the rest of a response, so that its connection can be reused. It
-// reports whether the body was read and closed without an error.
+// reports whether the body was read to its end, which a body that goes on and on is
+// not.
 func discard(response *http.Response) bool {
-	_, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxBufferedResponse))
-	return errors.CombineErrors(err, response.Body.Close()) == nil
+	size, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxBufferedResponse))
+	if err != nil || size == maxBufferedResponse {
+		return false
+	}
+	return response.Body.Close() == nil
 }
 
 func isEventStream(header http.Header) bool {
--- a/internal/gate/relay.go
+++ b/internal/gate/relay.go
@@ -51,6 +51,8 @@
 			}
 		}
 		switch {
+		case events.TooLong():
+			return unknown, false, errors.Newf("an event of the stream is longer than %d bytes", stream.MaxEventBytes)
 		case errors.Is(err, io.EOF) && !events.Partial():
 			return forwarder.complete(response), true, nil
 		case err != nil:
--- a/internal/stream/stream.go
+++ b/internal/stream/stream.go
@@ -7,6 +7,9 @@
 	"slices"
 )
 
+// MaxEventBytes is the size above which an incomplete event is TooLong.
+const MaxEventBytes = 256 << 10
+
 // Splitter buffers partial events and returns complete ones. The zero value is ready
 // for the start of a stream.
 type Splitter struct {
@@ -25,6 +28,10 @@
 // Partial reports whether the bytes so far end with an incomplete event.
 func (splitter *Splitter) Partial() bool { return len(splitter.partial) > 0 }
 
+// TooLong reports whether an event has grown beyond MaxEventBytes without an end. A
+// faulty endpoint sends such bytes without end.
+func (splitter *Splitter) TooLong() bool { return len(splitter.partial) > MaxEventBytes }
+
 // Events adds a chunk of the stream and returns the bytes of all events that are now
 // complete. The result is valid until the next call.
 func (splitter *Splitter) Events(chunk []byte) []byte {
--- a/internal/stream/stream_test.go
+++ b/internal/stream/stream_test.go
@@ -1,6 +1,7 @@
 package stream_test
 
 import (
+	"bytes"
 	"testing"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -39,6 +40,19 @@
 	Expect(string(next.Events([]byte("id: 8\ndata: b\n\n")))).To(Equal("id: 8\ndata: b\n\n"))
 })
 
+// Guards against an endpoint that fills the memory of a gateway with an event that
+// has no end.
+var _ = It("reports an event that has no end", func() {
+	splitter := stream.Splitter{}
+	splitter.Events([]byte("id: 7\ndata: a\n\n"))
+	for sent := 0; sent <= stream.MaxEventBytes; sent += 8 << 10 {
+		Expect(splitter.TooLong()).To(BeFalse())
+		splitter.Events(bytes.Repeat([]byte("x"), 8<<10))
+	}
+	Expect(splitter.TooLong()).To(BeTrue())
+	Expect(splitter.LastID()).To(Equal("7"))
+})
+
 func FuzzEvents(f *testing.F) {
 	f.Add([]byte(events), 5)
 	f.Fuzz(func(t *testing.T, data []byte, cut int) {
