platform, settings: take every number that the platform may send

A group's size and the sizes of an expert map were allocated before anything confirmed them: a heartbeat with size -1 took the control leader down. A number or duration in the settings file that cannot be used is replaced by the default with log line 418; limits that no site can break are wider. Sizes are checked before use.

--- a/internal/bounds/bounds.go
+++ b/internal/bounds/bounds.go
@@ -29,23 +29,23 @@
 	return nil
 }
 
-// Int returns an error if an integer is out of range.
+// Int returns a SettingError if an integer is out of range.
 func Int(name string, value, low, high int, unit string) error {
 	if value < low || value > high {
-		return errors.Newf("setting --%s is %d; allowed are %s", name, value, strings.TrimSpace(fmt.Sprintf("%d to %d %s", low, high, unit)))
+		return refuse(name, "is %d; allowed are %s", value, strings.TrimSpace(fmt.Sprintf("%d to %d %s", low, high, unit)))
 	}
 	return nil
 }
 
-// Float returns an error if a number is out of range or NaN.
+// Float returns a SettingError if a number is out of range or NaN.
 func Float(name string, value, low, high float64, unit string) error {
 	if !(value >= low && value <= high) {
-		return errors.Newf("setting --%s is %g; allowed are %s", name, value, strings.TrimSpace(fmt.Sprintf("%g to %g %s", low, high, unit)))
+		return refuse(name, "is %g; allowed are %s", value, strings.TrimSpace(fmt.Sprintf("%g to %g %s", low, high, unit)))
 	}
 	return nil
 }
 
-// Span returns an error if a duration is out of range. The bounds are in Go's
+// Span returns a SettingError if a duration is out of range. The bounds are in Go's
 // duration format.
 func Span(name string, value clock.Millis, low, high string) error {
 	minimum, err := time.ParseDuration(low)
@@ -57,7 +57,7 @@
 		return errors.Wrapf(err, "upper bound of --%s", name)
 	}
 	if value.Duration() < minimum || value.Duration() > maximum {
-		return errors.Newf("setting --%s is %s; allowed are %s to %s", name, value, low, high)
+		return refuse(name, "is %s; allowed are %s to %s", value, low, high)
 	}
 	return nil
 }
--- a/internal/coord/coord.go
+++ b/internal/coord/coord.go
@@ -176,6 +176,10 @@
 // fails if a rank is missing.
 func inOrder(records []roster.Record) ([]roster.Record, error) {
 	size := records[0].Group.Size
+	// The size comes from a heartbeat, so it is checked before it is allocated.
+	if size < 1 || size > len(records) {
+		return nil, errors.Newf("endpoint %s says that its group has %d ranks; %d have sent a heartbeat", records[0].ID, size, len(records))
+	}
 	ranks := make([]roster.Record, size)
 	for _, record := range records {
 		at := record.Group.Rank
@@ -186,7 +190,7 @@
 			ranks[at] = record
 		}
 	}
-	if at := slices.IndexFunc(ranks, func(record roster.Record) bool { return record.ID == "" }); at >= 0 || size == 0 {
+	if at := slices.IndexFunc(ranks, func(record roster.Record) bool { return record.ID == "" }); at >= 0 {
 		return nil, errors.Newf("rank %d of %d has sent no heartbeat", at, size)
 	}
 	return ranks, nil
--- a/internal/coord/maps.go
+++ b/internal/coord/maps.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 
 	"github.com/cockroachdb/errors"
 
@@ -80,13 +81,14 @@
 // addCounts adds the expert choices since the last read to the loads.
 func (group *group) addCounts(states []*wire.RankState) {
 	layers, experts := group.engine.Layers, group.engine.Experts
-	if group.pending == nil {
-		group.pending, group.counts = newLoads(layers, experts), map[int]rankCounts{}
-	}
 	for rank, state := range states {
-		if len(state.GetCounts()) != layers*experts {
+		// The sizes of the configuration are used only if an engine confirms them.
+		if total := len(state.GetCounts()); total == 0 || layers < 1 || total%layers != 0 || total/layers != experts {
 			continue
 		}
+		if group.pending == nil {
+			group.pending, group.counts = newLoads(layers, experts), map[int]rankCounts{}
+		}
 		previous := group.counts[rank]
 		group.counts[rank] = rankCounts{born: state.GetBorn(), counts: state.GetCounts()}
 		if previous.born != state.GetBorn() || previous.counts == nil {
@@ -181,6 +183,9 @@
 
 // decode builds a map from the experts that each rank reports.
 func decode(states []*wire.RankState, slotsPerRank int) (expert.Map, error) {
+	if slotsPerRank < 1 || slotsPerRank > math.MaxUint16 {
+		return expert.Map{}, errors.Newf("a rank cannot have %d places for experts", slotsPerRank)
+	}
 	layers := make([][]uint16, len(states[0].GetExperts()))
 	for layer := range layers {
 		layers[layer] = make([]uint16, len(states)*slotsPerRank)
--- a/internal/ctrl/control.go
+++ b/internal/ctrl/control.go
@@ -145,7 +145,7 @@
 	}
 	control.core = quorum.New(quorum.Settings{
 		Self: quorum.Peer{Name: control.self, DiskID: contents.DiskID}, Address: control.advertised(), InitialMembers: initialMembers,
-		JoinOnly: seeded && !settings.Control.Bootstrap && !contents.Existing, Voters: voterCount(seeded, settings.Control.Tolerance),
+		JoinOnly: seeded && !settings.Control.Bootstrap && !contents.Existing, Voters: voterCount(seeded, int(settings.Control.Tolerance)),
 		ReplaceAfter:    replaceAfter,
 		ElectionTimeout: settings.Control.ElectionTimeout, Seed: contents.DiskID,
 		CatchUpEntries: catchUpEntries(seeded), ImageChunkBytes: quorum.DefaultImageChunkBytes,
--- a/internal/daemon/agent.go
+++ b/internal/daemon/agent.go
@@ -27,11 +27,12 @@
 	file *settingsFile
 }
 
+func (command *agentCommand) check() error {
+	return bounds.First(command.Node.Check(), command.Agent.Check())
+}
+
 // Execute runs the agent on an engine's VM.
 func (command *agentCommand) Execute([]string) error {
-	if err := bounds.First(command.Node.Check(), command.Agent.Check()); err != nil {
-		return err
-	}
 	log := event.NewBounded(os.Stdout, command.Name, command.Zone)
 	defer log.Close()
 	running, err := agent.New(command.Node, platform.NewEngine(command.EngineAddress), log)
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -52,11 +52,12 @@
 	out io.Writer
 }
 
+func (command *entryCommand) check() error {
+	return bounds.First(command.Node.Check(), command.Entry.Check())
+}
+
 // Execute runs an entry VM's process.
 func (command *entryCommand) Execute([]string) error {
-	if err := bounds.First(command.Node.Check(), command.Entry.Check()); err != nil {
-		return err
-	}
 	log := event.New(os.Stderr, command.Name, command.Zone)
 	running, err := entry.New(entry.Settings{Node: command.Node, Entry: command.Entry}, clock.NewSystem(), log)
 	if err != nil {
@@ -66,11 +67,12 @@
 	return wait(running)
 }
 
+func (command *endpointCommand) check() error {
+	return bounds.First(command.Node.Check(), command.Endpoint.Check(), checkEngines(command.Engine), checkLifetime(command.Endpoint))
+}
+
 // Execute runs an endpoint process.
 func (command *endpointCommand) Execute([]string) error {
-	if err := bounds.First(command.Node.Check(), command.Endpoint.Check(), checkEngines(command.Engine), checkLifetime(command.Endpoint)); err != nil {
-		return err
-	}
 	log := event.New(os.Stderr, command.Name, command.Zone)
 	running, err := endpt.New(endpt.Settings{Node: command.Node, Endpoint: command.Endpoint}, clock.NewSystem(), log)
 	if err != nil {
@@ -80,11 +82,12 @@
 	return wait(running)
 }
 
+func (command *controlCommand) check() error {
+	return bounds.First(command.Node.Check(), command.Control.Check())
+}
+
 // Execute runs a control VM's process.
 func (command *controlCommand) Execute([]string) error {
-	if err := bounds.First(command.Node.Check(), command.Control.Check()); err != nil {
-		return err
-	}
 	log := event.New(os.Stderr, command.Name, command.Zone)
 	if command.APIListen != "" {
 		log = event.NewBounded(os.Stdout, command.Name, command.Zone)
@@ -108,11 +111,10 @@
 	return command.file.watch(log, func() error { return wait(running) })
 }
 
+func (command *embeddedCommand) check() error { return command.Check() }
+
 // Execute runs the embedded fleet, or its demo.
 func (command *embeddedCommand) Execute([]string) error {
-	if err := command.Check(); err != nil {
-		return err
-	}
 	if command.Demo {
 		return fleet.Demo(command.Embedded, command.out)
 	}
@@ -151,37 +153,60 @@
 	}
 }
 
+// roleCommand is a role with its settings.
+type roleCommand interface {
+	flags.Commander
+	// check returns an error for the first setting that cannot be used.
+	check() error
+}
+
 // Run parses the command line and runs the role until a signal stops it.
 func Run(arguments []string, out io.Writer) error {
 	arguments, file, err := openSettings(arguments)
 	if err != nil {
 		return err
 	}
+	command, err := file.parse(arguments, out)
+	if err != nil || command == nil {
+		return err
+	}
+	return command.Execute(nil)
+}
+
+// parse returns the role of the command line with checked settings, or nil if
+// only help was asked for.
+func parse(arguments []string, out io.Writer, file *settingsFile) (roleCommand, error) {
+	var selected roleCommand
 	parser := flags.NewNamedParser("hibiscuslug", flags.HelpFlag|flags.PassDoubleDash)
 	parser.LongDescription = help
 	for _, command := range subcommands(out, file) {
 		if _, err := parser.AddCommand(command.name, command.short, command.long, command.data); err != nil {
-			return err
+			return nil, err
 		}
 	}
 	parser.CommandHandler = func(command flags.Commander, rest []string) error {
 		if len(rest) > 0 {
 			return errors.Newf("argument %q is not a setting; settings begin with --", rest[0])
 		}
-		return command.Execute(rest)
+		role, ok := command.(roleCommand)
+		if !ok {
+			return errors.Newf("command %T has no settings", command)
+		}
+		selected = role
+		return role.check()
 	}
-	_, err = parser.ParseArgs(arguments)
+	_, err := parser.ParseArgs(arguments)
 	if flags.WroteHelp(err) {
 		fmt.Fprintln(out, err)
-		return nil
+		return nil, nil
 	}
-	return withDescription(parser, err)
+	return selected, withDescription(parser, err)
 }
 
 var flagName = regexp.MustCompile("flag `--([a-z-]+)'")
 
-// withDescription adds the description of a setting, which has its range and
-// unit, to the error about a value that could not be parsed.
+// withDescription turns the error about a value that could not be parsed into a
+// SettingError with the description of the setting, which has its range and unit.
 func withDescription(parser *flags.Parser, err error) error {
 	var failure *flags.Error
 	if !errors.As(err, &failure) || failure.Type != flags.ErrMarshal || parser.Active == nil {
@@ -195,5 +220,5 @@
 	if option == nil {
 		return err
 	}
-	return errors.Newf("setting --%s: %s; it is: %s", match[1], failure.Message, option.Description)
+	return &bounds.SettingError{Setting: match[1], Reason: fmt.Sprintf("is refused: %s; it is: %s", failure.Message, option.Description)}
 }
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -41,11 +41,12 @@
 	file *settingsFile
 }
 
+func (command *gatewayCommand) check() error {
+	return bounds.First(command.Node.Check(), command.Gateway.Check())
+}
+
 // Execute runs a gateway process.
 func (command *gatewayCommand) Execute([]string) error {
-	if err := bounds.First(command.Node.Check(), command.Gateway.Check()); err != nil {
-		return err
-	}
 	log := event.NewBounded(os.Stdout, command.Name, command.Zone)
 	defer log.Close()
 	running, err := gate.New(gate.Settings{
@@ -60,7 +61,37 @@
 
 // settingsFile is the file given by --settings; its file is nil if the flag is
 // not set.
-type settingsFile struct{ file *envset.File }
+type settingsFile struct {
+	file *envset.File
+	// refusals are the errors of the values that were withdrawn.
+	refusals []error
+}
+
+// parse returns the role of the command line with settings from the file.
+func (settings *settingsFile) parse(arguments []string, out io.Writer) (roleCommand, error) {
+	command, err := parse(arguments, out, settings)
+	for err != nil && settings.withdraw(err) {
+		command, err = parse(arguments, out, settings)
+	}
+	return command, err
+}
+
+// withdraw replaces a number or duration of the file that cannot be used by the
+// setting's default, and reports whether the error was due to one: a process that
+// can serve does not end because of a limit that it cannot read.
+func (settings *settingsFile) withdraw(err error) bool {
+	var refusal *bounds.SettingError
+	if settings.file == nil || !errors.As(err, &refusal) {
+		return false
+	}
+	name := "HIB_" + strings.ToUpper(strings.ReplaceAll(refusal.Setting, "-", "_"))
+	withdrawn, failure := settings.file.Withdraw(name)
+	if !withdrawn || failure != nil {
+		return false
+	}
+	settings.refusals = append(settings.refusals, err)
+	return true
+}
 
 // openSettings removes --settings from the arguments and exports the file's
 // values as environment variables that are not set yet, so that flags and the
@@ -79,7 +110,7 @@
 		if err != nil {
 			return nil, nil, err
 		}
-		return append(append([]string(nil), arguments[:at]...), rest...), &settingsFile{file}, file.Export()
+		return append(append([]string(nil), arguments[:at]...), rest...), &settingsFile{file: file}, file.Export()
 	}
 	return arguments, &settingsFile{}, nil
 }
@@ -107,6 +138,9 @@
 	if settings.file == nil {
 		return run()
 	}
+	for _, refusal := range settings.refusals {
+		log.Write(event.SettingWithdrawn, "error", refusal)
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	var watching conc.WaitGroup
 	defer watching.Wait()
--- a/internal/envset/envset.go
+++ b/internal/envset/envset.go
@@ -32,6 +32,8 @@
 	mu     sync.Mutex
 	text   []byte
 	values map[string]string
+	// exported holds the names that Export has set in the environment.
+	exported map[string]bool
 }
 
 // Open reads a settings file.
@@ -103,10 +105,26 @@
 		if err := os.Setenv(name, value); err != nil {
 			return errors.Wrapf(err, "settings file %s: %s", file.path, name)
 		}
+		if file.exported == nil {
+			file.exported = map[string]bool{}
+		}
+		file.exported[name] = true
 	}
 	return nil
 }
 
+// Withdraw removes a variable that Export has set from the environment, and
+// reports whether there was one.
+func (file *File) Withdraw(name string) (bool, error) {
+	file.mu.Lock()
+	defer file.mu.Unlock()
+	if !file.exported[name] {
+		return false, nil
+	}
+	delete(file.exported, name)
+	return true, errors.Wrapf(os.Unsetenv(name), "settings file %s: %s", file.path, name)
+}
+
 // Watch reloads the file when it has changed and at each signal, until the
 // context ends. It logs the first of consecutive failures.
 func (file *File) Watch(ctx context.Context, signals <-chan os.Signal, ticker *clock.Clock, log *event.Log) {
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -58,6 +58,7 @@
 	FeedRegained       = Event{412, "configuration feed regained"}
 	SettingsReloaded   = Event{413, "settings file read again"}
 	SettingsRefused    = Event{414, "settings file could not be used"}
+	SettingWithdrawn   = Event{418, "value of the settings file replaced by the default"}
 	DeploymentAccepted = Event{415, "configuration of request forwarding accepted"}
 	DeploymentRefused  = Event{416, "configuration of request forwarding not accepted"}
 	DeploymentInForce  = Event{417, "configuration of request forwarding in force"}
--- a/internal/gate/forward.go
+++ b/internal/gate/forward.go
@@ -313,7 +313,7 @@
 // takeRetry takes one retry from this gateway's share of the retry budget and
 // reports whether there was one left.
 func (gateway *Gateway) takeRetry(service string) bool {
-	slack := float64(gateway.settings.Gateway.RetrySlack) / float64(gateway.poller.Gateways())
+	slack := gateway.settings.Gateway.RetrySlack / float64(gateway.poller.Gateways())
 	gateway.mu.Lock()
 	defer gateway.mu.Unlock()
 	return gateway.window(service).TakeRetry(gateway.clock.Now(), slack)
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -251,7 +251,8 @@
 // confirmed reports whether a control VM confirmed the configuration recently
 // enough for keys to be accepted.
 func (gateway *Gateway) confirmed() bool {
-	return gateway.view.Age() <= gateway.settings.Gateway.RevokeLimit-keyCheckMargin
+	limit := gateway.settings.Gateway.RevokeLimit
+	return gateway.view.Age() <= limit-min(keyCheckMargin, limit/2)
 }
 
 // isReady reports whether the gateway accepts requests, and the reason if not.
@@ -281,11 +282,12 @@
 	began := gateway.clock.Now()
 	gateway.stopping.Store(true)
 	gateway.log.Write(event.Stopping)
+	grace := gateway.settings.Gateway.Grace
 	// The platform sends new connections until it detects the change of readiness.
-	if err := gateway.clock.Sleep(context.Background(), gateway.settings.Gateway.Rotation); err != nil {
+	if err := gateway.clock.Sleep(context.Background(), min(gateway.settings.Gateway.Rotation, grace/3)); err != nil {
 		gateway.log.Write(event.ServeFailed, "error", err)
 	}
-	remaining := gateway.settings.Gateway.Grace - shutdownMargin - (gateway.clock.Now() - began)
+	remaining := grace - min(shutdownMargin, grace/3) - (gateway.clock.Now() - began)
 	ctx, cancel := context.WithTimeout(context.Background(), remaining.Duration())
 	defer cancel()
 	failure := gateway.http.Shutdown(ctx)
--- a/internal/opts/opts.go
+++ b/internal/opts/opts.go
@@ -91,7 +91,7 @@
 	Group           []string     `long:"group" env:"HIB_GROUP" description:"Control VM of the initial group as name@IP:port, including this one; may be repeated" env-delim:","`
 	Seed            []string     `long:"seed" env:"HIB_SEED" description:"IP or IP:port of a control VM, instead of --group: members are then named by address, and the port is that of --listen; may be repeated" env-delim:","`
 	Bootstrap       bool         `long:"bootstrap" env:"HIB_BOOTSTRAP" description:"With --seed: this is the first start of the deployment, so the seeds may form a group"`
-	Tolerance       int          `long:"tolerance" env:"HIB_TOLERANCE" description:"With --seed: number of control VMs that may fail at the same time; the group has twice as many voters plus one, in VMs (0 to 7)" default:"1"`
+	Tolerance       bounds.Count `long:"tolerance" env:"HIB_TOLERANCE" description:"With --seed: number of control VMs that may fail at the same time; the group has twice as many voters plus one, in VMs (0 to 100)" default:"1"`
 	APIListen       string       `long:"api-listen" env:"HIB_API_LISTEN" description:"IP:port of the deployment's HTTP interface for operators and endpoints; off when empty"`
 	ElectionTimeout clock.Millis `long:"election-timeout" env:"HIB_ELECTION_TIMEOUT" description:"Time without a leader after which an election starts; the same on all control VMs (50ms to 1m)" default:"600ms"`
 	CommitLimit     clock.Millis `long:"commit-limit" env:"HIB_COMMIT_LIMIT" description:"Maximum wait for a change to be synced by a majority (100ms to 1m)" default:"2s"`
@@ -103,7 +103,7 @@
 	return bounds.First(
 		bounds.Required("data", set.Data),
 		bounds.Members("group", set.Group),
-		bounds.Int("tolerance", set.Tolerance, 0, 7, "VMs"),
+		bounds.Int("tolerance", int(set.Tolerance), 0, 100, "VMs"),
 		bounds.Optional(bounds.Listen, "api-listen", set.APIListen),
 		bounds.Span("election-timeout", set.ElectionTimeout, "50ms", "1m"),
 		bounds.Span("commit-limit", set.CommitLimit, "100ms", "1m"),
@@ -116,13 +116,13 @@
 	HTTPListen  string       `long:"http-listen" env:"HIB_HTTP_LISTEN" description:"IP:port for callers" default:"127.0.0.1:8080"`
 	ReadyListen string       `long:"ready-listen" env:"HIB_READY_LISTEN" description:"IP:port of the readiness check; off when empty"`
 	Seed        []string     `long:"seed" env:"HIB_SEED" description:"IP or IP:port of a control VM; the port is that of --listen when left out or when --listen has a port; may be repeated (required)" env-delim:","`
-	RevokeLimit clock.Millis `long:"revoke-limit" env:"HIB_REVOKE_LIMIT" description:"Maximum time for which customers' keys are accepted while no control VM confirms the configuration (100ms to 1h)" default:"5s"`
-	Grace       clock.Millis `long:"grace" env:"HIB_GRACE" description:"Time from the stop signal to the exit of the process (1s to 1h)" default:"8s"`
-	Rotation    clock.Millis `long:"rotation" env:"HIB_ROTATION" description:"Time after the stop signal for which new connections are still accepted, so that the platform can detect the failing readiness check (0s to 1h)" default:"2500ms"`
+	RevokeLimit clock.Millis `long:"revoke-limit" env:"HIB_REVOKE_LIMIT" description:"Maximum time for which customers' keys are accepted while no control VM confirms the configuration (0s to 24h)" default:"5s"`
+	Grace       clock.Millis `long:"grace" env:"HIB_GRACE" description:"Time from the stop signal to the exit of the process (0s to 24h)" default:"8s"`
+	Rotation    clock.Millis `long:"rotation" env:"HIB_ROTATION" description:"Time after the stop signal for which new connections are still accepted, so that the platform can detect the failing readiness check; at most a third of the grace time (0s to 1h)" default:"2500ms"`
 	StartWait   clock.Millis `long:"start-wait" env:"HIB_START_WAIT" description:"Maximum time for which a request waits after the start of the process for the configuration to be confirmed; longer than an election takes (0s to 1h)" default:"1500ms"`
-	RetryRatio  float64      `long:"retry-ratio" env:"HIB_RETRY_RATIO" description:"Retries allowed per request of a service (0 to 1)" default:"0.2"`
-	RetrySlack  int          `long:"retry-slack" env:"HIB_RETRY_SLACK" description:"Additional retries allowed in each retry window, for all gateways together, in requests (0 to 100000)" default:"100"`
-	RetryWindow clock.Millis `long:"retry-window" env:"HIB_RETRY_WINDOW" description:"Time window over which retries are counted (1s to 10m)" default:"10s"`
+	RetryRatio  float64      `long:"retry-ratio" env:"HIB_RETRY_RATIO" description:"Retries allowed per request of a service (0 to 1000)" default:"0.2"`
+	RetrySlack  float64      `long:"retry-slack" env:"HIB_RETRY_SLACK" description:"Additional retries allowed in each retry window, for all gateways together, in requests (0 to 1000000000)" default:"100"`
+	RetryWindow clock.Millis `long:"retry-window" env:"HIB_RETRY_WINDOW" description:"Time window over which retries are counted (1ms to 24h)" default:"10s"`
 }
 
 // Check returns an error for the first setting that is missing or out of range.
@@ -131,13 +131,13 @@
 		bounds.Listen("http-listen", set.HTTPListen),
 		bounds.Optional(bounds.Listen, "ready-listen", set.ReadyListen),
 		bounds.RequiredList("seed", set.Seed),
-		bounds.Span("revoke-limit", set.RevokeLimit, "100ms", "1h"),
-		bounds.Span("grace", set.Grace, "1s", "1h"),
+		bounds.Span("revoke-limit", set.RevokeLimit, "0s", "24h"),
+		bounds.Span("grace", set.Grace, "0s", "24h"),
 		bounds.Span("rotation", set.Rotation, "0s", "1h"),
 		bounds.Span("start-wait", set.StartWait, "0s", "1h"),
-		bounds.Float("retry-ratio", set.RetryRatio, 0, 1, ""),
-		bounds.Int("retry-slack", set.RetrySlack, 0, 100000, "requests"),
-		bounds.Span("retry-window", set.RetryWindow, "1s", "10m"),
+		bounds.Float("retry-ratio", set.RetryRatio, 0, 1000, ""),
+		bounds.Float("retry-slack", set.RetrySlack, 0, 1000000000, "requests"),
+		bounds.Span("retry-window", set.RetryWindow, "1ms", "24h"),
 	)
 }
 
--- a/pkg/clock/clock.go
+++ b/pkg/clock/clock.go
@@ -4,6 +4,8 @@
 
 import (
 	"context"
+	"regexp"
+	"strconv"
 	"sync"
 	"time"
 
@@ -32,8 +34,18 @@
 	return span.Duration().String()
 }
 
-// UnmarshalFlag parses a duration such as "250ms" or "3s" from a flag.
+// exponentForm matches a number with an exponent and its unit, which
+// time.ParseDuration does not accept.
+var exponentForm = regexp.MustCompile(`^([+-]?[0-9.]+[eE][+-]?[0-9]{1,4})(ms|s|m|h)$`)
+
+// UnmarshalFlag parses a duration such as "250ms", "2.5s" or "2.5e+03ms" from a
+// flag.
 func (span *Millis) UnmarshalFlag(text string) error {
+	if parts := exponentForm.FindStringSubmatch(text); parts != nil {
+		if number, err := strconv.ParseFloat(parts[1], 64); err == nil {
+			text = strconv.FormatFloat(number, 'f', -1, 64) + parts[2]
+		}
+	}
 	parsed, err := time.ParseDuration(text)
 	if err != nil {
 		return errors.Newf("%q is not a duration such as 250ms or 3s", text)
--- a/schema/gen/main.go
+++ b/schema/gen/main.go
@@ -37,6 +37,8 @@
 var goTypes = map[string]string{
 	"string": "string",
 	"int":    "int",
+	// count is an int that may be written as 2.0 or 2e0.
+	"count":  "bounds.Count",
 	"float":  "float64",
 	"bool":   "bool",
 	"list":   "[]string",
@@ -131,6 +133,8 @@
 		list = append(list, fmt.Sprintf("bounds.%s(%q, %s)", check, entry.Name, value))
 	case entry.Min != "" && entry.Type == "int":
 		list = append(list, fmt.Sprintf("bounds.Int(%q, %s, %s, %s, %q)", entry.Name, value, entry.Min, entry.Max, entry.Unit))
+	case entry.Min != "" && entry.Type == "count":
+		list = append(list, fmt.Sprintf("bounds.Int(%q, int(%s), %s, %s, %q)", entry.Name, value, entry.Min, entry.Max, entry.Unit))
 	case entry.Min != "" && entry.Type == "float":
 		list = append(list, fmt.Sprintf("bounds.Float(%q, %s, %s, %s, %q)", entry.Name, value, entry.Min, entry.Max, entry.Unit))
 	case entry.Min != "" && entry.Type == "millis":
