agent: send an unanswered order again at once

Cause: engines leave a share of the orders unanswered and carry them out 2 to 12 s later. An order went out once in each round of the coordinator and waited 150 ms for its answer, so with half of them unanswered hardly any round reached all ranks of a large group: maps came into force late or never, and the group was held meanwhile. Model with 63 ranks and half of the orders unanswered: under a quarter of the passes held for each switch and over four times the switches.

--- a/internal/coord/coord_test.go
+++ b/internal/coord/coord_test.go
@@ -213,7 +213,7 @@
 	Expect(listener.Close()).To(Succeed())
 	records := make([]roster.Record, size)
 	for at := range records {
-		server, err := agent.New(opts.Node{Name: "agent", Listen: address(at, port)}, agentEngine{engine{group, at}}, event.Discard())
+		server, err := agent.New(opts.Node{Name: "agent", Listen: address(at, port)}, agentEngine{engine{group, at}}, clock.NewSystem(), event.Discard())
 		Expect(err).NotTo(HaveOccurred())
 		DeferCleanup(server.Close)
 		records[at] = roster.Record{
--- a/internal/daemon/agent.go
+++ b/internal/daemon/agent.go
@@ -35,7 +35,7 @@
 func (command *agentCommand) Execute([]string) error {
 	log := event.NewBounded(os.Stdout, command.Name, command.Zone)
 	defer log.Close()
-	running, err := agent.New(command.Node, platform.NewEngine(command.EngineAddress), log)
+	running, err := agent.New(command.Node, platform.NewEngine(command.EngineAddress), clock.NewSystem(), log)
 	if err != nil {
 		return err
 	}
--- a/internal/swap/swap_test.go
+++ b/internal/swap/swap_test.go
@@ -45,7 +45,9 @@
 	random  *rand.Rand
 	// unanswered is the share of orders that are carried out late without a
 	// reply, idle the share of passes that are followed by a pause.
-	unanswered, idle     float64
+	unanswered, idle float64
+	// sends is how often an agent sends an order that is not answered.
+	sends                int
 	switched, heldPasses int
 	// frozen is the rank whose agent does not answer until frozenUntil. history
 	// holds the states of all ranks since reportLag ago.
@@ -104,12 +106,14 @@
 }
 
 func (group *simulation) send(send swap.Send, expected uint64) {
-	if group.random.Float64() < group.unanswered {
+	for range max(group.sends, 1) {
+		if group.random.Float64() >= group.unanswered {
+			group.apply(send.Rank, send.Order, expected)
+			return
+		}
 		at := group.now + clock.Millis(2000+group.random.Int64N(10_000))
 		group.delayed = append(group.delayed, delayedOrder{send.Rank, send.Order, expected, at})
-		return
 	}
-	group.apply(send.Rank, send.Order, expected)
 }
 
 // pass begins the next pass unless a rank holds it, and returns an error if the
@@ -189,7 +193,9 @@
 	Name       string  `json:"name"`
 	Ranks      int     `json:"ranks"`
 	Unanswered float64 `json:"unanswered"`
-	Idle       float64 `json:"idle"`
+	// Sends is how often an agent sends an order that is not answered.
+	Sends int     `json:"sends"`
+	Idle  float64 `json:"idle"`
 	// Replaced is the share of rounds after which a new coordinator takes over.
 	Replaced float64 `json:"replaced"`
 	// Frozen is the share of orders after which the rank's agent is frozen.
@@ -208,7 +214,7 @@
 // simulate runs a script with one seed.
 func simulate(script script, seed uint64) (*simulation, error) {
 	group := &simulation{
-		ranks: make([]fakeRank, script.Ranks), random: rand.New(rand.NewPCG(seed, seed)), unanswered: script.Unanswered, idle: script.Idle,
+		ranks: make([]fakeRank, script.Ranks), random: rand.New(rand.NewPCG(seed, seed)), unanswered: script.Unanswered, idle: script.Idle, sends: script.Sends,
 	}
 	for at := range group.ranks {
 		group.ranks[at].Epoch = 1
@@ -315,6 +321,25 @@
 		Expect(forced).To(BeNumerically("<", agentsOnly/2))
 	})
 
+	// Guards against a large group that stands still while engines leave half of the
+	// orders unanswered: then hardly any round reaches all ranks.
+	It("holds a large group for a shorter time when agents send orders again", func() {
+		var held, switched [2]float64
+		for seed := range uint64(6) {
+			script := script{Ranks: 63, For: 60 * clock.Second, Unanswered: 0.5}
+			for at, sends := range []int{1, 8} {
+				script.Sends = sends
+				group, err := simulate(script, seed)
+				Expect(err).NotTo(HaveOccurred(), "seed %d", seed)
+				held[at] += float64(group.heldPasses)
+				switched[at] += float64(group.switched) / float64(script.Ranks)
+			}
+		}
+		GinkgoWriter.Println("passes held and switches, sent once and again:", held, switched)
+		Expect(held[1] / switched[1]).To(BeNumerically("<", held[0]/max(switched[0], 1)/4))
+		Expect(switched[1]).To(BeNumerically(">", 4*switched[0]))
+	})
+
 	// Guards against a hold that never ends because a rank refuses to prepare the
 	// map in use again.
 	It("ends a hold once no order can still arrive late", func() {
