gate: look at the deadline before a request is sent

Change: an attempt reads the clock, which counts that time, before it sends; the request ends as not run. The caller's connection is not looked at: its close shows only once the connection's reader has run.

--- a/internal/gate/attempt.go
+++ b/internal/gate/attempt.go
@@ -32,6 +32,11 @@
 // attempt sends the request to one endpoint and forwards the response.
 func (forwarder *forwarder) attempt(ctx context.Context, endpoint roster.Record) (result, error) {
 	gateway := forwarder.gateway
+	if gateway.clock.Now() >= forwarder.deadline {
+		// The context does not show this at once after the machine was suspended: its
+		// timers do not count that time.
+		return notSent, errors.New("the deadline passed before the request was sent")
+	}
 	forwarder.begin(endpoint.ID)
 	defer forwarder.finish(endpoint.ID)
 	exchange, err := forwarder.send(ctx, endpoint, forwarder.route.Kind == plan.NonIdempotent)
--- a/internal/gate/forward.go
+++ b/internal/gate/forward.go
@@ -77,12 +77,16 @@
 	stream *relayState
 }
 
-// forward tries endpoints until one answers the request or no attempt is allowed.
-func (gateway *Gateway) forward(ctx context.Context, w http.ResponseWriter, call *call) {
-	forwarder := &forwarder{
+func newForwarder(gateway *Gateway, w http.ResponseWriter, call *call) *forwarder {
+	return &forwarder{
 		call: call, gateway: gateway, w: w, tried: map[string]bool{},
 		late: call.route.Kind == plan.Streaming && call.used > call.route.Objective,
 	}
+}
+
+// forward tries endpoints until one answers the request or no attempt is allowed.
+func (gateway *Gateway) forward(ctx context.Context, w http.ResponseWriter, call *call) {
+	forwarder := newForwarder(gateway, w, call)
 	gateway.recordRequest(call.service.Name, call.arrived)
 	for {
 		endpoint, ok := forwarder.choose()
