coord: rebalance a group with free slots at a higher skew only

Change: below 0.55 of the slots a layer is rebalanced at a skew of 1.5 down to 1.2, below 0.35 at 2.2 down to 1.6, and a copy must gain more. A full group keeps its thresholds.

--- a/internal/coord/maps.go
+++ b/internal/coord/maps.go
@@ -57,8 +57,8 @@
 // thresholds are ordered from a full group to an idle one.
 var thresholds = []threshold{
 	{fill: 0.55, startSkew: 1.10, stopSkew: 1.03, minGain: 0.001},
-	{fill: 0.35, startSkew: 1.25, stopSkew: 1.10, minGain: 0.004},
-	{fill: 0, startSkew: 1.50, stopSkew: 1.20, minGain: 0.008},
+	{fill: 0.35, startSkew: 1.50, stopSkew: 1.20, minGain: 0.008},
+	{fill: 0, startSkew: 2.20, stopSkew: 1.60, minGain: 0.03},
 }
 
 // plannerSettings returns the planner settings that match the load of a group.
