--- a/internal/ctrl/seeds_test.go
+++ b/internal/ctrl/seeds_test.go
@@ -141,18 +141,20 @@
 			continue
 		}
 		_, err := group.running[other].Poll(context.Background(), &wire.PollRequest{
-			Node: fmt.Sprintf("gateway%d", other), Gateways: 1, Loads: []*wire.EndpointLoad{{Id: "e1", Running: 2}},
+			Node: fmt.Sprintf("gateway%d", other), Gateways: 1, Loads: []*wire.EndpointLoad{{Id: "e1", Running: 2, Late: 1}},
 		})
 		Expect(err).NotTo(HaveOccurred())
 	}
 	reply, err := group.running[number].Poll(context.Background(), &wire.PollRequest{
-		Node: gateway, Gateways: 1, Loads: []*wire.EndpointLoad{{Id: "e1", Running: running}},
+		Node: gateway, Gateways: 1, Loads: []*wire.EndpointLoad{{Id: "e1", Running: running, Late: running / 2}},
 	})
 	Expect(err).NotTo(HaveOccurred())
-	sum := uint32(0)
+	sum, late := uint32(0), uint32(0)
 	for _, load := range reply.GetLoads() {
-		sum += load.GetRunning()
+		sum, late = sum+load.GetRunning(), late+load.GetLate()
 	}
+	// Half of every reported load is late.
+	Expect(late).To(Equal(sum / 2))
 	return []uint32{sum, reply.GetGateways()}
 }
 
