gate: a request whose reused connection broke may have run

Cause: a repeatable request that goes out on a reused connection is sent again on a new one when the first breaks without a response. If the second send was refused or did not connect, the attempt counted as not run, and the caller got a 503 that says so, though the first send may have run. Change: such a request ends with 502 or 504 and without Retry-After.

--- a/internal/gate/attempt.go
+++ b/internal/gate/attempt.go
@@ -41,6 +41,8 @@
 	defer forwarder.finish(endpoint.ID)
 	exchange, err := forwarder.send(ctx, endpoint, forwarder.route.Kind == plan.NonIdempotent)
 	if errors.Is(err, conns.ErrStale) && forwarder.route.Repeatable() && ctx.Err() == nil {
+		// The endpoint may have run what was sent on the connection that broke.
+		forwarder.mayHaveRun = true
 		exchange, err = forwarder.send(ctx, endpoint, true)
 	}
 	if err != nil {
--- a/internal/gate/forward.go
+++ b/internal/gate/forward.go
@@ -69,6 +69,9 @@
 	// runs counts attempts that may have run, notRunAttempts those that certainly did
 	// not.
 	runs, notRunAttempts int
+	// mayHaveRun is set when the request may have run although no attempt counts as a
+	// run, so that the caller is not told that it has not.
+	mayHaveRun bool
 	// endpointError is an endpoint's error response, delivered when no attempt succeeds.
 	endpointError *bufferedResponse
 	// isProbe is set when the next attempt probes whether a stalled group works again.
@@ -189,9 +192,9 @@
 		panic(http.ErrAbortHandler)
 	case forwarder.endpointError != nil:
 		forwarder.deliver(forwarder.endpointError)
-	case forwarder.runs > 0 && ctx.Err() != nil:
+	case (forwarder.runs > 0 || forwarder.mayHaveRun) && ctx.Err() != nil:
 		gateway.refuse(forwarder.w, forwarder.call, refusal{status: http.StatusGatewayTimeout, reason: reason})
-	case forwarder.runs > 0:
+	case forwarder.runs > 0 || forwarder.mayHaveRun:
 		gateway.refuse(forwarder.w, forwarder.call, refusal{status: http.StatusBadGateway, reason: reason})
 	default:
 		gateway.refuse(forwarder.w, forwarder.call, refusal{status: http.StatusServiceUnavailable, reason: reason, retryAfter: forwarder.retryAfter()})
