conns: the test of endless bytes waits for the close only

The test passed a token between the server's writes, and Eventually could take it from the server, which then waited for it for ever (goroutine dump: server in the receive, everything else idle). Change: the server writes until its connection fails and closes a channel. What is checked stays: ErrTooLong before the deadline, and the connection closed.

--- a/internal/conns/conns_test.go
+++ b/internal/conns/conns_test.go
@@ -87,18 +87,17 @@
 		Expect(err).NotTo(HaveOccurred())
 		var serving conc.WaitGroup
 		DeferCleanup(func() { Expect(listener.Close()).To(Succeed()); serving.Wait() })
-		sent := make(chan int, 1)
+		closed := make(chan struct{})
 		serving.Go(func() {
+			defer close(closed)
 			conn, err := listener.Accept()
 			Expect(err).NotTo(HaveOccurred())
-			size, err := io.WriteString(conn, start)
+			_, err = io.WriteString(conn, start)
 			chunk := bytes.Repeat([]byte(more), 4<<10/len(more))
-			for total := size; err == nil; total += size {
-				sent <- total
-				size, err = conn.Write(chunk)
-				<-sent
+			// Writes until the client closes the connection.
+			for err == nil {
+				_, err = conn.Write(chunk)
 			}
-			sent <- 0
 			Expect(conn.Close()).To(Succeed())
 		})
 		ctx, cancel := context.WithTimeout(context.Background(), limit)
@@ -109,7 +108,7 @@
 		})
 		Expect(errors.Is(err, conns.ErrTooLong)).To(BeTrue(), "%v", err)
 		Expect(ctx.Err()).NotTo(HaveOccurred())
-		Eventually(sent).WithTimeout(limit).Should(Receive(Equal(0)))
+		Eventually(closed).WithTimeout(limit).Should(BeClosed())
 	},
 	Entry("one line of a header", "HTTP/1.1 200 OK\r\nX: ", "x"),
 	Entry("lines of a header", "HTTP/1.1 200 OK\r\n", "X: x\r\n"),
