--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -58,10 +58,10 @@
 	FeedRegained       = Event{412, "configuration feed regained"}
 	SettingsReloaded   = Event{413, "settings file read again"}
 	SettingsRefused    = Event{414, "settings file could not be used"}
-	SettingWithdrawn   = Event{418, "value of the settings file replaced by the default"}
 	DeploymentAccepted = Event{415, "configuration of request forwarding accepted"}
 	DeploymentRefused  = Event{416, "configuration of request forwarding not accepted"}
 	DeploymentInForce  = Event{417, "configuration of request forwarding in force"}
+	SettingWithdrawn   = Event{418, "value of the settings file replaced by the default"}
 	EngineUnreachable  = Event{501, "engine does not answer"}
 	InstructionRefused = Event{502, "instruction with an old fencing number refused"}
 	RankOrdered        = Event{601, "order to a rank's engine"}
