--- a/internal/gate/attempt.go
+++ b/internal/gate/attempt.go
@@ -37,6 +37,7 @@
 		// timers do not count that time.
 		return notSent, errors.New("the deadline passed before the request was sent")
 	}
+	forwarder.begun = false
 	forwarder.begin(endpoint.ID)
 	defer forwarder.finish(endpoint.ID)
 	exchange, err := forwarder.send(ctx, endpoint, forwarder.route.Kind == plan.NonIdempotent)
--- a/internal/gate/forward.go
+++ b/internal/gate/forward.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"strings"
 
 	"github.com/cockroachdb/errors"
 
@@ -11,6 +12,7 @@
 	"github.com/hibiscuslug/hibiscuslug/internal/plan"
 	"github.com/hibiscuslug/hibiscuslug/internal/retry"
 	"github.com/hibiscuslug/hibiscuslug/internal/roster"
+	"github.com/hibiscuslug/hibiscuslug/internal/task"
 	"github.com/hibiscuslug/hibiscuslug/pkg/clock"
 )
 
@@ -76,6 +78,8 @@
 	endpointError *bufferedResponse
 	// isProbe is set when the next attempt probes whether a stalled group works again.
 	isProbe bool
+	// begun is set once the current attempt has returned a part of its response.
+	begun bool
 	// stream is set once the response header of a stream was sent to the caller.
 	stream *relayState
 }
@@ -116,7 +120,7 @@
 		began := gateway.clock.Now()
 		ended, err := forwarder.attempt(ctx, endpoint)
 		gateway.log.Write(event.SendEnded, "id", call.task.ID, "endpoint", endpoint.ID, "address", endpoint.Address,
-			"result", resultNames[ended], "work", forwarder.work, "heartbeatAge", began-endpoint.ReceivedAt, "took", gateway.clock.Now()-began, "runs", forwarder.runs, "error", err)
+			"result", resultNames[ended], "begun", forwarder.begun, "parts", partIDs(forwarder.task.Prompt), "work", forwarder.work, "heartbeatAge", began-endpoint.ReceivedAt, "took", gateway.clock.Now()-began, "runs", forwarder.runs, "error", err)
 		gateway.sends.Add(resultNames[ended])
 		if ended == delivered {
 			return
@@ -142,6 +146,15 @@
 	}
 }
 
+// partIDs lists the ids of a prompt's parts for the log.
+func partIDs(parts []task.Part) string {
+	ids := make([]string, len(parts))
+	for at, part := range parts {
+		ids[at] = part.ID
+	}
+	return strings.Join(ids, ",")
+}
+
 // countAttempt counts an attempt by whether it may have run. The caller gets a
 // status that says the request was not executed only if no attempt may have run.
 func (forwarder *forwarder) countAttempt(ended result) {
