--- /dev/null
+++ b/internal/fake/brittle.go
@@ -0,0 +1,147 @@
+package fake
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sourcegraph/conc"
+
+	"github.com/hibiscuslug/hibiscuslug/internal/ports"
+)
+
+// brittleDownTime is how long an endpoint of Brittle is down after a crash.
+const brittleDownTime = 300 * time.Millisecond
+
+// Brittle is a set of fake endpoints that answer with a short event stream and
+// crash when they begin to answer a request with a deadly header value. Each is
+// back after a while, as another incarnation at its address.
+type Brittle struct {
+	settings BrittleSettings
+	running  conc.WaitGroup
+	cancel   context.CancelFunc
+	ctx      context.Context
+
+	// mu guards the fields below.
+	mu        sync.Mutex
+	addresses []string
+	servers   []*http.Server
+	// reached counts the deadly requests that endpoints began, by the number of
+	// crashes before each.
+	reached []int
+	crashes int
+	answers int
+}
+
+// BrittleSettings of a Brittle.
+type BrittleSettings struct {
+	// Header is the header that holds the deadly value.
+	Header, Deadly string
+	// Answer is the header and body of an answer to a sound request; {id} is replaced
+	// by the value of IDHeader.
+	AnswerHeader map[string]string
+	IDHeader     string
+	// Started is called when an endpoint starts, with its number, address and
+	// incarnation.
+	Started func(number int, address string, incarnation int)
+}
+
+// NewBrittle starts the endpoints.
+func NewBrittle(settings BrittleSettings, count int) (*Brittle, error) {
+	ctx, cancel := context.WithCancel(context.Background())
+	brittle := &Brittle{settings: settings, ctx: ctx, cancel: cancel, addresses: make([]string, count), servers: make([]*http.Server, count)}
+	for number := range count {
+		listener, err := ports.Listen()
+		if err != nil {
+			return nil, errors.CombineErrors(err, brittle.Close())
+		}
+		brittle.addresses[number] = listener.Addr().String()
+		brittle.start(number, 1, listener)
+	}
+	return brittle, nil
+}
+
+func (brittle *Brittle) start(number, incarnation int, listener net.Listener) {
+	server := &http.Server{ReadHeaderTimeout: time.Minute, Handler: http.HandlerFunc(func(w http.ResponseWriter, request *http.Request) {
+		if strings.Contains(request.Header.Get(brittle.settings.Header), brittle.settings.Deadly) {
+			brittle.crash(number, incarnation)
+			panic(http.ErrAbortHandler)
+		}
+		for name, value := range brittle.settings.AnswerHeader {
+			w.Header().Set(name, value)
+		}
+		w.Header().Set(brittle.settings.IDHeader, request.Header.Get(brittle.settings.IDHeader))
+		brittle.mu.Lock()
+		brittle.answers++
+		brittle.mu.Unlock()
+		// A caller that has gone gets no answer.
+		_, _ = fmt.Fprint(w, "id: 1\ndata: a\n\n")
+	})}
+	brittle.mu.Lock()
+	brittle.servers[number] = server
+	brittle.mu.Unlock()
+	brittle.running.Go(func() {
+		// The error says that the server was closed.
+		_ = server.Serve(listener)
+	})
+	brittle.settings.Started(number, listener.Addr().String(), incarnation)
+}
+
+// crash closes all connections of an endpoint and starts it again after a while.
+func (brittle *Brittle) crash(number, incarnation int) {
+	brittle.mu.Lock()
+	brittle.reached = append(brittle.reached, brittle.crashes)
+	brittle.crashes++
+	server := brittle.servers[number]
+	brittle.mu.Unlock()
+	// The connections are not used any more.
+	_ = server.Close()
+	brittle.running.Go(func() {
+		select {
+		case <-brittle.ctx.Done():
+			return
+		case <-time.After(brittleDownTime):
+		}
+		var config net.ListenConfig
+		listener, err := config.Listen(brittle.ctx, "tcp", brittle.addresses[number])
+		if err != nil {
+			return
+		}
+		brittle.start(number, incarnation+1, listener)
+	})
+}
+
+// Crashes returns the number of crashes so far.
+func (brittle *Brittle) Crashes() int {
+	brittle.mu.Lock()
+	defer brittle.mu.Unlock()
+	return brittle.crashes
+}
+
+// Answers returns the number of sound requests answered so far.
+func (brittle *Brittle) Answers() int {
+	brittle.mu.Lock()
+	defer brittle.mu.Unlock()
+	return brittle.answers
+}
+
+// Close stops all endpoints and waits for their goroutines.
+func (brittle *Brittle) Close() error {
+	brittle.cancel()
+	brittle.mu.Lock()
+	servers := brittle.servers
+	brittle.mu.Unlock()
+	var failure error
+	for _, server := range servers {
+		if server != nil {
+			failure = errors.CombineErrors(failure, server.Close())
+		}
+	}
+	brittle.running.Wait()
+	return failure
+}
--- a/internal/gate/gate_test.go
+++ b/internal/gate/gate_test.go
@@ -111,8 +111,16 @@
 }
 
 func newGateway(control string, startWait clock.Millis) *gate.Gateway {
+	return startGateway("gateway1", control, startWait)
+}
+
+func newNamedGateway(name, control string) *gate.Gateway {
+	return startGateway(name, control, clock.Second)
+}
+
+func startGateway(name, control string, startWait clock.Millis) *gate.Gateway {
 	gateway, err := gate.New(gate.Settings{
-		Node: opts.Node{Name: "gateway1", Zone: "z1", Listen: control},
+		Node: opts.Node{Name: name, Zone: "z1", Listen: control},
 		Gateway: opts.Gateway{
 			HTTPListen: "127.0.0.1:0", Seed: []string{control}, RevokeLimit: 5 * clock.Second, Grace: 2 * clock.Second,
 			RetryRatio: 0.2, RetrySlack: 100, RetryWindow: 10 * clock.Second, StartWait: startWait,
@@ -175,6 +183,15 @@
 	return response, body, err
 }
 
+// status sends a request and returns the status of the response, or 0 without one.
+func (site *site) status(request *http.Request) int {
+	response, _, err := site.send(request) //nolint:bodyclose // send closes it.
+	if err != nil {
+		return 0
+	}
+	return response.StatusCode
+}
+
 var _ = Describe("a gateway", func() {
 	text, err := os.ReadFile("testdata/answers.json")
 	if err != nil {
