crash, board, gate: keep prompt parts that crash endpoints away from them

Callers saw: most requests refused or broken off, since requests with one deadly prompt part crashed one engine after the other and each crash stops the group of ranks for about four seconds. Cause: gateways took a crash for a broken connection. The decision on requests that crash endpoints (internal/crash) served entry VMs only, and knew whole requests, not the parts of prompts that unlike requests share. Change: the same decision knows parts, is exonerated by answers that begin, and serves gateways; the evidence is a set that every process merges, exchanged in Fleet.Poll and sent when it changed; the control leader grants one probe at a time.

--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -2,8 +2,7 @@
 package call
 
 import (
-	"github.com/cespare/xxhash/v2"
-
+	"github.com/hibiscuslug/hibiscuslug/internal/crash"
 	"github.com/hibiscuslug/hibiscuslug/pkg/clock"
 	"github.com/hibiscuslug/hibiscuslug/pkg/wire"
 )
@@ -53,11 +52,5 @@
 // Fingerprint returns a hash of the customer, method, path and body. It is the same
 // when the caller resends the request.
 func (call Call) Fingerprint() uint64 {
-	digest := xxhash.New()
-	for _, part := range []string{call.Customer.GetName(), "\x00", call.Method, "\x00", call.Path, "\x00"} {
-		// A write to a digest never returns an error.
-		_, _ = digest.WriteString(part)
-	}
-	_, _ = digest.Write(call.Body)
-	return digest.Sum64()
+	return crash.Fingerprint(call.Customer.GetName(), call.Method, call.Path, call.Body)
 }
--- a/internal/conns/conns.go
+++ b/internal/conns/conns.go
@@ -211,6 +211,16 @@
 	return &conn{Conn: opened, reader: bufio.NewReaderSize(limit, bufferSize), limit: limit, address: address}, nil
 }
 
+// Refused reports whether an endpoint refuses connections because nothing listens at
+// its address.
+func (pool *Pool) Refused(ctx context.Context, address string) bool {
+	opened, err := pool.dial(ctx, address)
+	if err == nil {
+		abort(opened)
+	}
+	return errors.Is(err, unix.ECONNREFUSED)
+}
+
 func setUserTimeout(opened net.Conn) error {
 	raw, err := opened.(*net.TCPConn).SyscallConn()
 	if err != nil {
--- a/internal/crash/core.go
+++ b/internal/crash/core.go
@@ -36,17 +36,23 @@
 	Wait
 	// Block blocks the request.
 	Block
+	// Probe lets the request run if no other probe runs in the fleet.
+	Probe
 )
 
 // Decision states how a request may run and, when it is blocked, why and how long.
 type Decision struct {
 	Treatment Treatment
-	// Until is when a block ends.
+	// Until is when a block or a wait ends.
 	Until clock.Millis
-	// Crashes is the number of crashes that count against the request.
+	// Crashes is the number of crashes that count against the request or the part, and
+	// Latest the time of the latest one.
 	Crashes int
+	Latest  clock.Millis
 	// RequestID names the block for operators.
 	RequestID string
+	// Part is the prompt part that decided; 0 if none did.
+	Part uint64
 }
 
 type block struct {
@@ -67,6 +73,12 @@
 	cleared map[uint64]clock.Millis
 	// blocks holds the blocks in force by fingerprint.
 	blocks map[uint64]block
+	// begun holds, by prompt part, when an answer to a request with it last began.
+	begun map[uint64]clock.Millis
+	// probedAt is when the last probe was granted; zero for never.
+	probedAt clock.Millis
+	// revision counts the changes of what other processes need to know.
+	revision uint64
 }
 
 // Step applies an event and returns the next core and the actions to carry out.
@@ -93,6 +105,8 @@
 		return core, nil
 	case Ended:
 		return core.withEnded(event.Fingerprint, now), nil
+	case Begun:
+		return core.withBegun(event), nil
 	case Tick:
 		return core.withTick(now)
 	}
@@ -100,7 +114,19 @@
 }
 
 // Decide returns how a request may run now.
-func (core Core) Decide(fingerprint uint64, now clock.Millis) Decision {
+func (core Core) Decide(request Request, now clock.Millis) Decision {
+	decision := core.decideRequest(request.Fingerprint, now)
+	if decision.Treatment == Block {
+		return decision
+	}
+	if parts := core.decideParts(request, now); parts.Treatment != Normal {
+		return parts
+	}
+	return decision
+}
+
+// decideRequest returns how a request may run by its fingerprint.
+func (core Core) decideRequest(fingerprint uint64, now clock.Millis) Decision {
 	if current, ok := core.blocks[fingerprint]; ok && now < current.until {
 		return Decision{Treatment: Block, Until: current.until, Crashes: current.crashes, RequestID: current.requestID}
 	}
@@ -109,9 +135,10 @@
 	case len(counted) == 0:
 		return Decision{}
 	case len(counted) >= blockingCrashes && isCause(fingerprint, counted):
-		return Decision{Treatment: Wait, Crashes: len(counted)}
+		last := latest(counted)
+		return Decision{Treatment: Wait, Crashes: len(counted), Latest: last, Until: last + reportTime}
 	}
-	return Decision{Treatment: Quarantine, Crashes: len(counted)}
+	return Decision{Treatment: Quarantine, Crashes: len(counted), Latest: latest(counted)}
 }
 
 // Idle reports whether there are no crashes, silent endpoints or blocks.
@@ -128,6 +155,9 @@
 	return list
 }
 
+// Silent returns the endpoints that stopped answering and may have crashed.
+func (core Core) Silent() []Crash { return slices.Collect(maps.Values(core.silent)) }
+
 // Cleared returns when requests were cleared, by fingerprint.
 func (core Core) Cleared() map[uint64]clock.Millis { return core.cleared }
 
@@ -142,6 +172,7 @@
 	core.crashes = with(core.crashes, crash.key(), merged)
 	var actions []Action
 	if !known || len(merged.Suspects) != len(old.Suspects) || merged.Retracted != old.Retracted || merged.QuarantinedFingerprint != old.QuarantinedFingerprint {
+		core.revision++
 		actions = append(actions, Share{Crash: merged})
 	}
 	core, proposals := core.withBlocks(now)
@@ -167,6 +198,7 @@
 	if crash, ok := core.crashes[id]; ok && !crash.Retracted && now-crash.At >= retractAfter {
 		crash.Retracted = true
 		core.crashes = with(core.crashes, id, crash)
+		core.revision++
 		actions = append(actions, Share{Crash: crash})
 	}
 	return core, actions
@@ -190,6 +222,9 @@
 	core.crashes = filtered(core.crashes, func(crash Crash) bool { return crash.At > cutoff })
 	core.silent = filtered(core.silent, func(crash Crash) bool { return crash.At > cutoff })
 	core.cleared = filtered(core.cleared, func(at clock.Millis) bool { return at > cutoff })
+	if len(core.crashes) == 0 {
+		core.begun = nil
+	}
 	return core.withBlocks(now)
 }
 
--- a/internal/crash/core_test.go
+++ b/internal/crash/core_test.go
@@ -39,7 +39,7 @@
 func (step step) event() crash.Event {
 	record := crash.Crash{Endpoint: step.Endpoint, Incarnation: step.Incarnation, At: step.At, QuarantinedFingerprint: step.Alone}
 	for _, fingerprint := range step.Suspects {
-		record.Suspects = append(record.Suspects, crash.Suspect{Fingerprint: fingerprint, RequestID: fmt.Sprint("r", fingerprint)})
+		record.Suspects = append(record.Suspects, crash.Suspect{Request: crash.Request{Fingerprint: fingerprint}, RequestID: fmt.Sprint("r", fingerprint)})
 	}
 	switch step.Event {
 	case "crash":
@@ -86,7 +86,7 @@
 				for fingerprint, want := range step.Treatments {
 					value, err := strconv.ParseUint(fingerprint, 10, 64)
 					Expect(err).NotTo(HaveOccurred())
-					Expect(names[core.Decide(value, step.At).Treatment]).To(Equal(want), "step %d, request %s", number, fingerprint)
+					Expect(names[core.Decide(crash.Request{Fingerprint: value}, step.At).Treatment]).To(Equal(want), "step %d, request %s", number, fingerprint)
 				}
 			}
 		})
--- a/internal/crash/crash.go
+++ b/internal/crash/crash.go
@@ -1,21 +1,44 @@
-// Package crash finds the requests that crash endpoints. From the crashes that
-// entry VMs report it derives which requests run as usual, which run alone on
-// an endpoint, and which are blocked. It has no I/O and reads no clock. Used by the
-// entry process.
+// Package crash finds the requests, and the parts of their prompts, that crash
+// endpoints. From the crashes that entry VMs and gateways report it derives which
+// requests run as usual, which run alone on an endpoint, which may be sent as a
+// probe, and which are blocked. It has no I/O and reads no clock. Used by the entry,
+// gateway and control processes.
 package crash
 
 import (
 	"slices"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/hibiscuslug/hibiscuslug/pkg/clock"
 )
 
-// Suspect is a request that was running on an endpoint when it crashed.
-type Suspect struct {
+// Request holds what identifies a request as the cause of a crash.
+type Request struct {
 	// Fingerprint is the same for every resend of the request.
 	Fingerprint uint64
-	RequestID   string
-	Customer    string
+	// Parts are the hashes of the parts of its prompt that other requests may share,
+	// in order.
+	Parts []uint64
+}
+
+// Fingerprint returns a hash of a request's customer, method, path and body.
+func Fingerprint(customer, method, path string, body []byte) uint64 {
+	digest := xxhash.New()
+	for _, part := range []string{customer, "\x00", method, "\x00", path, "\x00"} {
+		// A write to a digest never returns an error.
+		_, _ = digest.WriteString(part)
+	}
+	_, _ = digest.Write(body)
+	return digest.Sum64()
+}
+
+// Suspect is a request that was running on an endpoint when it crashed, and whose
+// answer had not begun as far as is known.
+type Suspect struct {
+	Request
+	RequestID string
+	Customer  string
 }
 
 // Crash is the loss of one incarnation of an endpoint process with requests
@@ -90,6 +113,12 @@
 // Ended reports that a block was removed from the configuration.
 type Ended struct{ Fingerprint uint64 }
 
+// Begun reports that an answer to a request with a prompt part began.
+type Begun struct {
+	Part uint64
+	At   clock.Millis
+}
+
 // Tick reports that time has passed.
 type Tick struct{}
 
@@ -99,6 +128,7 @@
 func (Cleared) event()   {}
 func (Blocked) event()   {}
 func (Ended) event()     {}
+func (Begun) event()     {}
 func (Tick) event()      {}
 
 // Action is one of Share and Propose.
--- a/internal/ctrl/control.go
+++ b/internal/ctrl/control.go
@@ -13,6 +13,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/sourcegraph/conc"
 
+	"github.com/hibiscuslug/hibiscuslug/internal/board"
 	"github.com/hibiscuslug/hibiscuslug/internal/claim"
 	"github.com/hibiscuslug/hibiscuslug/internal/event"
 	"github.com/hibiscuslug/hibiscuslug/internal/feed"
@@ -64,6 +65,7 @@
 	meter    *meter.Meter
 	peers    *peers
 	poller   *poll.Poller
+	board    *board.Board
 	// incarnation distinguishes this start of the process from earlier ones.
 	incarnation uint64
 	// self is the name of this member of the group: the node's name, or its
@@ -126,7 +128,7 @@
 		settings: settings, diskID: contents.DiskID, clock: ticker, log: log, view: feed.NewView(ticker), pool: link.NewPool(), server: server,
 		inbox: make(chan input, inboxSize), waiters: map[uint64]waiter{}, pendingProposals: map[uint64][]chan<- outcome{},
 		machine: state.NewMachine(), claims: claim.NewTable(), self: settings.Node.Name,
-		incarnation: rand.Uint64(), reports: map[string]loadReport{},
+		incarnation: rand.Uint64(), reports: map[string]loadReport{}, board: board.New(ticker, log),
 	}
 	seeded := len(settings.Control.Seed) > 0
 	if seeded {
--- a/internal/ctrl/fleet.go
+++ b/internal/ctrl/fleet.go
@@ -9,6 +9,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/hibiscuslug/hibiscuslug/internal/crash"
 	"github.com/hibiscuslug/hibiscuslug/internal/poll"
 	"github.com/hibiscuslug/hibiscuslug/internal/quorum"
 	"github.com/hibiscuslug/hibiscuslug/internal/roster"
@@ -71,18 +72,19 @@
 func newPoller(control *Control, seeds func() []string) *poll.Poller {
 	return poll.New(poll.Settings{
 		Node: control.settings.Node.Name, Zone: control.settings.Node.Zone, Self: control.advertised(), Control: true,
-		Sources: maxControlSources, Seeds: seeds, Loads: control.directLoads,
+		Sources: maxControlSources, Seeds: seeds, Loads: control.directLoads, Board: control.board,
 	}, control.view, control.pool, control.clock, control.log)
 }
 
 // Poll serves a poll of a gateway or of another control VM.
 func (control *Control) Poll(ctx context.Context, request *wire.PollRequest) (*wire.PollReply, error) {
 	control.recordPoll(request)
-	position := request.GetPosition()
+	control.board.Merge(request.GetEvidence())
+	position, evidence := request.GetPosition(), request.GetEvidenceRevision()
 	if request.GetIncarnation() != control.incarnation {
-		position = 0
+		position, evidence = 0, 0
 	}
-	control.waitForUpdate(ctx, request, position)
+	control.waitForUpdate(ctx, request, position, evidence)
 	item, _ := control.view.Since(request.GetRevision())
 	records, now, _ := control.poller.Since(position)
 	reply := &wire.PollReply{Config: item, Incarnation: control.incarnation, Position: now, Leader: control.leaderAddress()}
@@ -94,14 +96,26 @@
 		reply.Loads, reply.Gateways = control.loadsOfOthers(request.GetNode(), instant)
 	}
 	reply.Members = control.controlMembers()
+	reply.Evidence, _ = control.board.Evidence(evidence)
 	return reply, nil
 }
 
-// waitForUpdate waits for a new revision or an urgent endpoint change, at most
-// as long as the request allows. It returns at once if the caller is behind.
-func (control *Control) waitForUpdate(ctx context.Context, request *wire.PollRequest, position uint64) {
+// Probe serves a gateway that asks whether it may send a request that may crash an
+// endpoint. Only the leader grants it, so that there is one at a time in the fleet.
+func (control *Control) Probe(_ context.Context, request *wire.ProbeRequest) (*wire.ProbeReply, error) {
+	granted := control.IsLeader() && control.board.Probe(crash.Request{Fingerprint: request.GetFingerprint(), Parts: request.GetParts()})
+	return &wire.ProbeReply{Granted: granted}, nil
+}
+
+// waitForUpdate waits for a new revision, new evidence or an urgent endpoint change, at
+// most as long as the request allows. It returns at once if the caller is behind.
+func (control *Control) waitForUpdate(ctx context.Context, request *wire.PollRequest, position, evidence uint64) {
 	_, config := control.view.Since(request.GetRevision())
 	records, _, urgent := control.poller.Since(position)
+	newEvidence, crashes := control.board.Evidence(evidence)
+	if newEvidence != nil {
+		return
+	}
 	if control.view.State().Revision() > request.GetRevision() || position == 0 && len(records) > 0 {
 		return
 	}
@@ -110,6 +124,7 @@
 	select {
 	case <-config:
 	case <-urgent:
+	case <-crashes:
 	case <-ctx.Done():
 	}
 }
--- a/internal/entry/crashes.go
+++ b/internal/entry/crashes.go
@@ -24,8 +24,6 @@
 	// startMessageGrace is how long an attempt without a start message counts as
 	// running: the message may have been lost in the crash.
 	startMessageGrace = clock.Second
-	// maxDigestCrashes is the maximum number of crashes in a digest.
-	maxDigestCrashes = 64
 )
 
 // crashTracker records which requests are suspected of crashing endpoint processes
@@ -85,7 +83,7 @@
 		return crash.Decision{}
 	}
 	fingerprint, now := request.Fingerprint(), tracker.entry.clock.Now()
-	decision := core.Decide(fingerprint, now)
+	decision := core.Decide(crash.Request{Fingerprint: fingerprint}, now)
 	if block, ok := config.Block(fingerprint); ok && now < clock.Millis(block.GetUntil()) {
 		return crash.Decision{
 			Treatment: crash.Block, Until: clock.Millis(block.GetUntil()),
@@ -164,7 +162,8 @@
 			record.QuarantinedFingerprint = suspect.Request.Fingerprint()
 		}
 		record.Suspects = append(record.Suspects, crash.Suspect{
-			Fingerprint: suspect.Request.Fingerprint(), RequestID: suspect.Request.ID, Customer: suspect.Request.Customer.GetName(),
+			Request:   crash.Request{Fingerprint: suspect.Request.Fingerprint()},
+			RequestID: suspect.Request.ID, Customer: suspect.Request.Customer.GetName(),
 		})
 	}
 	return record
@@ -202,7 +201,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), shareTimeout)
 	defer cancel()
 	var sending conc.WaitGroup
-	digest := &wire.Digest{Crashes: []*wire.CrashReport{reportOf(record)}}
+	digest := &wire.Digest{Crashes: []*wire.CrashReport{record.Message()}}
 	for _, peer := range tracker.entry.members.Role(wire.NodeRole_NODE_ROLE_ENTRY) {
 		if peer.GetNode() == tracker.entry.settings.Node.Name {
 			continue
@@ -245,7 +244,7 @@
 		tracker.applyRemote(crash.Cleared{Fingerprint: cleared.GetFingerprint(), At: clock.Millis(cleared.GetAt())})
 	}
 	for _, report := range digest.GetCrashes() {
-		tracker.applyRemote(crash.Crashed{Crash: crashOf(report)})
+		tracker.applyRemote(crash.Crashed{Crash: crash.FromMessage(report)})
 	}
 }
 
@@ -272,36 +271,11 @@
 		return digest
 	}
 	crashes := core.Crashes()
-	for _, record := range crashes[:min(len(crashes), maxDigestCrashes)] {
-		digest.Crashes = append(digest.Crashes, reportOf(record))
+	for _, record := range crashes[:min(len(crashes), crash.MaxSharedCrashes)] {
+		digest.Crashes = append(digest.Crashes, record.Message())
 	}
 	for fingerprint, at := range core.Cleared() {
 		digest.Cleared = append(digest.Cleared, &wire.Clearance{Fingerprint: fingerprint, At: int64(at)})
 	}
 	return digest
 }
-
-func reportOf(record crash.Crash) *wire.CrashReport {
-	report := &wire.CrashReport{
-		Endpoint: record.Endpoint, Incarnation: record.Incarnation, At: int64(record.At), Alone: record.QuarantinedFingerprint, Alive: record.Retracted,
-	}
-	for _, suspect := range record.Suspects {
-		report.Suspects = append(report.Suspects, &wire.Suspect{
-			Fingerprint: suspect.Fingerprint, RequestId: suspect.RequestID, Customer: suspect.Customer,
-		})
-	}
-	return report
-}
-
-func crashOf(report *wire.CrashReport) crash.Crash {
-	record := crash.Crash{
-		Endpoint: report.GetEndpoint(), Incarnation: report.GetIncarnation(), At: clock.Millis(report.GetAt()),
-		QuarantinedFingerprint: report.GetAlone(), Retracted: report.GetAlive(),
-	}
-	for _, suspect := range report.GetSuspects() {
-		record.Suspects = append(record.Suspects, crash.Suspect{
-			Fingerprint: suspect.GetFingerprint(), RequestID: suspect.GetRequestId(), Customer: suspect.GetCustomer(),
-		})
-	}
-	return record
-}
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -37,6 +37,8 @@
 	RequestEnded       = Event{240, "request ended"}
 	SendEnded          = Event{241, "attempt at an endpoint ended"}
 	RequestHeld        = Event{242, "request waited at the gateway"}
+	RequestSuspected   = Event{243, "request kept from endpoints because it may crash them"}
+	ProbeFailed        = Event{244, "control leader could not be asked for a probe"}
 	EndpointJoined     = Event{301, "endpoint announced itself"}
 	EndpointExpired    = Event{302, "endpoint's announcement expired"}
 	EndpointLeaving    = Event{303, "endpoint is leaving"}
--- a/internal/gate/attempt.go
+++ b/internal/gate/attempt.go
@@ -37,13 +37,13 @@
 		// timers do not count that time.
 		return notSent, errors.New("the deadline passed before the request was sent")
 	}
-	forwarder.begun = false
+	forwarder.begun, forwarder.brokeStale = false, false
 	forwarder.begin(endpoint.ID)
 	defer forwarder.finish(endpoint.ID)
 	exchange, err := forwarder.send(ctx, endpoint, forwarder.route.Kind == plan.NonIdempotent)
 	if errors.Is(err, conns.ErrStale) && forwarder.route.Repeatable() && ctx.Err() == nil {
 		// The endpoint may have run what was sent on the connection that broke.
-		forwarder.mayHaveRun = true
+		forwarder.mayHaveRun, forwarder.brokeStale = true, true
 		exchange, err = forwarder.send(ctx, endpoint, true)
 	}
 	if err != nil {
@@ -145,6 +145,9 @@
 		forwarder.endpointError = buffered
 		return failed, true, nil
 	}
+	if response.StatusCode < http.StatusMultipleChoices {
+		forwarder.recordBegun()
+	}
 	forwarder.deliver(buffered)
 	return delivered, true, nil
 }
--- a/internal/gate/forward.go
+++ b/internal/gate/forward.go
@@ -8,6 +8,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/hibiscuslug/hibiscuslug/internal/choose"
+	"github.com/hibiscuslug/hibiscuslug/internal/crash"
 	"github.com/hibiscuslug/hibiscuslug/internal/event"
 	"github.com/hibiscuslug/hibiscuslug/internal/plan"
 	"github.com/hibiscuslug/hibiscuslug/internal/retry"
@@ -78,8 +79,11 @@
 	endpointError *bufferedResponse
 	// isProbe is set when the next attempt probes whether a stalled group works again.
 	isProbe bool
-	// begun is set once the current attempt has returned a part of its response.
-	begun bool
+	// begun is set once the current attempt has returned a part of its response, and
+	// brokeStale when its reused connection broke without one.
+	begun, brokeStale bool
+	// crashRequest identifies the request as the cause of a crash; see identity.
+	crashRequest *crash.Request
 	// stream is set once the response header of a stream was sent to the caller.
 	stream *relayState
 }
@@ -101,36 +105,31 @@
 			forwarder.end(ctx, "no endpoint takes the request")
 			return
 		}
-		if fields := forwarder.overload(endpoint); fields != nil {
-			gateway.refuse(w, call, refusal{
-				status: http.StatusServiceUnavailable, reason: "all endpoints are full", retryAfter: gateway.jitter(fullRetryAfter), logFields: fields,
-			})
+		switch forwarder.admit(ctx, endpoint) {
+		case admitted:
+		case ended:
 			return
-		}
-		if !forwarder.isProbe && gateway.mustNotSend(endpoint.Group, forwarder.isCallerRetry()) {
-			if !forwarder.awaitGroup(ctx, endpoint.Group) {
-				forwarder.end(ctx, "the group of ranks is stalled")
-				return
-			}
-			forwarder.isProbe = true
+		case chooseAgain:
 			continue
 		}
-		forwarder.isProbe = false
 		forwarder.tried[endpoint.ID] = true
 		began := gateway.clock.Now()
-		ended, err := forwarder.attempt(ctx, endpoint)
+		outcome, err := forwarder.attempt(ctx, endpoint)
 		gateway.log.Write(event.SendEnded, "id", call.task.ID, "endpoint", endpoint.ID, "address", endpoint.Address,
-			"result", resultNames[ended], "begun", forwarder.begun, "parts", partIDs(forwarder.task.Prompt), "work", forwarder.work, "heartbeatAge", began-endpoint.ReceivedAt, "took", gateway.clock.Now()-began, "runs", forwarder.runs, "error", err)
-		gateway.sends.Add(resultNames[ended])
-		if ended == delivered {
+			"result", resultNames[outcome], "begun", forwarder.begun, "parts", partIDs(forwarder.task.Prompt), "work", forwarder.work, "heartbeatAge", began-endpoint.ReceivedAt, "took", gateway.clock.Now()-began, "runs", forwarder.runs, "error", err)
+		gateway.sends.Add(resultNames[outcome])
+		if outcome == delivered {
 			return
 		}
-		forwarder.countAttempt(ended)
-		if ctx.Err() != nil || ended == callerGone {
+		forwarder.countAttempt(outcome)
+		if ctx.Err() == nil && (outcome == unknown && !forwarder.begun || outcome == notSent && forwarder.brokeStale) {
+			forwarder.reportBreak(ctx, endpoint)
+		}
+		if ctx.Err() != nil || outcome == callerGone {
 			forwarder.end(ctx, "time is over")
 			return
 		}
-		if ended == notRun && gateway.mustNotSend(endpoint.Group, forwarder.isCallerRetry()) {
+		if outcome == notRun && gateway.mustNotSend(endpoint.Group, forwarder.isCallerRetry()) {
 			if !forwarder.awaitGroup(ctx, endpoint.Group) || !gateway.takeRetry(forwarder.service.Name) {
 				forwarder.end(ctx, "the group of ranks is stalled")
 				return
@@ -139,13 +138,54 @@
 			forwarder.isProbe = true
 			continue
 		}
-		if reason := forwarder.stopReason(ended); reason != "" {
+		if reason := forwarder.stopReason(outcome); reason != "" {
 			forwarder.end(ctx, reason)
 			return
 		}
 	}
 }
 
+// admission states whether a request may be sent to the endpoint that was chosen.
+type admission int
+
+const (
+	admitted admission = iota
+	// chooseAgain requests have waited, so that another endpoint may be the best one.
+	chooseAgain
+	// ended requests have been answered.
+	ended
+)
+
+// admit decides whether the request may be sent to an endpoint, and waits or ends the
+// request if it must not be sent now.
+func (forwarder *forwarder) admit(ctx context.Context, endpoint roster.Record) admission {
+	gateway := forwarder.gateway
+	if decision, blocked := forwarder.isBlocked(); blocked {
+		forwarder.endSuspected(ctx, decision)
+		return ended
+	}
+	if fields := forwarder.overload(endpoint); fields != nil {
+		gateway.refuse(forwarder.w, forwarder.call, refusal{
+			status: http.StatusServiceUnavailable, reason: "all endpoints are full", retryAfter: gateway.jitter(fullRetryAfter), logFields: fields,
+		})
+		return ended
+	}
+	if !forwarder.isProbe && gateway.mustNotSend(endpoint.Group, forwarder.isCallerRetry()) {
+		if !forwarder.awaitGroup(ctx, endpoint.Group) {
+			forwarder.end(ctx, "the group of ranks is stalled")
+			return ended
+		}
+		forwarder.isProbe = true
+		return chooseAgain
+	}
+	forwarder.isProbe = false
+	if decision, ok := forwarder.mayRun(ctx); !ok {
+		forwarder.endSuspected(ctx, decision)
+		return ended
+	}
+	return admitted
+}
+
 // partIDs lists the ids of a prompt's parts for the log.
 func partIDs(parts []task.Part) string {
 	ids := make([]string, len(parts))
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -15,6 +15,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/sourcegraph/conc"
 
+	"github.com/hibiscuslug/hibiscuslug/internal/board"
 	"github.com/hibiscuslug/hibiscuslug/internal/choose"
 	"github.com/hibiscuslug/hibiscuslug/internal/conns"
 	"github.com/hibiscuslug/hibiscuslug/internal/ctrl"
@@ -71,6 +72,7 @@
 	view     *feed.View
 	links    *link.Pool
 	poller   *poll.Poller
+	board    *board.Board
 	conns    *conns.Pool
 	plan     atomic.Pointer[plan.Plan]
 	stopping atomic.Bool
@@ -105,17 +107,19 @@
 	stalls map[string]stall
 	// progress holds the stream progress of groups with active streams.
 	progress map[string]progress
+	// probeAskedAt is when the control leader was last asked for a probe of a request.
+	probeAskedAt clock.Millis
 }
 
 // New starts a gateway.
 func New(settings Settings, ticker *clock.Clock, log *event.Log) (*Gateway, error) {
 	gateway := &Gateway{
-		settings: settings, clock: ticker, log: log, view: feed.NewView(ticker), links: link.NewPool(), conns: conns.New(ticker),
+		settings: settings, clock: ticker, log: log, view: feed.NewView(ticker), links: link.NewPool(), conns: conns.New(ticker), board: board.New(ticker, log),
 		random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), work: map[string]choose.Load{}, callerWaits: map[string]repeat.Waits{},
 		windows: map[string]*retry.RatioBudget{}, stalls: map[string]stall{}, progress: map[string]progress{}, waits: map[string]wait.Estimate{},
 	}
 	gateway.poller = poll.New(poll.Settings{
-		Node: settings.Node.Name, Zone: settings.Node.Zone, Sources: controlSources, Seeds: gateway.seeds, Loads: gateway.loads,
+		Node: settings.Node.Name, Zone: settings.Node.Zone, Sources: controlSources, Seeds: gateway.seeds, Loads: gateway.loads, Board: gateway.board,
 	}, gateway.view, gateway.links, ticker, log)
 	if err := gateway.registerMetrics(); err != nil {
 		return nil, err
@@ -203,12 +207,13 @@
 	return list, 1
 }
 
-// follow applies each new configuration and logs changes of readiness.
+// follow applies each new configuration, confirms crashes and logs changes of readiness.
 func (gateway *Gateway) follow(ctx context.Context) {
 	wasReady := false
 	for ctx.Err() == nil {
 		changed := gateway.view.Changed()
 		gateway.apply()
+		gateway.confirmCrashes()
 		if ready, reason := gateway.isReady(); ready != wasReady {
 			wasReady = ready
 			gateway.log.Write(event.ReadinessChanged, "ready", ready, "reason", reason)
--- a/internal/gate/relay.go
+++ b/internal/gate/relay.go
@@ -39,7 +39,8 @@
 		size, err := response.Body.Read(buffer)
 		if complete := events.Events(buffer[:size]); len(complete) > 0 {
 			if !isCounted {
-				isCounted, forwarder.begun = true, true
+				isCounted = true
+				forwarder.recordBegun()
 				forwarder.started(endpoint.ID)
 				forwarder.gateway.beginStream(endpoint.Group.Name)
 				defer forwarder.gateway.endStream(endpoint.Group.Name)
--- a/internal/poll/poll.go
+++ b/internal/poll/poll.go
@@ -12,6 +12,7 @@
 
 	"github.com/sourcegraph/conc"
 
+	"github.com/hibiscuslug/hibiscuslug/internal/board"
 	"github.com/hibiscuslug/hibiscuslug/internal/choose"
 	"github.com/hibiscuslug/hibiscuslug/internal/event"
 	"github.com/hibiscuslug/hibiscuslug/internal/feed"
@@ -58,6 +59,8 @@
 	// Loads returns the endpoint loads known directly to this process, and the number
 	// of gateways that they come from.
 	Loads func() ([]*wire.EndpointLoad, int)
+	// Board holds the evidence of crashes, which is exchanged with control VMs.
+	Board *board.Board
 }
 
 // Poller polls control VMs until it is closed.
@@ -70,7 +73,8 @@
 	cancel   context.CancelFunc
 	loops    conc.WaitGroup
 
-	// mu guards the fields below. It is acquired only after the view's lock is released.
+	// mu guards the fields below. It is acquired only after the view's lock is released,
+	// and before the board's lock.
 	mu    sync.Mutex
 	table *roster.Table
 	// changed is closed and replaced when the set of usable endpoints may have changed.
@@ -181,7 +185,7 @@
 
 // follow polls one control VM until it fails.
 func (poller *Poller) follow(ctx context.Context, address string, primary bool, failures map[string]int) error {
-	var incarnation, position uint64
+	from := cursor{}
 	first := true
 	for {
 		began := poller.clock.Now()
@@ -189,7 +193,7 @@
 		if first {
 			wait = 0
 		}
-		reply, err := poller.poll(ctx, address, cursor{incarnation, position}, wait, poller.sharesLoads(primary))
+		reply, next, err := poller.poll(ctx, address, from, wait, poller.sharesLoads(primary))
 		if err != nil {
 			return err
 		}
@@ -198,7 +202,7 @@
 			delete(failures, address)
 			first = false
 		}
-		incarnation, position = reply.GetIncarnation(), reply.GetPosition()
+		from = next
 		if remaining := minPollInterval - (poller.clock.Now() - began); remaining > 0 {
 			if err := poller.clock.Sleep(ctx, remaining); err != nil {
 				return err
@@ -209,7 +213,7 @@
 
 // PollOnce polls one control VM, which replies at once.
 func (poller *Poller) PollOnce(ctx context.Context, address string) error {
-	_, err := poller.poll(ctx, address, cursor{}, 0, false)
+	_, _, err := poller.poll(ctx, address, cursor{}, 0, false)
 	return err
 }
 
@@ -228,17 +232,24 @@
 	return primary || !forwarded
 }
 
-// cursor is the position in a control VM's endpoint updates up to which this process
-// has received them.
-type cursor struct{ incarnation, position uint64 }
+// cursor is what this process has received from a control VM and sent to it.
+type cursor struct {
+	// incarnation is that of the control process, position the one in its endpoint
+	// updates, evidence the revision of its evidence.
+	incarnation, position, evidence uint64
+	// sent is the revision of the own evidence that the control VM has.
+	sent uint64
+}
 
-func (poller *Poller) poll(ctx context.Context, address string, from cursor, wait clock.Millis, withLoads bool) (*wire.PollReply, error) {
+func (poller *Poller) poll(ctx context.Context, address string, from cursor, wait clock.Millis, withLoads bool) (*wire.PollReply, cursor, error) {
 	ctx, cancel := context.WithTimeout(ctx, (wait + replyMargin).Duration())
 	defer cancel()
 	request := &wire.PollRequest{
 		Node: poller.settings.Node, Zone: poller.settings.Zone, Control: poller.settings.Control, Address: poller.settings.Self,
 		Revision: poller.view.State().Revision(), Incarnation: from.incarnation, Position: from.position, Wait: int64(wait),
+		EvidenceRevision: from.evidence,
 	}
+	request.Evidence, _ = poller.settings.Board.Evidence(from.sent)
 	if withLoads {
 		loads, gateways := poller.settings.Loads()
 		request.Loads, request.Gateways = loads, uint32(gateways)
@@ -246,14 +257,32 @@
 	sent := poller.clock.Now()
 	reply, err := wire.NewDRPCFleetClient(poller.pool.Conn(ctx, address)).Poll(ctx, request)
 	if err != nil {
-		return nil, err
+		return nil, from, err
 	}
 	if err := poller.view.Apply(reply.GetConfig(), sent); err != nil {
 		poller.log.Write(event.RevisionRefused, "source", address, "error", err)
-		return nil, err
+		return nil, from, err
 	}
 	poller.merge(reply, sent, withLoads && !poller.settings.Control)
-	return reply, nil
+	poller.settings.Board.Merge(reply.GetEvidence())
+	return reply, from.next(request, reply), nil
+}
+
+// next returns the cursor after a poll. A control process that has started again knows
+// nothing of what the earlier one received, but what was sent to it in this poll.
+func (from cursor) next(request *wire.PollRequest, reply *wire.PollReply) cursor {
+	restarted := reply.GetIncarnation() != from.incarnation
+	next := cursor{incarnation: reply.GetIncarnation(), position: reply.GetPosition(), evidence: from.evidence, sent: from.sent}
+	if restarted && from.incarnation != 0 {
+		next.evidence, next.sent = 0, 0
+	}
+	if request.GetEvidence() != nil {
+		next.sent = request.GetEvidence().GetRevision()
+	}
+	if reply.GetEvidence() != nil {
+		next.evidence = reply.GetEvidence().GetRevision()
+	}
+	return next
 }
 
 func (poller *Poller) merge(reply *wire.PollReply, sent clock.Millis, withLoads bool) {
@@ -274,6 +303,7 @@
 	if now := poller.clock.Now(); now-poller.expiredAt > expireInterval {
 		poller.expiredAt = now
 		poller.table.Expire(now)
+		poller.settings.Board.Expire()
 	}
 }
 
@@ -337,6 +367,13 @@
 	return poller.table.Present(service)
 }
 
+// Holder returns the latest start at the address of an endpoint that is known.
+func (poller *Poller) Holder(endpoint string) (roster.Record, bool) {
+	poller.mu.Lock()
+	defer poller.mu.Unlock()
+	return poller.table.Holder(endpoint)
+}
+
 // Group returns the latest epoch of a group of ranks that one of its members reported,
 // or the given group if none reported a later one.
 func (poller *Poller) Group(service string, group roster.Group) roster.Group {
--- a/internal/poll/poll_test.go
+++ b/internal/poll/poll_test.go
@@ -2,13 +2,16 @@
 
 import (
 	"context"
+	"sync"
 	"testing"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/hibiscuslug/hibiscuslug/internal/board"
 	"github.com/hibiscuslug/hibiscuslug/internal/choose"
+	"github.com/hibiscuslug/hibiscuslug/internal/crash"
 	"github.com/hibiscuslug/hibiscuslug/internal/event"
 	"github.com/hibiscuslug/hibiscuslug/internal/fault"
 	"github.com/hibiscuslug/hibiscuslug/internal/feed"
@@ -35,13 +38,52 @@
 	}, nil
 }
 
+// pollsBeforeRestart is the number of polls after which a recorder starts again.
+const pollsBeforeRestart = 3
+
+// recorder is a control VM that records the evidence that it gets.
+type recorder struct {
+	source
+	mu       sync.Mutex
+	polls    int
+	received []*wire.Evidence
+}
+
+func (recorder *recorder) Poll(_ context.Context, request *wire.PollRequest) (*wire.PollReply, error) {
+	recorder.mu.Lock()
+	defer recorder.mu.Unlock()
+	recorder.polls++
+	if request.GetEvidence() != nil {
+		recorder.received = append(recorder.received, request.GetEvidence())
+	}
+	incarnation := uint64(1)
+	if recorder.polls > pollsBeforeRestart {
+		incarnation = 2
+	}
+	return &wire.PollReply{Config: &wire.FeedItem{}, Incarnation: incarnation, Position: 1}, nil
+}
+
+func (recorder *recorder) counts() (polls, received int) {
+	recorder.mu.Lock()
+	defer recorder.mu.Unlock()
+	return recorder.polls, len(recorder.received)
+}
+
+func (source) Probe(context.Context, *wire.ProbeRequest) (*wire.ProbeReply, error) {
+	return &wire.ProbeReply{}, nil
+}
+
 func startPoller(seeds ...string) (*poll.Poller, *feed.View) {
+	return startPollerWith(board.New(clock.NewSystem(), event.Discard()), seeds...)
+}
+
+func startPollerWith(evidence *board.Board, seeds ...string) (*poll.Poller, *feed.View) {
 	ticker := clock.NewSystem()
 	view, pool := feed.NewView(ticker), link.NewPool()
 	DeferCleanup(pool.Close)
 	poller := poll.New(poll.Settings{
 		Node: "gateway1", Sources: 1, Seeds: func() []string { return seeds },
-		Loads: func() ([]*wire.EndpointLoad, int) { return nil, 1 },
+		Loads: func() ([]*wire.EndpointLoad, int) { return nil, 1 }, Board: evidence,
 	}, view, pool, ticker, event.Discard())
 	poller.Start()
 	DeferCleanup(poller.Close)
@@ -49,10 +91,12 @@
 }
 
 // startSource starts a control VM behind a proxy that injects network faults.
-func startSource() *fault.Proxy {
+func startSource() *fault.Proxy { return startServer(source{}) }
+
+func startServer(fleet wire.DRPCFleetServer) *fault.Proxy {
 	server, err := link.Listen("127.0.0.1:0")
 	Expect(err).NotTo(HaveOccurred())
-	Expect(wire.DRPCRegisterFleet(server.Mux(), source{})).To(Succeed())
+	Expect(wire.DRPCRegisterFleet(server.Mux(), fleet)).To(Succeed())
 	server.Start()
 	DeferCleanup(server.Close)
 	proxy, err := fault.New(server.Address())
@@ -82,3 +126,17 @@
 	Expect(poller.Loads()).To(Equal(map[string]choose.Load{"e1": {Work: 7, Late: 2}}))
 	Expect(poller.Gateways()).To(Equal(4))
 })
+
+// Guards against evidence that a restarted control VM never gets again, and against
+// evidence that goes out with every poll.
+var _ = It("sends evidence once to each start of a control VM", func() {
+	control := &recorder{}
+	proxy := startServer(control)
+	evidence := board.New(clock.NewSystem(), event.Discard())
+	evidence.Step(crash.Crashed{Crash: crash.Crash{Endpoint: "e1", Incarnation: 1, At: 1, Suspects: []crash.Suspect{{RequestID: "r1"}}}})
+	startPollerWith(evidence, proxy.Address())
+	Eventually(func() int { polls, _ := control.counts(); return polls }).WithTimeout(limit).Should(BeNumerically(">", 8))
+	_, received := control.counts()
+	Expect(received).To(Equal(2))
+	Expect(control.received[1].GetCrashes()).To(HaveLen(1))
+})
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -73,6 +73,19 @@
 	return current.Record, true
 }
 
+// Holder returns the latest start at the address of an endpoint, which may be of another
+// endpoint.
+func (table *Table) Holder(id string) (Record, bool) {
+	current, ok := table.records[id]
+	if !ok {
+		return Record{}, false
+	}
+	if holder, ok := table.records[table.byAddress[current.Address]]; ok {
+		return holder.Record, true
+	}
+	return current.Record, true
+}
+
 // Update is the effect of a message on the table.
 type Update int
 
