poll: the evidence test uses a crash that has not expired

Change: the crash is of the present. Measured: go test ./internal/poll -count=1, eight times: passed.

--- a/internal/poll/poll_test.go
+++ b/internal/poll/poll_test.go
@@ -132,8 +132,9 @@
 var _ = It("sends evidence once to each start of a control VM", func() {
 	control := &recorder{}
 	proxy := startServer(control)
-	evidence := board.New(clock.NewSystem(), event.Discard())
-	evidence.Step(crash.Crashed{Crash: crash.Crash{Endpoint: "e1", Incarnation: 1, At: 1, Suspects: []crash.Suspect{{RequestID: "r1"}}}})
+	ticker := clock.NewSystem()
+	evidence := board.New(ticker, event.Discard())
+	evidence.Step(crash.Crashed{Crash: crash.Crash{Endpoint: "e1", Incarnation: 1, At: ticker.Now(), Suspects: []crash.Suspect{{RequestID: "r1"}}}})
 	startPollerWith(evidence, proxy.Address())
 	Eventually(func() int { polls, _ := control.counts(); return polls }).WithTimeout(limit).Should(BeNumerically(">", 8))
 	_, received := control.counts()
