--- a/internal/gate/attempt.go
+++ b/internal/gate/attempt.go
@@ -37,7 +37,7 @@
 		// timers do not count that time.
 		return notSent, errors.New("the deadline passed before the request was sent")
 	}
-	forwarder.begun, forwarder.brokeStale = false, false
+	forwarder.begun, forwarder.brokeStale, forwarder.limit = false, false, nil
 	forwarder.begin(endpoint.ID)
 	defer forwarder.finish(endpoint.ID)
 	exchange, err := forwarder.send(ctx, endpoint, forwarder.route.Kind == plan.NonIdempotent)
@@ -56,8 +56,9 @@
 		}
 		return ended, err
 	}
-	ended, complete, err := forwarder.readResponse(ctx, endpoint, exchange.Response)
 	facts := gateway.settings.Dialect.Answer(exchange.Response.Header)
+	forwarder.limit = facts.Limit
+	ended, complete, err := forwarder.readResponse(ctx, endpoint, exchange.Response)
 	exchange.Close(complete, facts.Idle)
 	if ctx.Err() == nil || ended == delivered {
 		gateway.recordResult(endpoint, ended)
--- a/internal/gate/forward.go
+++ b/internal/gate/forward.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"strconv"
 	"strings"
 
 	"github.com/cockroachdb/errors"
@@ -82,6 +83,8 @@
 	// begun is set once the current attempt has returned a part of its response, and
 	// brokeStale when its reused connection broke without one.
 	begun, brokeStale bool
+	// limit is the limit that the endpoint of the current attempt named; nil for none.
+	limit *float64
 	// crashRequest identifies the request as the cause of a crash; see identity.
 	crashRequest *crash.Request
 	// stream is set once the response header of a stream was sent to the caller.
@@ -116,7 +119,7 @@
 		began := gateway.clock.Now()
 		outcome, err := forwarder.attempt(ctx, endpoint)
 		gateway.log.Write(event.SendEnded, "id", call.task.ID, "endpoint", endpoint.ID, "address", endpoint.Address,
-			"result", resultNames[outcome], "begun", forwarder.begun, "parts", partIDs(forwarder.task.Prompt), "work", forwarder.work, "heartbeatAge", began-endpoint.ReceivedAt, "took", gateway.clock.Now()-began, "runs", forwarder.runs, "error", err)
+			"result", resultNames[outcome], "begun", forwarder.begun, "parts", partIDs(forwarder.task.Prompt), "limit", limitText(forwarder.limit), "work", forwarder.work, "heartbeatAge", began-endpoint.ReceivedAt, "took", gateway.clock.Now()-began, "runs", forwarder.runs, "error", err)
 		gateway.sends.Add(resultNames[outcome])
 		if outcome == delivered {
 			return
@@ -195,6 +198,14 @@
 	return strings.Join(ids, ",")
 }
 
+// limitText formats the limit that an endpoint named for the log.
+func limitText(limit *float64) string {
+	if limit == nil {
+		return "none"
+	}
+	return strconv.FormatFloat(*limit, 'g', -1, 64)
+}
+
 // countAttempt counts an attempt by whether it may have run. The caller gets a
 // status that says the request was not executed only if no attempt may have run.
 func (forwarder *forwarder) countAttempt(ended result) {
--- a/internal/task/task.go
+++ b/internal/task/task.go
@@ -76,6 +76,9 @@
 	Idle clock.Millis
 	// Fault names another endpoint that caused the failure; empty for none.
 	Fault string
+	// Limit is the number of requests a second that the endpoint takes from all gateways
+	// together; nil if it names none.
+	Limit *float64
 }
 
 // Dialect translates between tasks and the HTTP format of a deployment.
