quota, board, gate: keep the sum of all gateways within the limits of endpoints

Cause: nothing read Server-Limit, and a limit kept by each gateway alone would not have held: 12 gateways sent fewer than 0.5 requests a second each to an engine that named 2.6, and 3.7 together. Change: limits travel with the evidence in Fleet.Poll; the control leader grants each request to a limited endpoint by a token bucket; a gateway without a leader uses slots of its own share; what no endpoint takes is refused at once with the time of the next permit.

--- a/internal/board/board.go
+++ b/internal/board/board.go
@@ -1,6 +1,7 @@
-// Package board holds what a process knows of crashes of endpoints, its own
-// observations and those of other processes, and decides by it which requests may be
-// sent. Gateways and control VMs use it and exchange its evidence in their polls.
+// Package board holds what a process knows of endpoints from their answers, crashes
+// and limits, its own observations and those of other processes, and decides by it
+// which requests may be sent. Gateways and control VMs use it and exchange its evidence
+// in their polls.
 package board
 
 import (
@@ -9,6 +10,7 @@
 	"github.com/hibiscuslug/hibiscuslug/internal/begun"
 	"github.com/hibiscuslug/hibiscuslug/internal/crash"
 	"github.com/hibiscuslug/hibiscuslug/internal/event"
+	"github.com/hibiscuslug/hibiscuslug/internal/quota"
 	"github.com/hibiscuslug/hibiscuslug/pkg/clock"
 	"github.com/hibiscuslug/hibiscuslug/pkg/wire"
 )
@@ -23,10 +25,22 @@
 	core crash.Core
 	// history holds the begins of answers that this process has seen.
 	history begun.Table
+	limits  quota.Table
+	// buckets grants requests to limited endpoints while this process is the control
+	// leader.
+	buckets quota.Buckets
 	// changed is closed and replaced when the evidence changes.
 	changed chan struct{}
 }
 
+// Revision tells how far a process has received the evidence of another one.
+type Revision struct{ Crashes, Limits uint64 }
+
+// RevisionOf returns the revision of a message; zero for none.
+func RevisionOf(message *wire.Evidence) Revision {
+	return Revision{Crashes: message.GetRevision(), Limits: message.GetLimitRevision()}
+}
+
 // New returns a board without evidence.
 func New(ticker *clock.Clock, log *event.Log) *Board {
 	return &Board{clock: ticker, log: log, changed: make(chan struct{})}
@@ -62,6 +76,11 @@
 			board.core, _ = board.core.Step(crash.Begun{Part: part, At: at}, board.clock.Now())
 		}
 	}
+	board.announce()
+}
+
+// announce wakes those who wait for a change. The caller holds mu.
+func (board *Board) announce() {
 	close(board.changed)
 	board.changed = make(chan struct{})
 }
@@ -125,15 +144,24 @@
 	return granted
 }
 
-// Evidence returns the evidence if it is newer than a revision, or else nil, and a
+// Evidence returns the evidence that is newer than a revision, or nil if none is, and a
 // channel that is closed when it changes.
-func (board *Board) Evidence(revision uint64) (*wire.Evidence, <-chan struct{}) {
+func (board *Board) Evidence(since Revision) (*wire.Evidence, <-chan struct{}) {
 	board.mu.Lock()
 	defer board.mu.Unlock()
-	if board.core.Revision() <= revision {
+	hasCrashes, hasLimits := board.core.Revision() > since.Crashes, board.limits.Revision() > since.Limits
+	if !hasCrashes && !hasLimits {
 		return nil, board.changed
 	}
-	return board.core.Evidence(board.clock.Now()), board.changed
+	now := board.clock.Now()
+	message := &wire.Evidence{Revision: board.core.Revision(), LimitRevision: board.limits.Revision(), Now: int64(now)}
+	if hasCrashes {
+		board.core.AddTo(message)
+	}
+	for _, limit := range board.limits.Since(since.Limits) {
+		message.Limits = append(message.Limits, limit.Message(now))
+	}
+	return message, board.changed
 }
 
 // Merge adds the evidence of another process.
@@ -143,10 +171,80 @@
 	}
 	board.mu.Lock()
 	defer board.mu.Unlock()
-	for _, input := range crash.Events(message, board.clock.Now()) {
+	now := board.clock.Now()
+	for _, input := range crash.Events(message, now) {
 		board.apply(input)
 	}
+	for _, limit := range message.GetLimits() {
+		board.setLimits(board.limits.With(quota.FromMessage(limit, now)))
+	}
+}
+
+// Answered records the limit that an endpoint named in an answer, nil for none, to a
+// request that was sent at the given time.
+func (board *Board) Answered(endpoint quota.Endpoint, limit *float64, sent clock.Millis) {
+	board.mu.Lock()
+	defer board.mu.Unlock()
+	now := board.clock.Now()
+	if limit == nil {
+		board.setLimits(board.limits.WithUnlimited(endpoint, sent, now))
+		return
+	}
+	board.setLimits(board.limits.With(quota.Limit{Endpoint: endpoint, Rate: *limit, At: now}))
+}
+
+// setLimits replaces the limits and logs those that differ. The caller holds mu.
+func (board *Board) setLimits(next quota.Table) {
+	before := board.limits
+	board.limits = next
+	if next.Revision() == before.Revision() {
+		return
+	}
+	now := board.clock.Now()
+	for _, limit := range next.Since(before.Revision()) {
+		if old, ok := before.Limit(limit.Endpoint, now); ok == limit.Lifted || old.Rate != limit.Rate {
+			board.log.Write(event.LimitChanged, "endpoint", limit.Endpoint.ID, "incarnation", limit.Endpoint.Incarnation, "limit", limit.Rate,
+				"lifted", limit.Lifted, "age", now-limit.At)
+		}
+	}
+	board.announce()
+}
+
+// Limit returns the limit of an endpoint if it names one.
+func (board *Board) Limit(endpoint quota.Endpoint) (quota.Limit, bool) {
+	board.mu.Lock()
+	defer board.mu.Unlock()
+	return board.limits.Limit(endpoint, board.clock.Now())
+}
+
+// Permit grants a request to the first endpoint that may get one, of those that a
+// gateway knows as limited. It returns the endpoint, or the time until one may get a
+// request. Only the control leader may grant.
+func (board *Board) Permit(asked []*wire.EndpointLimit, isUrgent bool) (endpoint string, wait clock.Millis) {
+	board.mu.Lock()
+	defer board.mu.Unlock()
+	now := board.clock.Now()
+	for _, message := range asked {
+		limit := quota.FromMessage(message, now)
+		board.setLimits(board.limits.With(limit))
+		if current, ok := board.limits.Limit(limit.Endpoint, now); ok {
+			limit = current
+		}
+		granted, after := board.buckets.Take(limit, isUrgent, now)
+		if granted {
+			return limit.Endpoint.ID, 0
+		}
+		if wait == 0 || after < wait {
+			wait = after
+		}
+	}
+	return "", wait
 }
 
 // Expire drops evidence that is too old to count.
-func (board *Board) Expire() { board.Step(crash.Tick{}) }
+func (board *Board) Expire() {
+	board.Step(crash.Tick{})
+	board.mu.Lock()
+	defer board.mu.Unlock()
+	board.limits = board.limits.Expired(board.clock.Now())
+}
--- a/internal/board/board_test.go
+++ b/internal/board/board_test.go
@@ -9,7 +9,9 @@
 	"github.com/hibiscuslug/hibiscuslug/internal/board"
 	"github.com/hibiscuslug/hibiscuslug/internal/crash"
 	"github.com/hibiscuslug/hibiscuslug/internal/event"
+	"github.com/hibiscuslug/hibiscuslug/internal/quota"
 	"github.com/hibiscuslug/hibiscuslug/pkg/clock"
+	"github.com/hibiscuslug/hibiscuslug/pkg/wire"
 )
 
 func TestBoard(t *testing.T) {
@@ -19,7 +21,7 @@
 
 // exchange sends the evidence of one process to another.
 func exchange(from, to *board.Board) {
-	message, _ := from.Evidence(0)
+	message, _ := from.Evidence(board.Revision{})
 	to.Merge(message)
 }
 
@@ -33,7 +35,7 @@
 	gateways[2].Begun(sound.Parts)
 	ticker.Advance(clock.Second)
 	gateways[0].Step(crash.Crashed{Crash: crash.Crash{Endpoint: "e1", Incarnation: 1, At: ticker.Now(), Suspects: []crash.Suspect{{Request: deadly}}}})
-	_, changed := gateways[1].Evidence(0)
+	_, changed := gateways[1].Evidence(board.Revision{})
 	// The crash goes round, then the history of the third gateway.
 	for range 3 {
 		for _, gateway := range gateways {
@@ -48,8 +50,8 @@
 		Expect(gateway.Decide(deadly).Part).To(Equal(uint64(66)))
 		Expect(gateway.Decide(sound).Treatment).To(Equal(crash.Normal))
 	}
-	message, _ := gateways[0].Evidence(0)
-	newer, _ := gateways[0].Evidence(message.GetRevision())
+	message, _ := gateways[0].Evidence(board.Revision{})
+	newer, _ := gateways[0].Evidence(board.RevisionOf(message))
 	Expect(newer).To(BeNil())
 })
 
@@ -63,3 +65,43 @@
 	holder.Expire()
 	Expect(holder.Crashes()).To(BeEmpty())
 })
+
+// Guards against gateways that learn of a limit only by overrunning it, and against a
+// limit that outlives its end at those which get no answers of the endpoint.
+var _ = It("tells all gateways of a limit and of its end", func() {
+	ticker := clock.NewManual(clock.Hour)
+	control, told, other := board.New(ticker, event.Discard()), board.New(ticker, event.Discard()), board.New(ticker, event.Discard())
+	endpoint := quota.Endpoint{ID: "e1", Incarnation: 1}
+	told.Answered(endpoint, new(2.5), ticker.Now())
+	exchange(told, control)
+	exchange(control, other)
+	limit, ok := other.Limit(endpoint)
+	Expect(ok).To(BeTrue())
+	Expect(limit.Rate).To(Equal(2.5))
+	ticker.Advance(clock.Second)
+	told.Answered(endpoint, nil, ticker.Now())
+	exchange(told, control)
+	exchange(control, other)
+	_, ok = other.Limit(endpoint)
+	Expect(ok).To(BeFalse())
+})
+
+// Guards against a leader that grants more than an endpoint takes because it has not
+// heard of the limit yet, or prefers an endpoint that takes no more.
+var _ = It("grants permits for the first endpoint that takes one", func() {
+	ticker := clock.NewManual(clock.Hour)
+	leader := board.New(ticker, event.Discard())
+	asked := []*wire.EndpointLimit{{Endpoint: "e1", Rate: 1}, {Endpoint: "e2", Rate: 1}}
+	endpoint, wait := leader.Permit(asked, true)
+	Expect(endpoint).To(BeEmpty())
+	Expect(wait).To(Equal(clock.Second))
+	ticker.Advance(clock.Second)
+	var granted []string
+	for range 3 {
+		endpoint, _ := leader.Permit(asked, true)
+		granted = append(granted, endpoint)
+	}
+	Expect(granted).To(Equal([]string{"e1", "e2", ""}))
+	_, ok := leader.Limit(quota.Endpoint{ID: "e1"})
+	Expect(ok).To(BeTrue())
+})
--- a/internal/crash/codec.go
+++ b/internal/crash/codec.go
@@ -36,9 +36,8 @@
 	return crash
 }
 
-// Evidence encodes the crashes and the begins of answers.
-func (core Core) Evidence(now clock.Millis) *wire.Evidence {
-	message := &wire.Evidence{Revision: core.revision, Now: int64(now)}
+// AddTo adds the crashes and the begins of answers to a message.
+func (core Core) AddTo(message *wire.Evidence) {
 	crashes := core.Crashes()
 	for _, crash := range crashes[:min(len(crashes), MaxSharedCrashes)] {
 		message.Crashes = append(message.Crashes, crash.Message())
@@ -46,7 +45,6 @@
 	for part, at := range core.begun {
 		message.Begun = append(message.Begun, &wire.PartBegun{Part: part, At: int64(at)})
 	}
-	return message
 }
 
 // Events decodes evidence. Instants are converted to the receiver's clock, by which
--- a/internal/crash/parts_test.go
+++ b/internal/crash/parts_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/hibiscuslug/hibiscuslug/internal/crash"
 	"github.com/hibiscuslug/hibiscuslug/pkg/clock"
+	"github.com/hibiscuslug/hibiscuslug/pkg/wire"
 )
 
 // partRequest is a request with the shared parts of its prompt.
@@ -125,7 +126,12 @@
 		}
 		return into
 	}
-	message := first.Evidence(now)
+	evidence := func(core crash.Core, at clock.Millis) *wire.Evidence {
+		message := &wire.Evidence{Now: int64(at)}
+		core.AddTo(message)
+		return message
+	}
+	message := evidence(first, now)
 	second = merge(second, crash.Events(message, now+skew), now+skew)
 	later := now + 2*clock.Second
 	for _, request := range []crash.Request{sound, deadly} {
@@ -136,7 +142,7 @@
 	Expect(first.Decide(deadly, later).Treatment).To(Equal(crash.Block))
 	Expect(first.Decide(sound, later).Treatment).To(Equal(crash.Normal))
 	revisions := []uint64{first.Revision(), second.Revision()}
-	first = merge(first, crash.Events(second.Evidence(now+skew), now), now)
+	first = merge(first, crash.Events(evidence(second, now+skew), now), now)
 	second = merge(second, crash.Events(message, now+skew), now+skew)
 	Expect([]uint64{first.Revision(), second.Revision()}).To(Equal(revisions))
 })
--- a/internal/ctrl/fleet.go
+++ b/internal/ctrl/fleet.go
@@ -9,6 +9,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/hibiscuslug/hibiscuslug/internal/board"
 	"github.com/hibiscuslug/hibiscuslug/internal/crash"
 	"github.com/hibiscuslug/hibiscuslug/internal/poll"
 	"github.com/hibiscuslug/hibiscuslug/internal/quorum"
@@ -80,9 +81,10 @@
 func (control *Control) Poll(ctx context.Context, request *wire.PollRequest) (*wire.PollReply, error) {
 	control.recordPoll(request)
 	control.board.Merge(request.GetEvidence())
-	position, evidence := request.GetPosition(), request.GetEvidenceRevision()
+	position := request.GetPosition()
+	evidence := board.Revision{Crashes: request.GetEvidenceRevision(), Limits: request.GetLimitRevision()}
 	if request.GetIncarnation() != control.incarnation {
-		position, evidence = 0, 0
+		position, evidence = 0, board.Revision{}
 	}
 	control.waitForUpdate(ctx, request, position, evidence)
 	item, _ := control.view.Since(request.GetRevision())
@@ -107,9 +109,19 @@
 	return &wire.ProbeReply{Granted: granted}, nil
 }
 
+// Permit serves a gateway that wants to send a request to an endpoint which names a
+// limit.
+func (control *Control) Permit(_ context.Context, request *wire.PermitRequest) (*wire.PermitReply, error) {
+	if !control.IsLeader() {
+		return &wire.PermitReply{}, nil
+	}
+	endpoint, wait := control.board.Permit(request.GetLimits(), request.GetUrgent())
+	return &wire.PermitReply{Decided: true, Endpoint: endpoint, Wait: int64(wait)}, nil
+}
+
 // waitForUpdate waits for a new revision, new evidence or an urgent endpoint change, at
 // most as long as the request allows. It returns at once if the caller is behind.
-func (control *Control) waitForUpdate(ctx context.Context, request *wire.PollRequest, position, evidence uint64) {
+func (control *Control) waitForUpdate(ctx context.Context, request *wire.PollRequest, position uint64, evidence board.Revision) {
 	_, config := control.view.Since(request.GetRevision())
 	records, _, urgent := control.poller.Since(position)
 	newEvidence, crashes := control.board.Evidence(evidence)
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -39,6 +39,8 @@
 	RequestHeld        = Event{242, "request waited at the gateway"}
 	RequestSuspected   = Event{243, "request kept from endpoints because it may crash them"}
 	ProbeFailed        = Event{244, "control leader could not be asked for a probe"}
+	PermitFailed       = Event{245, "control leader could not be asked for a permit"}
+	RequestOverLimit   = Event{246, "request kept from endpoints that are at their limits"}
 	EndpointJoined     = Event{301, "endpoint announced itself"}
 	EndpointExpired    = Event{302, "endpoint's announcement expired"}
 	EndpointLeaving    = Event{303, "endpoint is leaving"}
@@ -46,6 +48,7 @@
 	ReadinessChanged   = Event{305, "readiness changed"}
 	EndpointChanged    = Event{306, "endpoint changed"}
 	GroupSilent        = Event{307, "no stream of a group makes progress"}
+	LimitChanged       = Event{308, "limit that an endpoint names changed"}
 	RevisionApplied    = Event{401, "configuration revision applied"}
 	RevisionRefused    = Event{402, "configuration revision refused"}
 	FeedLost           = Event{403, "configuration feed lost"}
--- a/internal/gate/attempt.go
+++ b/internal/gate/attempt.go
@@ -37,9 +37,13 @@
 		// timers do not count that time.
 		return notSent, errors.New("the deadline passed before the request was sent")
 	}
+	if forwarder.permittedAt > 0 && gateway.clock.Now()-forwarder.permittedAt > permitLifetime {
+		return notSent, errors.New("the permit expired before the request was sent")
+	}
 	forwarder.begun, forwarder.brokeStale, forwarder.limit = false, false, nil
 	forwarder.begin(endpoint.ID)
 	defer forwarder.finish(endpoint.ID)
+	sent := gateway.clock.Now()
 	exchange, err := forwarder.send(ctx, endpoint, forwarder.route.Kind == plan.NonIdempotent)
 	if errors.Is(err, conns.ErrStale) && forwarder.route.Repeatable() && ctx.Err() == nil {
 		// The endpoint may have run what was sent on the connection that broke.
@@ -58,6 +62,7 @@
 	}
 	facts := gateway.settings.Dialect.Answer(exchange.Response.Header)
 	forwarder.limit = facts.Limit
+	gateway.board.Answered(endpointKey(endpoint), facts.Limit, sent)
 	ended, complete, err := forwarder.readResponse(ctx, endpoint, exchange.Response)
 	exchange.Close(complete, facts.Idle)
 	if ctx.Err() == nil || ended == delivered {
--- a/internal/gate/forward.go
+++ b/internal/gate/forward.go
@@ -62,6 +62,13 @@
 	w       http.ResponseWriter
 	// tried holds the IDs of the endpoints already tried.
 	tried map[string]bool
+	// overLimit holds the IDs of the endpoints that take no more within their limits.
+	overLimit map[string]bool
+	// usable holds the endpoints that the last choice was made from.
+	usable []roster.Record
+	// permittedAt is when the permit for the current attempt was asked for; zero if it
+	// needs none.
+	permittedAt clock.Millis
 	// work is the estimated number of requests ahead at the endpoint chosen last.
 	work int
 	// meanWork is the mean estimated number of requests at the candidate endpoints, and
@@ -93,7 +100,7 @@
 
 func newForwarder(gateway *Gateway, w http.ResponseWriter, call *call) *forwarder {
 	return &forwarder{
-		call: call, gateway: gateway, w: w, tried: map[string]bool{},
+		call: call, gateway: gateway, w: w, tried: map[string]bool{}, overLimit: map[string]bool{},
 		late: call.route.Kind == plan.Streaming && call.used > call.route.Objective,
 	}
 }
@@ -108,7 +115,8 @@
 			forwarder.end(ctx, "no endpoint takes the request")
 			return
 		}
-		switch forwarder.admit(ctx, endpoint) {
+		endpoint, admission := forwarder.admit(ctx, endpoint)
+		switch admission {
 		case admitted:
 		case ended:
 			return
@@ -159,34 +167,35 @@
 	ended
 )
 
-// admit decides whether the request may be sent to an endpoint, and waits or ends the
-// request if it must not be sent now.
-func (forwarder *forwarder) admit(ctx context.Context, endpoint roster.Record) admission {
+// admit decides whether the request may be sent to the chosen endpoint, and waits or
+// ends the request if it must not be sent now. It returns the endpoint that takes the
+// request.
+func (forwarder *forwarder) admit(ctx context.Context, endpoint roster.Record) (roster.Record, admission) {
 	gateway := forwarder.gateway
 	if decision, blocked := forwarder.isBlocked(); blocked {
 		forwarder.endSuspected(ctx, decision)
-		return ended
+		return endpoint, ended
 	}
 	if fields := forwarder.overload(endpoint); fields != nil {
 		gateway.refuse(forwarder.w, forwarder.call, refusal{
 			status: http.StatusServiceUnavailable, reason: "all endpoints are full", retryAfter: gateway.jitter(fullRetryAfter), logFields: fields,
 		})
-		return ended
+		return endpoint, ended
 	}
 	if !forwarder.isProbe && gateway.mustNotSend(endpoint.Group, forwarder.isCallerRetry()) {
 		if !forwarder.awaitGroup(ctx, endpoint.Group) {
 			forwarder.end(ctx, "the group of ranks is stalled")
-			return ended
+			return endpoint, ended
 		}
 		forwarder.isProbe = true
-		return chooseAgain
+		return endpoint, chooseAgain
 	}
 	forwarder.isProbe = false
 	if decision, ok := forwarder.mayRun(ctx); !ok {
 		forwarder.endSuspected(ctx, decision)
-		return ended
+		return endpoint, ended
 	}
-	return admitted
+	return forwarder.permit(ctx, endpoint)
 }
 
 // partIDs lists the ids of a prompt's parts for the log.
@@ -277,12 +286,13 @@
 	var open []roster.Record
 	var sum choose.Load
 	for _, record := range records {
-		if forwarder.tried[record.ID] {
+		if forwarder.tried[record.ID] || forwarder.overLimit[record.ID] {
 			continue
 		}
 		open = append(open, record)
 		sum = sum.Plus(loads[record.ID]).Plus(gateway.work[record.ID])
 	}
+	forwarder.usable, forwarder.permittedAt = open, 0
 	forwarder.meanWork = float64(sum.Ahead(true)) / float64(max(len(open), 1))
 	forwarder.meanOnTime = float64(sum.Ahead(false)) / float64(max(len(open), 1))
 	for _, record := range open {
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -26,6 +26,7 @@
 	"github.com/hibiscuslug/hibiscuslug/internal/opts"
 	"github.com/hibiscuslug/hibiscuslug/internal/plan"
 	"github.com/hibiscuslug/hibiscuslug/internal/poll"
+	"github.com/hibiscuslug/hibiscuslug/internal/quota"
 	"github.com/hibiscuslug/hibiscuslug/internal/repeat"
 	"github.com/hibiscuslug/hibiscuslug/internal/retry"
 	"github.com/hibiscuslug/hibiscuslug/internal/roster"
@@ -109,6 +110,10 @@
 	progress map[string]progress
 	// probeAskedAt is when the control leader was last asked for a probe of a request.
 	probeAskedAt clock.Millis
+	// leaderLostAt is when the control leader last did not answer a request for a permit,
+	// share the gateway's own part of the limits meanwhile.
+	leaderLostAt clock.Millis
+	share        *quota.Share
 }
 
 // New starts a gateway.
@@ -118,6 +123,7 @@
 		random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), work: map[string]choose.Load{}, callerWaits: map[string]repeat.Waits{},
 		windows: map[string]*retry.RatioBudget{}, stalls: map[string]stall{}, progress: map[string]progress{}, waits: map[string]wait.Estimate{},
 	}
+	gateway.share = quota.NewShare(gateway.random.Float64())
 	gateway.poller = poll.New(poll.Settings{
 		Node: settings.Node.Name, Zone: settings.Node.Zone, Sources: controlSources, Seeds: gateway.seeds, Loads: gateway.loads, Board: gateway.board,
 	}, gateway.view, gateway.links, ticker, log)
--- a/internal/poll/poll.go
+++ b/internal/poll/poll.go
@@ -235,10 +235,10 @@
 // cursor is what this process has received from a control VM and sent to it.
 type cursor struct {
 	// incarnation is that of the control process, position the one in its endpoint
-	// updates, evidence the revision of its evidence.
-	incarnation, position, evidence uint64
-	// sent is the revision of the own evidence that the control VM has.
-	sent uint64
+	// updates.
+	incarnation, position uint64
+	// evidence is the revision of its evidence, sent that of the own evidence that it has.
+	evidence, sent board.Revision
 }
 
 func (poller *Poller) poll(ctx context.Context, address string, from cursor, wait clock.Millis, withLoads bool) (*wire.PollReply, cursor, error) {
@@ -247,7 +247,7 @@
 	request := &wire.PollRequest{
 		Node: poller.settings.Node, Zone: poller.settings.Zone, Control: poller.settings.Control, Address: poller.settings.Self,
 		Revision: poller.view.State().Revision(), Incarnation: from.incarnation, Position: from.position, Wait: int64(wait),
-		EvidenceRevision: from.evidence,
+		EvidenceRevision: from.evidence.Crashes, LimitRevision: from.evidence.Limits,
 	}
 	request.Evidence, _ = poller.settings.Board.Evidence(from.sent)
 	if withLoads {
@@ -274,13 +274,13 @@
 	restarted := reply.GetIncarnation() != from.incarnation
 	next := cursor{incarnation: reply.GetIncarnation(), position: reply.GetPosition(), evidence: from.evidence, sent: from.sent}
 	if restarted && from.incarnation != 0 {
-		next.evidence, next.sent = 0, 0
+		next.evidence, next.sent = board.Revision{}, board.Revision{}
 	}
 	if request.GetEvidence() != nil {
-		next.sent = request.GetEvidence().GetRevision()
+		next.sent = board.RevisionOf(request.GetEvidence())
 	}
 	if reply.GetEvidence() != nil {
-		next.evidence = reply.GetEvidence().GetRevision()
+		next.evidence = board.RevisionOf(reply.GetEvidence())
 	}
 	return next
 }
@@ -404,6 +404,14 @@
 	return max(poller.gateways, 1)
 }
 
+// KnownGateways returns the number of gateways that share the endpoints, or 0 if no
+// control VM has told it yet.
+func (poller *Poller) KnownGateways() int {
+	poller.mu.Lock()
+	defer poller.mu.Unlock()
+	return poller.gateways
+}
+
 // Leader returns the control leader's address as last reported.
 func (poller *Poller) Leader() string {
 	poller.mu.Lock()
--- a/internal/poll/poll_test.go
+++ b/internal/poll/poll_test.go
@@ -73,6 +73,10 @@
 	return &wire.ProbeReply{}, nil
 }
 
+func (source) Permit(context.Context, *wire.PermitRequest) (*wire.PermitReply, error) {
+	return &wire.PermitReply{}, nil
+}
+
 func startPoller(seeds ...string) (*poll.Poller, *feed.View) {
 	return startPollerWith(board.New(clock.NewSystem(), event.Discard()), seeds...)
 }
