--- a/internal/ctrl/seeds_test.go
+++ b/internal/ctrl/seeds_test.go
@@ -13,6 +13,7 @@
 	"github.com/hibiscuslug/hibiscuslug/internal/bounds"
 	"github.com/hibiscuslug/hibiscuslug/internal/ctrl"
 	"github.com/hibiscuslug/hibiscuslug/internal/event"
+	"github.com/hibiscuslug/hibiscuslug/internal/fake"
 	"github.com/hibiscuslug/hibiscuslug/internal/opts"
 	"github.com/hibiscuslug/hibiscuslug/internal/ports"
 	"github.com/hibiscuslug/hibiscuslug/internal/roster"
@@ -44,13 +45,16 @@
 	seeds   []string
 	running map[int]*ctrl.Control
 	folders map[int]string
+	disks   map[int]*fake.Disk
 }
 
 func (group *seeded) start(number int, bootstrap bool) {
 	if group.folders[number] == "" {
 		group.folders[number] = GinkgoT().TempDir()
 	}
+	group.disks[number] = fake.NewDisk()
 	control, err := ctrl.New(ctrl.Settings{
+		Disk: group.disks[number],
 		Node: opts.Node{Name: fmt.Sprintf("control%d", number), Zone: "z", Listen: group.address(number), ShutdownLimit: clock.Second},
 		Control: opts.Control{
 			Data: group.folders[number], Seed: group.seeds, Bootstrap: bootstrap, Tolerance: bounds.Count(group.script.Tolerance),
@@ -61,6 +65,18 @@
 	group.running[number] = control
 }
 
+// powerOff takes the power from all of the VMs before any of them can end by itself.
+func (group *seeded) powerOff(numbers []int) {
+	for _, number := range numbers {
+		Expect(group.disks[number].PowerOff()).To(Succeed())
+	}
+	for _, number := range numbers {
+		// The process cannot write any more, so its Close may fail.
+		_ = group.running[number].Close()
+		delete(group.running, number)
+	}
+}
+
 func (group *seeded) address(number int) string {
 	return fmt.Sprintf("127.0.0.%d:%d", 10+number, group.port)
 }
@@ -77,6 +93,8 @@
 		for _, number := range step.On {
 			group.stop(number)
 		}
+	case "power":
+		group.powerOff(step.On)
 	case "wipe":
 		for _, number := range step.On {
 			group.folders[number] = ""
@@ -187,7 +205,7 @@
 			listener, err := ports.Listen()
 			Expect(err).NotTo(HaveOccurred())
 			Expect(listener.Close()).To(Succeed())
-			group := &seeded{script: script, running: map[int]*ctrl.Control{}, folders: map[int]string{}}
+			group := &seeded{script: script, running: map[int]*ctrl.Control{}, folders: map[int]string{}, disks: map[int]*fake.Disk{}}
 			_, err = fmt.Sscanf(listener.Addr().String(), "127.0.0.1:%d", &group.port)
 			Expect(err).NotTo(HaveOccurred())
 			for number := range 3 {
--- a/internal/fake/disk.go
+++ b/internal/fake/disk.go
@@ -1,6 +1,7 @@
 package fake
 
 import (
+	"os"
 	"sync"
 
 	"github.com/cockroachdb/errors"
@@ -27,10 +28,46 @@
 	// operationsLeft is the number of operations before the crash; negative
 	// means no crash.
 	operationsLeft int
+	// synced holds the size of each file that was opened up to its last sync.
+	synced map[string]int64
+	// isDark is set once the machine has lost power.
+	isDark bool
 }
 
 // NewDisk returns a disk with neither a limit nor a crash.
-func NewDisk() *Disk { return &Disk{freeBytes: -1, operationsLeft: -1} }
+func NewDisk() *Disk { return &Disk{freeBytes: -1, operationsLeft: -1, synced: map[string]int64{}} }
+
+// PowerOff fails all later operations and cuts each file to its size at the last sync.
+func (disk *Disk) PowerOff() error {
+	disk.mu.Lock()
+	defer disk.mu.Unlock()
+	disk.operationsLeft, disk.isDark = 0, true
+	var failure error
+	for path, size := range disk.synced {
+		if err := os.Truncate(path, size); err != nil && !errors.Is(err, os.ErrNotExist) {
+			failure = errors.CombineErrors(failure, err)
+		}
+	}
+	return failure
+}
+
+// noteSynced records the present size of a file as durable.
+func (disk *Disk) noteSynced(path string) error {
+	found, err := os.Stat(path)
+	if err != nil {
+		return err
+	}
+	disk.mu.Lock()
+	defer disk.mu.Unlock()
+	disk.synced[path] = found.Size()
+	return nil
+}
+
+func (disk *Disk) hasPower() bool {
+	disk.mu.Lock()
+	defer disk.mu.Unlock()
+	return !disk.isDark
+}
 
 // SetRoom limits the bytes that can be written from now on; a negative number
 // removes the limit.
@@ -80,7 +117,15 @@
 	if err != nil {
 		return nil, err
 	}
-	return &file{File: opened, disk: disk}, nil
+	disk.mu.Lock()
+	_, known := disk.synced[path]
+	disk.mu.Unlock()
+	if !known {
+		if err := disk.noteSynced(path); err != nil {
+			return nil, errors.CombineErrors(err, opened.Close())
+		}
+	}
+	return &file{File: opened, disk: disk, path: path}, nil
 }
 
 // Rename renames a file, replacing an existing one.
@@ -88,6 +133,12 @@
 	if err := disk.countOperation(); err != nil {
 		return err
 	}
+	disk.mu.Lock()
+	if size, ok := disk.synced[from]; ok {
+		disk.synced[to] = size
+		delete(disk.synced, from)
+	}
+	disk.mu.Unlock()
 	return disk.system.Rename(from, to)
 }
 
@@ -96,6 +147,9 @@
 	if err := disk.countOperation(); err != nil {
 		return err
 	}
+	disk.mu.Lock()
+	delete(disk.synced, path)
+	disk.mu.Unlock()
 	return disk.system.Remove(path)
 }
 
@@ -112,13 +166,16 @@
 type file struct {
 	store.File
 	disk *Disk
+	path string
 }
 
 // Write writes the bytes that fit. After the crash it still writes the first
 // half of them, as a torn write does, and fails.
 func (file *file) Write(text []byte) (int, error) {
 	if err := file.disk.countOperation(); err != nil {
-		_, _ = file.File.Write(text[:len(text)/2])
+		if file.disk.hasPower() {
+			_, _ = file.File.Write(text[:len(text)/2])
+		}
 		return 0, err
 	}
 	fits := file.disk.reserve(len(text))
@@ -134,7 +191,10 @@
 	if err := file.disk.countOperation(); err != nil {
 		return err
 	}
-	return file.File.Sync()
+	if err := file.File.Sync(); err != nil {
+		return err
+	}
+	return file.disk.noteSynced(file.path)
 }
 
 // Truncate changes the size of the file.
