gate, ctrl: a gateway that does not know the others takes no slack of the budget

A gateway divided the slack of the retry budget by the number of gateways, and took that for 1 until a control VM told it; a control VM that has just started counts those that have reported so far. After a restart of all processes each gateway could take a large part, at first all, of the slack. The scripts of gate wait for the number.

--- a/internal/ctrl/control.go
+++ b/internal/ctrl/control.go
@@ -68,6 +68,7 @@
 	board    *board.Board
 	// incarnation distinguishes this start of the process from earlier ones.
 	incarnation uint64
+	startedAt   clock.Millis
 	// self is the name of this member of the group: the node's name, or its
 	// address when the group is formed from seeds.
 	self   string
@@ -128,7 +129,7 @@
 		settings: settings, diskID: contents.DiskID, clock: ticker, log: log, view: feed.NewView(ticker), pool: link.NewPool(), server: server,
 		inbox: make(chan input, inboxSize), waiters: map[uint64]waiter{}, pendingProposals: map[uint64][]chan<- outcome{},
 		machine: state.NewMachine(), claims: claim.NewTable(), self: settings.Node.Name,
-		incarnation: rand.Uint64(), reports: map[string]loadReport{}, board: board.New(ticker, log),
+		incarnation: rand.Uint64(), startedAt: ticker.Now(), reports: map[string]loadReport{}, board: board.New(ticker, log),
 	}
 	seeded := len(settings.Control.Seed) > 0
 	if seeded {
--- a/internal/ctrl/fleet.go
+++ b/internal/ctrl/fleet.go
@@ -156,9 +156,14 @@
 }
 
 // loadsOfOthers sums the loads of all gateways except the given node, and counts
-// all gateways.
+// all gateways. The count is 0 for unknown until all can have reported to this start of
+// the process.
 func (control *Control) loadsOfOthers(node string, now clock.Millis) ([]*wire.EndpointLoad, uint32) {
-	return control.sumReports(now, func(name string, _ loadReport) bool { return name != node })
+	loads, gateways := control.sumReports(now, func(name string, _ loadReport) bool { return name != node })
+	if now-control.startedAt < loadLifetime {
+		return loads, 0
+	}
+	return loads, gateways
 }
 
 // directLoads sums the loads of the gateways that report to this control VM
--- /dev/null
+++ b/internal/ctrl/fleet_test.go
@@ -0,0 +1,26 @@
+package ctrl
+
+import (
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/hibiscuslug/hibiscuslug/pkg/clock"
+)
+
+// Guards against gateways that take too large a share of what is divided among them
+// because a control VM that has just started has heard of few of them.
+var _ = It("tells no number of gateways until all of them can have reported", func() {
+	const start = clock.Hour
+	control := &Control{startedAt: start, reports: map[string]loadReport{}}
+	report := func(now clock.Millis) {
+		for _, name := range []string{"gateway1", "gateway2"} {
+			control.reports[name] = loadReport{gateways: 1, at: now}
+		}
+	}
+	report(start + 100)
+	_, gateways := control.loadsOfOthers("gateway1", start+200)
+	Expect(gateways).To(BeZero())
+	report(start + loadLifetime)
+	_, gateways = control.loadsOfOthers("gateway1", start+loadLifetime)
+	Expect(gateways).To(Equal(uint32(2)))
+})
--- a/internal/gate/crash_test.go
+++ b/internal/gate/crash_test.go
@@ -48,6 +48,7 @@
 	for _, gateway := range made.gateways {
 		Eventually(func() int { return len(gateway.Endpoints("desk")) }).WithTimeout(limit).Should(Equal(endpoints))
 		Eventually(gateway.Ready).WithTimeout(limit).Should(BeTrue())
+		Eventually(gateway.Gateways).WithTimeout(limit).Should(Equal(len(made.gateways)))
 	}
 	return made
 }
--- a/internal/gate/forward.go
+++ b/internal/gate/forward.go
@@ -376,9 +376,13 @@
 }
 
 // takeRetry takes one retry from this gateway's share of the retry budget and
-// reports whether there was one left.
+// reports whether there was one left. A gateway that does not know the number of
+// gateways has no share of the slack.
 func (gateway *Gateway) takeRetry(service string) bool {
-	slack := gateway.settings.Gateway.RetrySlack / float64(gateway.poller.Gateways())
+	slack := 0.0
+	if gateways := gateway.poller.Gateways(); gateways > 0 {
+		slack = gateway.settings.Gateway.RetrySlack / float64(gateways)
+	}
 	gateway.mu.Lock()
 	defer gateway.mu.Unlock()
 	return gateway.window(service).TakeRetry(gateway.clock.Now(), slack)
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -323,6 +323,10 @@
 	return gateway.poller.Endpoints(service)
 }
 
+// Gateways returns the number of gateways that share the endpoints, or 0 while it is not
+// known.
+func (gateway *Gateway) Gateways() int { return gateway.poller.Gateways() }
+
 // Version returns the version of the active configuration; 0 for none.
 func (gateway *Gateway) Version() uint64 {
 	if current := gateway.plan.Load(); current != nil {
--- a/internal/gate/gate_test.go
+++ b/internal/gate/gate_test.go
@@ -132,8 +132,8 @@
 	return gateway
 }
 
-// startBackend starts endpoints and waits until the gateway has them and its
-// configuration.
+// startBackend starts endpoints and waits until the gateway has them, its configuration
+// and its share of the retry budget.
 func (site *site) startBackend(steps []fake.Step, count int) *fake.Backend {
 	backend, err := fake.NewBackend(idHeader, steps, count)
 	Expect(err).NotTo(HaveOccurred())
@@ -145,6 +145,7 @@
 	}
 	Eventually(func() int { return len(site.gateway.Endpoints("desk")) }).WithTimeout(limit).Should(Equal(count))
 	Eventually(site.gateway.Ready).WithTimeout(limit).Should(BeTrue())
+	Eventually(site.gateway.Gateways).WithTimeout(limit).Should(Equal(1))
 	return backend
 }
 
--- a/internal/gate/limit.go
+++ b/internal/gate/limit.go
@@ -83,7 +83,7 @@
 	const reason = "endpoints are at the limits that they name"
 	fields := []any{
 		"endpoint", limit.Endpoint.ID, "limit", limit.Rate, "limitAge", gateway.clock.Now() - limit.At, "share", denied.share,
-		"gateways", gateway.poller.KnownGateways(), "wait", denied.wait,
+		"gateways", gateway.poller.Gateways(), "wait", denied.wait,
 	}
 	if forwarder.runs+forwarder.notRunAttempts > 0 || forwarder.mayHaveRun || forwarder.stream != nil {
 		gateway.log.Write(event.RequestOverLimit, append([]any{"id", forwarder.task.ID, "runs", forwarder.runs}, fields...)...)
@@ -118,7 +118,7 @@
 		gateway.leaderLostAt = now
 		gateway.mu.Unlock()
 	}
-	gateways := gateway.poller.KnownGateways()
+	gateways := gateway.poller.Gateways()
 	gateway.mu.Lock()
 	defer gateway.mu.Unlock()
 	for _, limit := range limits {
--- a/internal/poll/poll.go
+++ b/internal/poll/poll.go
@@ -397,16 +397,9 @@
 	return poller.loads
 }
 
-// Gateways returns the number of gateways that share the endpoints, at least 1.
+// Gateways returns the number of gateways that share the endpoints, or 0 if no control
+// VM has told it yet.
 func (poller *Poller) Gateways() int {
-	poller.mu.Lock()
-	defer poller.mu.Unlock()
-	return max(poller.gateways, 1)
-}
-
-// KnownGateways returns the number of gateways that share the endpoints, or 0 if no
-// control VM has told it yet.
-func (poller *Poller) KnownGateways() int {
 	poller.mu.Lock()
 	defer poller.mu.Unlock()
 	return poller.gateways
