crash: count crashes at once, or between which nothing began, as one

Cause: each crash counted by itself. When many endpoints end at once, or a group of ranks comes and goes without answering, a part that many sound requests share is among the suspects each time; four such crashes would have held it for four minutes. Change: crashes within a second are one episode; for a part that was answered before, an answer must have begun between two episodes. Conclusion: a mass failure holds no part that was answered before.

--- a/internal/crash/parts.go
+++ b/internal/crash/parts.go
@@ -14,6 +14,9 @@
 	// further one: a probe of a part that crashes endpoints costs the restart of one, and
 	// of all ranks of its group.
 	minHoldTime = 30 * clock.Second
+	// episodeTime is the time within which crashes have one cause: a failure of many
+	// endpoints, or several requests with one part.
+	episodeTime = clock.Second
 	// knownPartCrashes is the number of crashes after which a part with a history is
 	// held, though the crashes may be due to new parts.
 	knownPartCrashes = 3
@@ -26,6 +29,8 @@
 type suspicion struct {
 	part    uint64
 	crashes []Crash
+	// episodes is the number of independent crashes.
+	episodes int
 	// isNew is set when no answer with the part had begun before the crashes.
 	isNew bool
 	until clock.Millis
@@ -48,9 +53,9 @@
 		return Decision{}
 	}
 	worst := slices.MaxFunc(held, func(first, second suspicion) int { return int(first.until - second.until) })
-	decision := Decision{Treatment: Block, Until: worst.until, Crashes: len(worst.crashes), Latest: latest(worst.crashes), Part: worst.part}
+	decision := Decision{Treatment: Block, Until: worst.until, Crashes: worst.episodes, Latest: latest(worst.crashes), Part: worst.part}
 	switch {
-	case len(worst.crashes) == 1 && now < decision.Latest+reportTime:
+	case worst.episodes == 1 && now < decision.Latest+reportTime:
 		// Other processes may report that an answer with the part has begun before.
 		decision.Treatment, decision.Until = Wait, decision.Latest+reportTime
 	case worst.until <= now || len(held) == 1 && core.canShiftBlame(worst, request):
@@ -66,17 +71,45 @@
 		return suspicion{}, false
 	}
 	isNew := core.isNew(part, counted[0])
+	episodes := core.episodes(counted, isNew)
 	unexplained := slices.DeleteFunc(slices.Clone(counted), func(crash Crash) bool {
-		return core.explainedByPart(crash, part, len(counted), now) || !isNew && core.hasNewPart(crash)
+		return core.explainedByPart(crash, part, episodes, now) || !isNew && core.hasNewPart(crash)
 	})
-	if isNew && len(unexplained) == 0 || !isNew && len(unexplained) < blockingCrashes && len(counted) < knownPartCrashes {
+	switch {
+	case isNew && len(unexplained) == 0:
+		return suspicion{}, false
+	case !isNew && core.episodes(unexplained, false) < blockingCrashes && episodes < knownPartCrashes:
 		return suspicion{}, false
 	}
 	hold := minHoldTime
-	for range len(counted) - 1 {
+	for range episodes - 1 {
 		hold = min(2*hold, suspicionTime)
 	}
-	return suspicion{part: part, crashes: counted, isNew: isNew, until: latest(counted) + hold}, true
+	return suspicion{part: part, crashes: counted, episodes: episodes, isNew: isNew, until: latest(counted) + hold}, true
+}
+
+// episodes counts the crashes, given in the order of time, that are independent of each
+// other. For a part that is not new, an answer to another request must have begun in
+// between: while none begins, for example in a group of ranks that is away, the next
+// crash says nothing about requests.
+func (core Core) episodes(crashes []Crash, isNew bool) int {
+	count, last := 0, clock.Millis(0)
+	for _, crash := range crashes {
+		if count == 0 || crash.At-last > episodeTime && (isNew || core.begunBetween(last, crash.At)) {
+			count++
+		}
+		last = crash.At
+	}
+	return count
+}
+
+func (core Core) begunBetween(from, to clock.Millis) bool {
+	for _, at := range core.begun {
+		if at > from && at <= to {
+			return true
+		}
+	}
+	return false
 }
 
 // crashesWithPart returns the crashes, in the order of time, in which a request with
@@ -113,7 +146,7 @@
 			if other == part {
 				continue
 			}
-			if count := len(core.crashesWithPart(other, now)); count >= blockingCrashes && count > crashes {
+			if count := core.episodes(core.crashesWithPart(other, now), true); count >= blockingCrashes && count > crashes {
 				return true
 			}
 		}
@@ -127,7 +160,7 @@
 // of them. Such a part is probed at once, since prompts share their first parts and many
 // sound requests may have it.
 func (core Core) canShiftBlame(held suspicion, request Request) bool {
-	if len(held.crashes) >= blockingCrashes && !slices.ContainsFunc(held.crashes, func(crash Crash) bool { return !crash.onlyFrom(held.part, held.crashes[0], request) }) {
+	if held.episodes >= blockingCrashes && !slices.ContainsFunc(held.crashes, func(crash Crash) bool { return !crash.onlyFrom(held.part, held.crashes[0], request) }) {
 		return true
 	}
 	return !slices.ContainsFunc(held.crashes, func(crash Crash) bool {
