crash: equal requests of several callers are not one request that comes again

Cause: found by reading the change. Callers ask for the same thing with the same key and body, so a popular lookup may be on two endpoints that end at once; at gateways that blocked it for all callers for ten minutes, since nothing cleared it: only quarantine did, which gateways do not have. Change: crashes within a second count once unless the same attempt was on both; an answer that begins clears the request, and ends a block that too few crashes support then; clearances travel with the evidence. Both interfaces decide so. Conclusion: the block of a request needs a request that comes again.

--- a/internal/board/board.go
+++ b/internal/board/board.go
@@ -93,17 +93,20 @@
 	return list
 }
 
-// Begun records that an answer to a request with the given prompt parts began.
-func (board *Board) Begun(parts []uint64) {
+// Begun records that the answer to a request began.
+func (board *Board) Begun(request crash.Request) {
 	now := board.clock.Now()
 	board.mu.Lock()
 	defer board.mu.Unlock()
-	for _, part := range parts {
+	for _, part := range request.Parts {
 		board.history.Put(part, now)
 		if board.core.IsSuspect(part) {
 			board.apply(crash.Begun{Part: part, At: now})
 		}
 	}
+	if board.core.IsSuspectRequest(request.Fingerprint) {
+		board.apply(crash.Cleared{Fingerprint: request.Fingerprint, At: now})
+	}
 }
 
 // Idle reports whether there is no evidence, so that every request may run as usual.
--- a/internal/crash/codec.go
+++ b/internal/crash/codec.go
@@ -36,7 +36,7 @@
 	return crash
 }
 
-// AddTo adds the crashes and the begins of answers to a message.
+// AddTo adds the crashes, the begins of answers and the cleared requests to a message.
 func (core Core) AddTo(message *wire.Evidence) {
 	crashes := core.Crashes()
 	for _, crash := range crashes[:min(len(crashes), MaxSharedCrashes)] {
@@ -45,6 +45,11 @@
 	for part, at := range core.begun {
 		message.Begun = append(message.Begun, &wire.PartBegun{Part: part, At: int64(at)})
 	}
+	for fingerprint, at := range core.cleared {
+		if core.IsSuspectRequest(fingerprint) {
+			message.Cleared = append(message.Cleared, &wire.Clearance{Fingerprint: fingerprint, At: int64(at)})
+		}
+	}
 }
 
 // Events decodes evidence. Instants are converted to the receiver's clock, by which
@@ -52,6 +57,9 @@
 func Events(message *wire.Evidence, received clock.Millis) []Event {
 	shift := received - clock.Millis(message.GetNow())
 	var list []Event
+	for _, cleared := range message.GetCleared() {
+		list = append(list, Cleared{Fingerprint: cleared.GetFingerprint(), At: clock.Millis(cleared.GetAt()) + shift})
+	}
 	for _, report := range message.GetCrashes() {
 		crash := FromMessage(report)
 		crash.At += shift
--- a/internal/crash/core.go
+++ b/internal/crash/core.go
@@ -96,8 +96,7 @@
 	case Announced:
 		return core.withAnnounced(event, now)
 	case Cleared:
-		core.cleared = with(core.cleared, event.Fingerprint, max(event.At, core.cleared[event.Fingerprint]))
-		return core, nil
+		return core.withCleared(event, now), nil
 	case Blocked:
 		current := core.blocks[event.Fingerprint]
 		current.until = max(event.Until, current.until)
@@ -134,7 +133,7 @@
 	switch {
 	case len(counted) == 0:
 		return Decision{}
-	case len(counted) >= blockingCrashes && isCause(fingerprint, counted):
+	case repeats(fingerprint, counted) >= blockingCrashes && isCause(fingerprint, counted):
 		last := latest(counted)
 		return Decision{Treatment: Wait, Crashes: len(counted), Latest: last, Until: last + reportTime}
 	}
@@ -204,6 +203,22 @@
 	return core, actions
 }
 
+// withCleared clears a request of the crashes before an instant, and ends its block if
+// that leaves too few against it.
+func (core Core) withCleared(event Cleared, now clock.Millis) Core {
+	before := core.crashesAgainst(event.Fingerprint, now)
+	core.cleared = with(core.cleared, event.Fingerprint, max(event.At, core.cleared[event.Fingerprint]))
+	counted := core.crashesAgainst(event.Fingerprint, now)
+	if len(counted) == len(before) {
+		return core
+	}
+	core.revision++
+	if _, blocked := core.blocks[event.Fingerprint]; blocked && repeats(event.Fingerprint, counted) < blockingCrashes {
+		core.blocks = without(core.blocks, event.Fingerprint)
+	}
+	return core
+}
+
 // withEnded removes a request's block and clears it of its crashes so far.
 func (core Core) withEnded(fingerprint uint64, now clock.Millis) Core {
 	core.blocks = without(core.blocks, fingerprint)
@@ -236,7 +251,7 @@
 		for _, suspect := range crash.Suspects {
 			counted := core.crashesAgainst(suspect.Fingerprint, now)
 			_, blocked := core.blocks[suspect.Fingerprint]
-			if blocked || len(counted) < blockingCrashes || !isCause(suspect.Fingerprint, counted) || !reportsComplete(counted, now) {
+			if blocked || repeats(suspect.Fingerprint, counted) < blockingCrashes || !isCause(suspect.Fingerprint, counted) || !reportsComplete(counted, now) {
 				continue
 			}
 			added := block{until: now + suspicionTime, crashes: len(counted), requestID: suspect.RequestID}
@@ -271,6 +286,23 @@
 	})
 }
 
+// repeats counts the crashes against a request that are independent of each other. Equal
+// requests of several callers may be on many endpoints that end at once; the same
+// request is on one endpoint after the other.
+func repeats(fingerprint uint64, crashes []Crash) int {
+	ordered := slices.SortedFunc(slices.Values(crashes), func(first, second Crash) int { return cmp.Compare(first.At, second.At) })
+	count, lastAt, lastID := 0, clock.Millis(0), ""
+	for _, crash := range ordered {
+		at := slices.IndexFunc(crash.Suspects, func(suspect Suspect) bool { return suspect.Fingerprint == fingerprint })
+		id := crash.Suspects[at].RequestID
+		if count == 0 || crash.At-lastAt > episodeTime || id == lastID || crash.QuarantinedFingerprint == fingerprint {
+			count++
+		}
+		lastAt, lastID = crash.At, id
+	}
+	return count
+}
+
 // latest returns the time of the latest crash.
 func latest(crashes []Crash) clock.Millis {
 	return slices.MaxFunc(crashes, func(first, second Crash) int { return cmp.Compare(first.At, second.At) }).At
--- a/internal/crash/core_test.go
+++ b/internal/crash/core_test.go
@@ -21,14 +21,16 @@
 
 // step is an event and the expected state after it.
 type step struct {
-	At          clock.Millis      `json:"at"`
-	Event       string            `json:"event"`
-	Endpoint    string            `json:"endpoint"`
-	Incarnation uint64            `json:"incarnation"`
-	Alone       uint64            `json:"alone"`
-	Suspects    []uint64          `json:"suspects"`
-	Treatments  map[string]string `json:"verdicts"`
-	Proposed    []string          `json:"proposed"`
+	At          clock.Millis `json:"at"`
+	Event       string       `json:"event"`
+	Endpoint    string       `json:"endpoint"`
+	Incarnation uint64       `json:"incarnation"`
+	Alone       uint64       `json:"alone"`
+	Suspects    []uint64     `json:"suspects"`
+	// IDs are the ids of the suspects; r and the fingerprint if there are none.
+	IDs        []string          `json:"ids"`
+	Treatments map[string]string `json:"verdicts"`
+	Proposed   []string          `json:"proposed"`
 }
 
 type script struct {
@@ -38,8 +40,12 @@
 
 func (step step) event() crash.Event {
 	record := crash.Crash{Endpoint: step.Endpoint, Incarnation: step.Incarnation, At: step.At, QuarantinedFingerprint: step.Alone}
-	for _, fingerprint := range step.Suspects {
-		record.Suspects = append(record.Suspects, crash.Suspect{Request: crash.Request{Fingerprint: fingerprint}, RequestID: fmt.Sprint("r", fingerprint)})
+	for at, fingerprint := range step.Suspects {
+		id := fmt.Sprint("r", fingerprint)
+		if at < len(step.IDs) {
+			id = step.IDs[at]
+		}
+		record.Suspects = append(record.Suspects, crash.Suspect{Request: crash.Request{Fingerprint: fingerprint}, RequestID: id})
 	}
 	switch step.Event {
 	case "crash":
--- a/internal/crash/parts.go
+++ b/internal/crash/parts.go
@@ -209,8 +209,17 @@
 
 // IsSuspect reports whether a request with the part ran on an endpoint that crashed.
 func (core Core) IsSuspect(part uint64) bool {
+	return core.hasCrash(func(crash Crash) bool { return crash.hasPart(part) })
+}
+
+// IsSuspectRequest reports whether the request ran on an endpoint that crashed.
+func (core Core) IsSuspectRequest(fingerprint uint64) bool {
+	return core.hasCrash(func(crash Crash) bool { return crash.has(fingerprint) })
+}
+
+func (core Core) hasCrash(matches func(Crash) bool) bool {
 	for _, crash := range core.crashes {
-		if crash.hasPart(part) {
+		if matches(crash) {
 			return true
 		}
 	}
--- a/internal/gate/crash.go
+++ b/internal/gate/crash.go
@@ -47,8 +47,8 @@
 // recordBegun records that the answer to the request began.
 func (forwarder *forwarder) recordBegun() {
 	forwarder.begun = true
-	if len(forwarder.task.Prompt) > 1 {
-		forwarder.gateway.board.Begun(forwarder.identity().Parts)
+	if len(forwarder.task.Prompt) > 1 || !forwarder.gateway.board.Idle() {
+		forwarder.gateway.board.Begun(forwarder.identity())
 	}
 }
 
