poll, crash: send all limits again to a control VM that has started again

Cause: found by reading the change. The poll that finds a restart had carried only what was new to the earlier process, and counted as having told it all; the new process missed the limits before it until they were shared again, 5 s later. The line of a blocked request gave the age of its last crash from zero. Change: after a restart all evidence goes out once more; a block keeps the time of its last crash. Measured: the new spec of poll failed before. Conclusion: a control VM that starts again knows all limits within two polls.

--- a/internal/crash/core.go
+++ b/internal/crash/core.go
@@ -58,6 +58,7 @@
 type block struct {
 	until     clock.Millis
 	crashes   int
+	latest    clock.Millis
 	requestID string
 }
 
@@ -127,7 +128,7 @@
 // decideRequest returns how a request may run by its fingerprint.
 func (core Core) decideRequest(fingerprint uint64, now clock.Millis) Decision {
 	if current, ok := core.blocks[fingerprint]; ok && now < current.until {
-		return Decision{Treatment: Block, Until: current.until, Crashes: current.crashes, RequestID: current.requestID}
+		return Decision{Treatment: Block, Until: current.until, Crashes: current.crashes, Latest: current.latest, RequestID: current.requestID}
 	}
 	counted := core.crashesAgainst(fingerprint, now)
 	switch {
@@ -254,9 +255,9 @@
 			if blocked || repeats(suspect.Fingerprint, counted) < blockingCrashes || !isCause(suspect.Fingerprint, counted) || !reportsComplete(counted, now) {
 				continue
 			}
-			added := block{until: now + suspicionTime, crashes: len(counted), requestID: suspect.RequestID}
+			added := block{until: now + suspicionTime, crashes: len(counted), latest: latest(counted), requestID: suspect.RequestID}
 			core.blocks = with(core.blocks, suspect.Fingerprint, added)
-			actions = append(actions, Propose{Suspect: suspect, Crashes: added.crashes, Until: added.until, Latest: latest(counted)})
+			actions = append(actions, Propose{Suspect: suspect, Crashes: added.crashes, Until: added.until, Latest: added.latest})
 		}
 	}
 	return core, actions
--- a/internal/poll/poll.go
+++ b/internal/poll/poll.go
@@ -59,7 +59,7 @@
 	// Loads returns the endpoint loads known directly to this process, and the number
 	// of gateways that they come from.
 	Loads func() ([]*wire.EndpointLoad, int)
-	// Board holds the evidence of crashes, which is exchanged with control VMs.
+	// Board holds the evidence of crashes and limits, which is exchanged with control VMs.
 	Board *board.Board
 }
 
@@ -268,17 +268,16 @@
 	return reply, from.next(request, reply), nil
 }
 
-// next returns the cursor after a poll. A control process that has started again knows
-// nothing of what the earlier one received, but what was sent to it in this poll.
+// next returns the cursor after a poll. A control process that has started again has got
+// at most a part of the own evidence, so all of it is sent once more.
 func (from cursor) next(request *wire.PollRequest, reply *wire.PollReply) cursor {
-	restarted := reply.GetIncarnation() != from.incarnation
 	next := cursor{incarnation: reply.GetIncarnation(), position: reply.GetPosition(), evidence: from.evidence, sent: from.sent}
-	if restarted && from.incarnation != 0 {
-		next.evidence, next.sent = board.Revision{}, board.Revision{}
-	}
 	if request.GetEvidence() != nil {
 		next.sent = board.RevisionOf(request.GetEvidence())
 	}
+	if from.incarnation != 0 && reply.GetIncarnation() != from.incarnation {
+		next.evidence, next.sent = board.Revision{}, board.Revision{}
+	}
 	if reply.GetEvidence() != nil {
 		next.evidence = board.RevisionOf(reply.GetEvidence())
 	}
--- a/internal/poll/poll_test.go
+++ b/internal/poll/poll_test.go
@@ -17,6 +17,7 @@
 	"github.com/hibiscuslug/hibiscuslug/internal/feed"
 	"github.com/hibiscuslug/hibiscuslug/internal/link"
 	"github.com/hibiscuslug/hibiscuslug/internal/poll"
+	"github.com/hibiscuslug/hibiscuslug/internal/quota"
 	"github.com/hibiscuslug/hibiscuslug/pkg/clock"
 	"github.com/hibiscuslug/hibiscuslug/pkg/wire"
 )
@@ -47,6 +48,8 @@
 	mu       sync.Mutex
 	polls    int
 	received []*wire.Evidence
+	// onRestart is called in the last poll before the restart.
+	onRestart func()
 }
 
 func (recorder *recorder) Poll(_ context.Context, request *wire.PollRequest) (*wire.PollReply, error) {
@@ -57,6 +60,9 @@
 		recorder.received = append(recorder.received, request.GetEvidence())
 	}
 	incarnation := uint64(1)
+	if recorder.polls == pollsBeforeRestart && recorder.onRestart != nil {
+		recorder.onRestart()
+	}
 	if recorder.polls > pollsBeforeRestart {
 		incarnation = 2
 	}
@@ -145,3 +151,18 @@
 	Expect(received).To(Equal(2))
 	Expect(control.received[1].GetCrashes()).To(HaveLen(1))
 })
+
+// Guards against a control VM that starts again just as it gets the latest limit, and
+// never gets those before it.
+var _ = It("sends all limits again to a control VM that has started again", func() {
+	control := &recorder{}
+	proxy := startServer(control)
+	evidence := board.New(clock.NewSystem(), event.Discard())
+	evidence.Answered(quota.Endpoint{ID: "e1", Incarnation: 1}, new(2.0), 0)
+	control.onRestart = func() { evidence.Answered(quota.Endpoint{ID: "e2", Incarnation: 1}, new(3.0), 0) }
+	startPollerWith(evidence, proxy.Address())
+	Eventually(func() int { polls, _ := control.counts(); return polls }).WithTimeout(limit).Should(BeNumerically(">", 8))
+	control.mu.Lock()
+	defer control.mu.Unlock()
+	Expect(control.received[len(control.received)-1].GetLimits()).To(HaveLen(2))
+})
