board: log the ids of the requests at a crash

Cause: line 221 of gateways and control VMs had "unsupported value type" in place of the suspects, since the encoder takes no lists. A comment of fake.Brittle says what its fields hold.

--- a/internal/board/board.go
+++ b/internal/board/board.go
@@ -5,6 +5,7 @@
 package board
 
 import (
+	"strings"
 	"sync"
 
 	"github.com/hibiscuslug/hibiscuslug/internal/begun"
@@ -85,12 +86,13 @@
 	board.changed = make(chan struct{})
 }
 
-func requestIDs(record crash.Crash) []string {
+// requestIDs lists the ids of the requests at a crash for the log.
+func requestIDs(record crash.Crash) string {
 	list := make([]string, len(record.Suspects))
 	for at, suspect := range record.Suspects {
 		list[at] = suspect.RequestID
 	}
-	return list
+	return strings.Join(list, ",")
 }
 
 // Begun records that the answer to a request began.
--- a/internal/board/board_test.go
+++ b/internal/board/board_test.go
@@ -1,6 +1,7 @@
 package board_test
 
 import (
+	"bytes"
 	"testing"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -105,3 +106,14 @@
 	_, ok := leader.Limit(quota.Endpoint{ID: "e1"})
 	Expect(ok).To(BeTrue())
 })
+
+// Guards against a line of a crash from which its requests cannot be looked up.
+var _ = It("logs the ids of the requests at a crash", func() {
+	ticker := clock.NewManual(clock.Hour)
+	var lines bytes.Buffer
+	holder := board.New(ticker, event.New(&lines, "gateway1", "z1"))
+	holder.Step(crash.Crashed{Crash: crash.Crash{Endpoint: "e1", Incarnation: 1, At: ticker.Now(), Suspects: []crash.Suspect{
+		{Request: crash.Request{Fingerprint: 1}, RequestID: "r1"}, {Request: crash.Request{Fingerprint: 2}, RequestID: "r2"},
+	}}})
+	Expect(lines.String()).To(ContainSubstring("suspects=r1,r2 "))
+})
--- a/internal/fake/brittle.go
+++ b/internal/fake/brittle.go
@@ -40,10 +40,10 @@
 
 // BrittleSettings of a Brittle.
 type BrittleSettings struct {
-	// Header is the header that holds the deadly value.
+	// Header is the header of a request that may contain the value Deadly.
 	Header, Deadly string
-	// Answer is the header and body of an answer to a sound request; {id} is replaced
-	// by the value of IDHeader.
+	// AnswerHeader is the header of an answer to a sound request, beside the request's
+	// id in IDHeader.
 	AnswerHeader map[string]string
 	IDHeader     string
 	// Started is called when an endpoint starts, with its number, address and
