crash: a block ends when its crashes turn out to be none

Cause: an endpoint that seemed to have crashed is alive, but the block that its crash had led to stayed for ten minutes. With a partition that refuses connections, equal requests of all callers could be blocked that long. Change: retracted crashes end the blocks that too few others support.

--- a/internal/crash/core.go
+++ b/internal/crash/core.go
@@ -175,6 +175,9 @@
 		core.revision++
 		actions = append(actions, Share{Crash: merged})
 	}
+	if merged.Retracted {
+		core = core.withoutUnfounded(now)
+	}
 	core, proposals := core.withBlocks(now)
 	return core, append(actions, proposals...)
 }
@@ -199,6 +202,7 @@
 		crash.Retracted = true
 		core.crashes = with(core.crashes, id, crash)
 		core.revision++
+		core = core.withoutUnfounded(now)
 		actions = append(actions, Share{Crash: crash})
 	}
 	return core, actions
@@ -214,8 +218,16 @@
 		return core
 	}
 	core.revision++
-	if _, blocked := core.blocks[event.Fingerprint]; blocked && repeats(event.Fingerprint, counted) < blockingCrashes {
-		core.blocks = without(core.blocks, event.Fingerprint)
+	return core.withoutUnfounded(now)
+}
+
+// withoutUnfounded ends the blocks that were derived from crashes and that too few
+// crashes support now.
+func (core Core) withoutUnfounded(now clock.Millis) Core {
+	for fingerprint, current := range core.blocks {
+		if current.crashes > 0 && repeats(fingerprint, core.crashesAgainst(fingerprint, now)) < blockingCrashes {
+			core.blocks = without(core.blocks, fingerprint)
+		}
 	}
 	return core
 }
