gate: a partition that refuses connections is not a crash

Callers saw: with a zone cut off, drafts refused for a part of their prompt that had crashed nothing, until the zone was back. Cause: a refused connection counted as the end of the endpoint's process; a partition refuses connections to all endpoints of a zone as well. Change: for an endpoint of another zone, another endpoint there must accept a connection; otherwise it counts as silent, until it is back as another start.

--- a/internal/conns/conns.go
+++ b/internal/conns/conns.go
@@ -211,14 +211,14 @@
 	return &conn{Conn: opened, reader: bufio.NewReaderSize(limit, bufferSize), limit: limit, address: address}, nil
 }
 
-// Refused reports whether an endpoint refuses connections because nothing listens at
-// its address.
-func (pool *Pool) Refused(ctx context.Context, address string) bool {
+// Reach opens a connection to an endpoint and closes it again.
+func (pool *Pool) Reach(ctx context.Context, address string) error {
 	opened, err := pool.dial(ctx, address)
-	if err == nil {
-		abort(opened)
+	if err != nil {
+		return err
 	}
-	return errors.Is(err, unix.ECONNREFUSED)
+	abort(opened)
+	return nil
 }
 
 func setUserTimeout(opened net.Conn) error {
--- a/internal/fake/brittle.go
+++ b/internal/fake/brittle.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -31,11 +32,8 @@
 	mu        sync.Mutex
 	addresses []string
 	servers   []*http.Server
-	// reached counts the deadly requests that endpoints began, by the number of
-	// crashes before each.
-	reached []int
-	crashes int
-	answers int
+	crashes   int
+	answers   int
 }
 
 // BrittleSettings of a Brittle.
@@ -46,6 +44,9 @@
 	// id in IDHeader.
 	AnswerHeader map[string]string
 	IDHeader     string
+	// Partition makes all endpoints refuse connections in place of a crash of one, and
+	// come back as the same incarnations.
+	Partition bool
 	// Started is called when an endpoint starts, with its number, address and
 	// incarnation.
 	Started func(number int, address string, incarnation int)
@@ -92,28 +93,38 @@
 	brittle.settings.Started(number, listener.Addr().String(), incarnation)
 }
 
-// crash closes all connections of an endpoint and starts it again after a while.
+// crash ends an endpoint, or all of them, and starts it again after a while.
 func (brittle *Brittle) crash(number, incarnation int) {
 	brittle.mu.Lock()
-	brittle.reached = append(brittle.reached, brittle.crashes)
 	brittle.crashes++
-	server := brittle.servers[number]
-	brittle.mu.Unlock()
-	// The connections are not used any more.
-	_ = server.Close()
-	brittle.running.Go(func() {
-		select {
-		case <-brittle.ctx.Done():
-			return
-		case <-time.After(brittleDownTime):
-		}
-		var config net.ListenConfig
-		listener, err := config.Listen(brittle.ctx, "tcp", brittle.addresses[number])
-		if err != nil {
-			return
+	targets, next := []int{number}, incarnation+1
+	if brittle.settings.Partition {
+		targets, next = nil, incarnation
+		for target := range brittle.servers {
+			targets = append(targets, target)
 		}
-		brittle.start(number, incarnation+1, listener)
-	})
+	}
+	servers := slices.Clone(brittle.servers)
+	brittle.mu.Unlock()
+	for _, target := range targets {
+		// The connections are not used any more.
+		_ = servers[target].Close()
+		brittle.running.Go(func() { brittle.restart(target, next) })
+	}
+}
+
+func (brittle *Brittle) restart(number, incarnation int) {
+	select {
+	case <-brittle.ctx.Done():
+		return
+	case <-time.After(brittleDownTime):
+	}
+	var config net.ListenConfig
+	listener, err := config.Listen(brittle.ctx, "tcp", brittle.addresses[number])
+	if err != nil {
+		return
+	}
+	brittle.start(number, incarnation, listener)
 }
 
 // Crashes returns the number of crashes so far.
--- a/internal/gate/crash.go
+++ b/internal/gate/crash.go
@@ -5,6 +5,8 @@
 	"net/http"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
+	"golang.org/x/sys/unix"
 
 	"github.com/hibiscuslug/hibiscuslug/internal/crash"
 	"github.com/hibiscuslug/hibiscuslug/internal/event"
@@ -21,6 +23,9 @@
 	// probe, and probeAskTimeout bounds each.
 	probeAskInterval = 150 * clock.Millis(1)
 	probeAskTimeout  = 300 * clock.Millis(1)
+	// maxZoneChecks is the maximum number of endpoints that are asked whether a zone can
+	// be reached.
+	maxZoneChecks = 2
 	// restartTime is the time within which an endpoint that crashed is back. A restart
 	// later than that does not show that a connection broke because of a crash.
 	restartTime = 15 * clock.Second
@@ -52,15 +57,40 @@
 	}
 }
 
+// hasCrashed reports whether nothing listens at an endpoint's address. A partition may
+// refuse connections to all endpoints of another zone, so one of them must accept a
+// connection.
+func (forwarder *forwarder) hasCrashed(ctx context.Context, endpoint roster.Record) bool {
+	gateway := forwarder.gateway
+	if !errors.Is(gateway.conns.Reach(ctx, endpoint.Address), unix.ECONNREFUSED) {
+		return false
+	}
+	if endpoint.Zone == gateway.settings.Node.Zone {
+		return true
+	}
+	asked := 0
+	for _, other := range gateway.poller.Endpoints(forwarder.service.Name) {
+		if other.Zone != endpoint.Zone || other.ID == endpoint.ID {
+			continue
+		}
+		if gateway.conns.Reach(ctx, other.Address) == nil {
+			return true
+		}
+		if asked++; asked == maxZoneChecks {
+			break
+		}
+	}
+	return false
+}
+
 // reportBreak reports the request as a suspect after its connection to an endpoint
-// broke before the answer began. An endpoint that refuses connections has crashed;
-// about any other it is not known yet.
+// broke before the answer began. An endpoint may be silent without having crashed.
 func (forwarder *forwarder) reportBreak(ctx context.Context, endpoint roster.Record) {
 	gateway := forwarder.gateway
 	record := crash.Crash{Endpoint: endpoint.ID, Incarnation: uint64(endpoint.Born), At: gateway.clock.Now(), Suspects: []crash.Suspect{{
 		Request: forwarder.identity(), RequestID: forwarder.task.ID, Customer: forwarder.customer,
 	}}}
-	if gateway.conns.Refused(ctx, endpoint.Address) {
+	if forwarder.hasCrashed(ctx, endpoint) {
 		gateway.board.Step(crash.Crashed{Crash: record})
 		return
 	}
--- a/internal/gate/crash_test.go
+++ b/internal/gate/crash_test.go
@@ -29,12 +29,14 @@
 	sent     int
 }
 
-func newBrittleSite(endpoints int) *brittleSite {
+func newBrittleSite(endpoints int) *brittleSite { return startBrittleSite(endpoints, false) }
+
+func startBrittleSite(endpoints int, isPartition bool) *brittleSite {
 	address := free()
 	made := &brittleSite{site: &site{control: newControl(address)}}
 	made.gateways = []*gate.Gateway{newNamedGateway("gateway1", address), newNamedGateway("gateway2", address)}
 	brittle, err := fake.NewBrittle(fake.BrittleSettings{
-		Header: "Hibiscuslug-Prompt-Prefix", Deadly: deadlyPart, IDHeader: idHeader,
+		Header: "Hibiscuslug-Prompt-Prefix", Deadly: deadlyPart, IDHeader: idHeader, Partition: isPartition,
 		AnswerHeader: map[string]string{"Hibiscuslug-Response-Seal": "s", "Content-Type": "text/event-stream"},
 		Started: func(number int, address string, incarnation int) {
 			made.control.Heard(roster.Record{
@@ -96,3 +98,15 @@
 	Expect(site.ask(deadlyParts)).To(Equal(http.StatusServiceUnavailable))
 	Expect(site.brittle.Crashes()).To(BeNumerically("<=", crashesAllowed))
 })
+
+// Guards against requests that are held for crashes that did not happen: a partition
+// that refuses connections to a zone looks like the end of each endpoint there.
+var _ = It("does not take a partition that refuses connections for crashes", func() {
+	site := startBrittleSite(3, true)
+	site.ask(deadlyParts)
+	Expect(site.brittle.Crashes()).To(BeNumerically(">", 0))
+	Eventually(func() int { return site.ask(soundParts) }).WithTimeout(limit).Should(Equal(http.StatusOK))
+	before := site.brittle.Crashes()
+	site.ask(deadlyParts)
+	Expect(site.brittle.Crashes()).To(BeNumerically(">", before))
+})
