--- a/internal/opts/opts.go
+++ b/internal/opts/opts.go
@@ -96,6 +96,8 @@
 	ElectionTimeout clock.Millis `long:"election-timeout" env:"HIB_ELECTION_TIMEOUT" description:"Time without a leader after which an election starts; the same on all control VMs (50ms to 1m)" default:"600ms"`
 	CommitLimit     clock.Millis `long:"commit-limit" env:"HIB_COMMIT_LIMIT" description:"Maximum wait for a change to be synced by a majority (100ms to 1m)" default:"2s"`
 	SnapshotBytes   int          `long:"snapshot-bytes" env:"HIB_SNAPSHOT_BYTES" description:"Growth of the log after which a snapshot is written, at least twice the last snapshot's size, in bytes (4096 to 1073741824)" default:"8388608"`
+	KnownZone       []string     `long:"known-zone" env:"HIB_KNOWN_ZONE" description:"Availability zone that may be evacuated; any when left out; may be repeated" env-delim:","`
+	EvacuateLimit   clock.Millis `long:"evacuate-limit" env:"HIB_EVACUATE_LIMIT" description:"Time within which gateways must stop sending requests to an evacuated zone; those that have not are logged (100ms to 1h)" default:"5s"`
 }
 
 // Check returns an error for the first setting that is missing or out of range.
@@ -108,6 +110,7 @@
 		bounds.Span("election-timeout", set.ElectionTimeout, "50ms", "1m"),
 		bounds.Span("commit-limit", set.CommitLimit, "100ms", "1m"),
 		bounds.Int("snapshot-bytes", set.SnapshotBytes, 4096, 1073741824, "bytes"),
+		bounds.Span("evacuate-limit", set.EvacuateLimit, "100ms", "1h"),
 	)
 }
 
@@ -123,6 +126,10 @@
 	RetryRatio  float64      `long:"retry-ratio" env:"HIB_RETRY_RATIO" description:"Retries allowed per request of a service (0 to 1000)" default:"0.2"`
 	RetrySlack  float64      `long:"retry-slack" env:"HIB_RETRY_SLACK" description:"Additional retries allowed in each retry window, for all gateways together, in requests (0 to 1000000000)" default:"100"`
 	RetryWindow clock.Millis `long:"retry-window" env:"HIB_RETRY_WINDOW" description:"Time window over which retries are counted (1ms to 24h)" default:"10s"`
+	ColdOver    float64      `long:"cold-over" env:"HIB_COLD_OVER" description:"With cold-slack: a cold endpoint gets at most its rate for cold endpoints times this in a second, for all gateways together (0 to 1000)" default:"1.5"`
+	ColdSlack   float64      `long:"cold-slack" env:"HIB_COLD_SLACK" description:"Additional requests that a cold endpoint may get in a second, for all gateways together, in requests (0 to 1000000)" default:"5"`
+	MaxHeld     int          `long:"max-held" env:"HIB_MAX_HELD" description:"Maximum size of all request bodies and buffered responses that are held at a time, in bytes (1048576 to 17179869184)" default:"50331648"`
+	WriteStall  clock.Millis `long:"write-stall" env:"HIB_WRITE_STALL" description:"Time after which a caller that reads nothing of its response is disconnected (100ms to 1h)" default:"10s"`
 }
 
 // Check returns an error for the first setting that is missing or out of range.
@@ -138,6 +145,10 @@
 		bounds.Float("retry-ratio", set.RetryRatio, 0, 1000, ""),
 		bounds.Float("retry-slack", set.RetrySlack, 0, 1000000000, "requests"),
 		bounds.Span("retry-window", set.RetryWindow, "1ms", "24h"),
+		bounds.Float("cold-over", set.ColdOver, 0, 1000, ""),
+		bounds.Float("cold-slack", set.ColdSlack, 0, 1000000, "requests"),
+		bounds.Int("max-held", set.MaxHeld, 1048576, 17179869184, "bytes"),
+		bounds.Span("write-stall", set.WriteStall, "100ms", "1h"),
 	)
 }
 
--- a/internal/plan/plan.go
+++ b/internal/plan/plan.go
@@ -104,6 +104,10 @@
 	HealthPath string
 	MaxConns   int
 	Engine     *Engine
+	// ColdTime is how long an endpoint is cold after its start. ColdRate is the number of
+	// requests a second that it takes meanwhile from all gateways together; 0 for no limit.
+	ColdTime clock.Millis
+	ColdRate float64
 }
 
 // Customer owns API keys. Its priority, if set, takes precedence over the route's; 0 is
--- a/internal/task/task.go
+++ b/internal/task/task.go
@@ -79,6 +79,13 @@
 	// Limit is the number of requests a second that the endpoint takes from all gateways
 	// together; nil if it names none.
 	Limit *float64
+	// Leaving is set when the endpoint states that it leaves.
+	Leaving bool
+	// Pause is the time for which the endpoint wants no requests from this gateway; 0 if
+	// it states none.
+	Pause clock.Millis
+	// Cold is how long the endpoint stays cold; nil if it does not state it.
+	Cold *clock.Millis
 }
 
 // Dialect translates between tasks and the HTTP format of a deployment.
