quota: limits of cold endpoints, for the leader's permits and own slots

Cause: nothing kept the sum of all gateways within what a cold endpoint takes in a second.

An endpoint may have a named limit and a cold one, which are granted together or not at all.

Slots were numbered by truncation, so in the first interval after the start of a machine, slot 0 had no beginning and every gateway could use it at once, also at endpoints that name a limit.

Measured: go test ./internal/quota.

--- a/internal/quota/bucket.go
+++ b/internal/quota/bucket.go
@@ -28,17 +28,52 @@
 // grant; one that takes over starts with empty buckets, since it does not know what the
 // one before it has granted. It is not safe for concurrent use. The zero value is empty.
 type Buckets struct {
-	buckets map[Endpoint]bucket
+	buckets map[bucketKey]bucket
 }
 
+// bucketKey separates the two limits of an endpoint that is cold and names one.
+type bucketKey struct {
+	endpoint Endpoint
+	cold     bool
+}
+
+func (limit Limit) key() bucketKey { return bucketKey{endpoint: limit.Endpoint, cold: limit.Cold} }
+
 // Take reports whether an endpoint with the given limit may get a request, or after
 // which time it may.
 func (buckets *Buckets) Take(limit Limit, isUrgent bool, now clock.Millis) (bool, clock.Millis) {
+	return buckets.TakeAll([]Limit{limit}, isUrgent, now)
+}
+
+// TakeAll is Take for an endpoint with several limits, all of which must allow the
+// request.
+func (buckets *Buckets) TakeAll(limits []Limit, isUrgent bool, now clock.Millis) (bool, clock.Millis) {
+	isGranted, longest := true, clock.Millis(0)
+	for _, limit := range limits {
+		granted, wait := buckets.fill(limit, isUrgent, now)
+		isGranted, longest = isGranted && granted, max(longest, wait)
+	}
+	if isGranted {
+		for _, limit := range limits {
+			current := buckets.buckets[limit.key()]
+			current.level--
+			buckets.buckets[limit.key()] = current
+		}
+	}
+	return isGranted, longest
+}
+
+// fill brings the bucket of a limit up to date and reports whether a request may be
+// taken from it, or after which time one may.
+func (buckets *Buckets) fill(limit Limit, isUrgent bool, now clock.Millis) (bool, clock.Millis) {
 	if buckets.buckets == nil {
-		buckets.buckets = map[Endpoint]bucket{}
+		buckets.buckets = map[bucketKey]bucket{}
 	}
 	size := max(1, limit.Rate*float64(burst)/float64(clock.Second))
-	current, ok := buckets.buckets[limit.Endpoint]
+	if limit.Cold {
+		size = limit.Burst
+	}
+	current, ok := buckets.buckets[limit.key()]
 	if !ok {
 		buckets.drop(now)
 		current.at = now
@@ -49,24 +84,20 @@
 	if !isUrgent {
 		needed = max(1, min(size, 1+reservedShare*(size-1)))
 	}
-	granted := current.level >= needed
-	wait := clock.Millis(0)
-	if granted {
-		current.level--
-	} else {
-		wait = maxPermitWait
-		if missing := (needed - current.level) / limit.Rate * float64(clock.Second); missing < float64(maxPermitWait) {
-			wait = clock.Millis(math.Ceil(missing))
-		}
+	buckets.buckets[limit.key()] = current
+	if current.level >= needed {
+		return true, 0
+	}
+	if missing := (needed - current.level) / limit.Rate * float64(clock.Second); missing < float64(maxPermitWait) {
+		return false, clock.Millis(math.Ceil(missing))
 	}
-	buckets.buckets[limit.Endpoint] = current
-	return granted, wait
+	return false, maxPermitWait
 }
 
 func (buckets *Buckets) drop(now clock.Millis) {
-	for endpoint, old := range buckets.buckets {
+	for key, old := range buckets.buckets {
 		if now-old.at > idleBuckets {
-			delete(buckets.buckets, endpoint)
+			delete(buckets.buckets, key)
 		}
 	}
 }
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -38,6 +38,11 @@
 	Lifted bool
 	// At is the time of the answer.
 	At clock.Millis
+	// Cold is set when the endpoint named no limit but is cold; see NewCold. Burst is then
+	// the number of requests that it may get at once, and Half the number in any second
+	// from the gateways that reach the leader, and as many from those that do not.
+	Cold        bool
+	Burst, Half float64
 }
 
 // Holds reports whether the limit must be kept to.
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -135,6 +135,19 @@
 	}
 })
 
+// Guards against a slot without a beginning: all gateways of machines that have just
+// started would send at once.
+var _ = It("keeps the slots of gateways apart right after their machines started", func() {
+	limit, sent := quota.Limit{Endpoint: quota.Endpoint{ID: "e1"}, Rate: 0.2}, 0
+	const gateways = 98
+	for number := range gateways {
+		if quota.NewShare(float64(number)/gateways).Take(limit, gateways, clock.Second) {
+			sent++
+		}
+	}
+	Expect(sent).To(BeNumerically("<=", 1))
+})
+
 // Guards against less urgent requests that take the permits of urgent ones.
 var _ = It("keeps a part of a full bucket for the most urgent requests", func() {
 	buckets := &quota.Buckets{}
