roster: an endpoint that turns cold is an urgent change

Cause: gateways learned with the next regular poll that an endpoint had become cold, and a heartbeat without coldRemainingMs looked like one that states 0.

Change: a record that turns cold counts as Changed, which ends the long poll. FirstAt is when a start was first heard of.

--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -38,7 +38,12 @@
 	// ReceivedAt is the time at which a control VM received the message.
 	ReceivedAt clock.Millis
 	// ColdUntil is the time at which the endpoint reaches full speed after its start.
-	ColdUntil clock.Millis
+	// ColdUnstated is set when the endpoint did not state it.
+	ColdUntil    clock.Millis
+	ColdUnstated bool
+	// FirstAt is the time at which this process's table got the first record of the
+	// incarnation. It is not sent.
+	FirstAt clock.Millis
 }
 
 // Usable reports whether the endpoint accepts new work.
@@ -95,8 +100,8 @@
 	Stale Update = iota
 	// Refreshed messages show only that the endpoint is alive.
 	Refreshed
-	// Changed messages report that an endpoint was added, restarted, drains, stopped or
-	// changed its group.
+	// Changed messages report that an endpoint was added, restarted, drains, stopped,
+	// turned cold or changed its group.
 	Changed
 )
 
@@ -111,12 +116,17 @@
 	if ok && !newer(record, current.Record) {
 		return Stale
 	}
+	record.FirstAt = record.ReceivedAt
+	if ok && current.Born == record.Born {
+		record.FirstAt = current.FirstAt
+	}
 	if ok && current.Born == record.Born {
 		record.Draining = record.Draining || current.Draining
 		record.Gone = record.Gone || current.Gone
 		if record.Address == "" {
 			record.Service, record.Address, record.Zone = current.Service, current.Address, current.Zone
-			record.Slots, record.Group, record.ColdUntil = current.Slots, current.Group, current.ColdUntil
+			record.Slots, record.Group = current.Slots, current.Group
+			record.ColdUntil, record.ColdUnstated = current.ColdUntil, current.ColdUnstated
 		}
 	}
 	if !table.takeAddress(&record) && !ok {
@@ -124,7 +134,7 @@
 	}
 	table.position++
 	table.records[record.ID] = &entry{Record: record, position: table.position}
-	if ok && same(current.Record, record) {
+	if ok && same(current.Record, record) && !turnsCold(current.Record, record) {
 		return Refreshed
 	}
 	return Changed
@@ -167,10 +177,16 @@
 
 // same reports whether two records differ only in fields that every heartbeat changes.
 func same(first, second Record) bool {
-	first.Sequence, first.ReceivedAt, first.ColdUntil = second.Sequence, second.ReceivedAt, second.ColdUntil
+	first.Sequence, first.ReceivedAt, first.FirstAt = second.Sequence, second.ReceivedAt, second.FirstAt
+	first.ColdUntil, first.ColdUnstated = second.ColdUntil, second.ColdUnstated
 	return first == second
 }
 
+// turnsCold reports whether an endpoint that was at full speed became cold.
+func turnsCold(current, record Record) bool {
+	return current.ColdUntil <= record.ReceivedAt && record.ColdUntil > record.ReceivedAt
+}
+
 // Since returns the records updated after a position.
 func (table *Table) Since(position uint64) []Record {
 	var list []Record
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -89,6 +89,32 @@
 		Expect(got).To(Equal(sent))
 	})
 
+	// Guards against gateways that learn with a delay that an endpoint turned cold.
+	It("reports an endpoint that turns cold as changed, once", func() {
+		table := roster.New()
+		put := func(sequence uint64, received, coldUntil clock.Millis) roster.Update {
+			return table.Put(roster.Record{
+				ID: "e1", Service: "desk", Address: "10.0.0.1:80", Born: 1, Sequence: sequence, ReceivedAt: received, ColdUntil: coldUntil,
+			})
+		}
+		Expect(put(1, 1000, 1000)).To(Equal(roster.Changed))
+		Expect(put(2, 2000, 2000)).To(Equal(roster.Refreshed))
+		Expect(put(3, 3000, 6000)).To(Equal(roster.Changed))
+		Expect(put(4, 4000, 7000)).To(Equal(roster.Refreshed))
+		Expect(put(5, 5000, 5000)).To(Equal(roster.Refreshed))
+		Expect(put(6, 6000, 9000)).To(Equal(roster.Changed))
+		record, _ := table.Get("e1")
+		Expect(record.FirstAt).To(Equal(clock.Second))
+	})
+
+	// Guards against a start that does not state how long it is cold and is taken for warm.
+	It("keeps that an endpoint did not state how long it is cold", func() {
+		sent := roster.Record{ID: "e1", ReceivedAt: 900, ColdUnstated: true}
+		Expect(roster.FromMessage(sent.Message(1000), 51_000).ColdUnstated).To(BeTrue())
+		sent.ColdUnstated = false
+		Expect(roster.FromMessage(sent.Message(1000), 51_000).ColdUnstated).To(BeFalse())
+	})
+
 	It("removes endpoints long after their last message", func() {
 		table := roster.New()
 		table.Put(roster.Record{ID: "e1", Service: "desk", Address: "10.0.0.1:80", Born: 1, Sequence: 1, ReceivedAt: 0})
