conns: a request with a time is not sent after it

Cause: connecting takes up to 600 ms, longer than a permit for a cold endpoint lasts, so a permit could be used late.

Change: Request.ExpiresAt is checked when the connection is open. The error is ErrExpired and ErrNotSent.

Measured: go test ./internal/conns passes.

--- a/internal/conns/conns.go
+++ b/internal/conns/conns.go
@@ -52,6 +52,10 @@
 // be established.
 var ErrNotSent = errors.New("no connection to the endpoint")
 
+// ErrExpired marks errors of requests that were not sent because their time had passed
+// when the connection was open. They are also marked as ErrNotSent.
+var ErrExpired = errors.New("request expired")
+
 // ErrTooLong is the error of an endpoint that sends more than maxHeadBytes without
 // the header of a response.
 var ErrTooLong = errors.New("endpoint sends bytes without a response header")
@@ -243,6 +247,8 @@
 	// Fresh requires a new connection, so that the request cannot fail because the
 	// endpoint closed an idle one.
 	Fresh bool
+	// ExpiresAt is the time from which on the request must not be sent; zero for none.
+	ExpiresAt clock.Millis
 	// Matches reports whether a response header belongs to this request; other
 	// responses are skipped.
 	Matches func(http.Header) bool
@@ -276,6 +282,10 @@
 		}
 		used = dialed
 	}
+	if request.ExpiresAt > 0 && pool.clock.Now() > request.ExpiresAt {
+		abort(used)
+		return nil, errors.Mark(errors.Mark(errors.Newf("connection to %s was open too late", request.Address), ErrExpired), ErrNotSent)
+	}
 	exchange := &Exchange{pool: pool, conn: used, stop: context.AfterFunc(ctx, func() { abort(used) })}
 	if err := exchange.begin(request); err != nil {
 		exchange.stop()
--- a/internal/conns/conns_test.go
+++ b/internal/conns/conns_test.go
@@ -178,3 +178,26 @@
 	Expect(err).To(HaveOccurred())
 	Eventually(backend.Requests()[0].Disconnected).WithTimeout(limit).Should(BeClosed())
 })
+
+// Guards against a permit that is used long after it was given, because the connection
+// took so long to open.
+var _ = It("does not send a request whose time passed before its connection was open", func() {
+	ticker := clock.NewManual(clock.Hour)
+	pool := conns.New(ticker)
+	DeferCleanup(pool.Close)
+	backend, err := fake.NewBackend("Id", []fake.Step{{Text: response}}, 1)
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(backend.Close)
+	request := conns.Request{
+		Address: backend.Addresses()[0], Method: http.MethodGet, Head: []byte("GET / HTTP/1.1\r\nHost: h\r\n\r\n"),
+		ExpiresAt: ticker.Now() - 1, Matches: func(http.Header) bool { return true },
+	}
+	_, err = pool.Do(context.Background(), request) //nolint:bodyclose // There is no response.
+	Expect(errors.Is(err, conns.ErrExpired)).To(BeTrue())
+	Expect(errors.Is(err, conns.ErrNotSent)).To(BeTrue())
+	request.ExpiresAt = ticker.Now()
+	exchange, err := pool.Do(context.Background(), request)
+	Expect(err).NotTo(HaveOccurred())
+	exchange.Close(false, 0)
+	Expect(backend.Requests()).To(HaveLen(1))
+})
