board: the control leader grants permits of cold endpoints

Cause: PermitRequest.limits with cold endpoints would have been taken for limits that endpoints name, and shared as such.

Change: entries with cold are granted by rate and burst of the request and are not shared; all entries of one endpoint are granted or none. Gateways without a leader can tell when their next own slot at a cold endpoint is.

--- a/internal/board/board.go
+++ b/internal/board/board.go
@@ -223,27 +223,27 @@
 }
 
 // Permit grants a request to the first endpoint that may get one, of those that a
-// gateway knows as limited. It returns the endpoint, or the time until one may get a
+// gateway knows as limited or cold. It returns the endpoint, or the time until one may get a
 // request. Only the control leader may grant.
 func (board *Board) Permit(asked []*wire.EndpointLimit, isUrgent bool) (endpoint string, wait clock.Millis) {
 	board.mu.Lock()
 	defer board.mu.Unlock()
 	now := board.clock.Now()
-	for _, message := range asked {
-		limit := quota.FromMessage(message, now)
-		board.setLimits(board.limits.With(limit))
-		if current, ok := board.limits.Limit(limit.Endpoint, now); ok {
-			limit = current
-		}
-		granted, after := board.buckets.Take(limit, isUrgent, now)
-		if granted {
-			return limit.Endpoint.ID, 0
+	limits := make([]quota.Limit, len(asked))
+	for at, message := range asked {
+		limits[at] = quota.FromMessage(message, now)
+		if limits[at].Cold {
+			// It follows from the configuration and is not evidence.
+			continue
 		}
-		if wait == 0 || after < wait {
-			wait = after
+		board.setLimits(board.limits.With(limits[at]))
+		if current, ok := board.limits.Limit(limits[at].Endpoint, now); ok {
+			limits[at] = current
 		}
 	}
-	return "", wait
+	return quota.First(limits, func(group []quota.Limit) (bool, clock.Millis) {
+		return board.buckets.TakeAll(group, isUrgent, now)
+	})
 }
 
 // Expire drops evidence that is too old to count.
--- a/internal/board/board_test.go
+++ b/internal/board/board_test.go
@@ -117,3 +117,30 @@
 	}}})
 	Expect(lines.String()).To(ContainSubstring("suspects=r1,r2 "))
 })
+
+// Guards against a cold endpoint whose rate is shared as a limit that it named, and
+// against a request that gets only one of the two permits that it needs.
+var _ = It("grants permits of cold endpoints without sharing their rates as limits", func() {
+	ticker := clock.NewManual(clock.Hour)
+	leader := board.New(ticker, event.Discard())
+	cold := &wire.EndpointLimit{Endpoint: "e1", Rate: 10, Burst: 5, Cold: true}
+	both := []*wire.EndpointLimit{{Endpoint: "e1", Rate: 1}, cold}
+	endpoint, _ := leader.Permit([]*wire.EndpointLimit{cold}, true)
+	Expect(endpoint).To(BeEmpty())
+	_, ok := leader.Limit(quota.Endpoint{ID: "e1"})
+	Expect(ok).To(BeFalse())
+	leader.Permit(both, true)
+	ticker.Advance(clock.Second)
+	var granted []string
+	for range 2 {
+		endpoint, _ := leader.Permit(both, true)
+		granted = append(granted, endpoint)
+	}
+	Expect(granted).To(Equal([]string{"e1", ""}))
+	for range 4 {
+		endpoint, _ := leader.Permit([]*wire.EndpointLimit{cold}, true)
+		Expect(endpoint).To(Equal("e1"))
+	}
+	endpoint, _ = leader.Permit([]*wire.EndpointLimit{cold}, true)
+	Expect(endpoint).To(BeEmpty())
+})
--- a/internal/quota/cold_test.go
+++ b/internal/quota/cold_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"math/rand/v2"
 	"os"
 	"slices"
@@ -123,6 +124,54 @@
 	}
 })
 
+// Guards against a zone that returns cold at once, meets a burst and crashes, while a
+// third of the gateways reach no leader and leaders change.
+var _ = It("keeps every endpoint of a cold zone within the bound in a burst", func() {
+	const (
+		gateways, endpoints = 72, 21
+		rate                = 23
+		// demand is the requests a second in a burst.
+		demand = 552
+		span   = 20 * clock.Second
+	)
+	for seed := range uint64(5) {
+		random := rand.New(rand.NewPCG(seed, 3))
+		shares, limits := make([]*quota.Share, gateways), make([]quota.Limit, endpoints)
+		for number := range shares {
+			shares[number] = quota.NewShare(random.Float64())
+		}
+		for number := range limits {
+			limits[number] = quota.NewCold(quota.Endpoint{ID: fmt.Sprint("e", number), Incarnation: 1}, rate, coldOver, coldSlack)
+		}
+		leader, received := &quota.Buckets{}, map[string][]clock.Millis{}
+		for at := range span {
+			now := clock.Hour + at
+			if at%(3*clock.Second) == 0 {
+				leader = &quota.Buckets{}
+			}
+			if random.Float64() >= float64(demand)/float64(clock.Second) {
+				continue
+			}
+			random.Shuffle(endpoints, func(one, other int) { limits[one], limits[other] = limits[other], limits[one] })
+			number := random.IntN(gateways)
+			endpoint, _ := quota.First(limits, func(group []quota.Limit) (bool, clock.Millis) {
+				if number < gateways/3 {
+					return shares[number].TakeAll(group, gateways, now), clock.Second
+				}
+				return leader.TakeAll(group, true, now)
+			})
+			if endpoint != "" {
+				received[endpoint] = append(received[endpoint], now+clock.Millis(random.Int64N(int64(quota.ColdPermitLifetime)+1)))
+			}
+		}
+		Expect(received).To(HaveLen(endpoints))
+		for endpoint, times := range received {
+			slices.Sort(times)
+			Expect(float64(most(times, clock.Second))).To(BeNumerically("<=", rate*coldOver+coldSlack), "seed %d, %s", seed, endpoint)
+		}
+	}
+})
+
 // Guards against a whole zone that uses the same instant at all of its cold endpoints, so
 // that a gateway without a leader has either all of its slots or none.
 var _ = It("spreads a gateway's own slots at different endpoints over time", func() {
--- a/internal/quota/share.go
+++ b/internal/quota/share.go
@@ -90,3 +90,22 @@
 	interval := clock.Millis(float64(gateways) * float64(clock.Second) / limit.ownRate(gateways))
 	return since < coldSlotTime && now-share.firstAt >= coldSpan && (!ok || now-last.at >= interval-coldSlotTime)
 }
+
+// Wait returns the time until a gateway may use a slot of its own at an endpoint with
+// the given limits.
+func (share *Share) Wait(limits []Limit, gateways int, now clock.Millis) clock.Millis {
+	wait := slotTime
+	for _, limit := range limits {
+		if !limit.Cold {
+			continue
+		}
+		rate := limit.ownRate(gateways)
+		if gateways <= 0 || rate <= 0 {
+			return maxPermitWait
+		}
+		_, since := share.position(limit, gateways, now)
+		interval := float64(gateways) * float64(clock.Second) / rate
+		wait = max(wait, clock.Millis(min(interval-float64(since), float64(maxPermitWait))))
+	}
+	return wait
+}
