gate: cold endpoints get requests by permit

Cause: after a zone returned cold, all gateways together sent its endpoints more than they survive. One permit also counted for two sends where a reused connection broke.

Change: a cold endpoint of a service with a rate for cold ones is limited beside the limit that it may name. Without a permit the request chooses another endpoint; where all need permits it is refused with 503 and the time of the next one. A second send takes a second permit, also at endpoints that name a limit. Without ColdRate endpoints are chosen as before.

--- a/internal/fake/backend.go
+++ b/internal/fake/backend.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/sourcegraph/conc"
@@ -43,6 +44,7 @@
 	Method, Target string
 	Header         http.Header
 	Body           string
+	ReceivedAt     time.Time
 	// Disconnected is closed when the caller closes the connection during a
 	// hang step.
 	Disconnected chan struct{}
@@ -157,7 +159,7 @@
 	defer backend.mu.Unlock()
 	disconnected := make(chan struct{})
 	backend.requests = append(backend.requests, ReceivedRequest{
-		Method: request.Method, Target: request.RequestURI, Header: request.Header, Body: string(body), Disconnected: disconnected,
+		Method: request.Method, Target: request.RequestURI, Header: request.Header, Body: string(body), ReceivedAt: time.Now(), Disconnected: disconnected,
 	})
 	step := backend.steps[min(backend.next, len(backend.steps)-1)]
 	backend.next++
--- a/internal/gate/attempt.go
+++ b/internal/gate/attempt.go
@@ -37,7 +37,7 @@
 		// timers do not count that time.
 		return notSent, errors.New("the deadline passed before the request was sent")
 	}
-	if forwarder.permittedAt > 0 && gateway.clock.Now()-forwarder.permittedAt > permitLifetime {
+	if forwarder.permittedAt > 0 && gateway.clock.Now()-forwarder.permittedAt > permitLifetime || forwarder.hasExpired() {
 		return notSent, errors.New("the permit expired before the request was sent")
 	}
 	forwarder.begun, forwarder.brokeStale, forwarder.limit = false, false, nil
@@ -48,6 +48,9 @@
 	if errors.Is(err, conns.ErrStale) && forwarder.route.Repeatable() && ctx.Err() == nil {
 		// The endpoint may have run what was sent on the connection that broke.
 		forwarder.mayHaveRun, forwarder.brokeStale = true, true
+		if !errors.Is(err, conns.ErrNotSent) && !forwarder.permitAgain(ctx, endpoint) {
+			return notSent, errors.Wrap(err, "no permit to send the request again")
+		}
 		exchange, err = forwarder.send(ctx, endpoint, true)
 	}
 	if err != nil {
@@ -55,14 +58,16 @@
 		if errors.Is(err, conns.ErrNotSent) {
 			ended = notSent
 		}
-		if ctx.Err() == nil {
+		if ctx.Err() == nil && !errors.Is(err, conns.ErrExpired) {
 			gateway.recordResult(endpoint, ended)
+			gateway.recordUnreachable(endpoint, err)
 		}
 		return ended, err
 	}
 	facts := gateway.settings.Dialect.Answer(exchange.Response.Header)
 	forwarder.limit = facts.Limit
 	gateway.board.Answered(endpointKey(endpoint), facts.Limit, sent)
+	gateway.recordCold(endpoint, facts.Cold, sent)
 	ended, complete, err := forwarder.readResponse(ctx, endpoint, exchange.Response)
 	exchange.Close(complete, facts.Idle)
 	if ctx.Err() == nil || ended == delivered {
@@ -82,7 +87,7 @@
 	}
 	return gateway.conns.Do(ctx, conns.Request{
 		Address: endpoint.Address, Method: forwarder.task.Method, Head: gateway.settings.Dialect.Request(forwarder.task, send), Body: forwarder.task.Body,
-		Fresh: fresh,
+		Fresh: fresh, ExpiresAt: forwarder.coldUntil,
 		Matches: func(header http.Header) bool {
 			id := gateway.settings.Dialect.Answer(header).ID
 			return id == "" || id == forwarder.task.ID
--- a/internal/gate/forward.go
+++ b/internal/gate/forward.go
@@ -69,6 +69,9 @@
 	// permittedAt is when the permit for the current attempt was asked for; zero if it
 	// needs none.
 	permittedAt clock.Millis
+	// coldUntil is when the permit for a cold endpoint expires; zero if the current attempt
+	// needs none.
+	coldUntil clock.Millis
 	// work is the estimated number of requests ahead at the endpoint chosen last.
 	work int
 	// meanWork is the mean estimated number of requests at the candidate endpoints, and
@@ -292,7 +295,7 @@
 		open = append(open, record)
 		sum = sum.Plus(loads[record.ID]).Plus(gateway.work[record.ID])
 	}
-	forwarder.usable, forwarder.permittedAt = open, 0
+	forwarder.usable, forwarder.permittedAt, forwarder.coldUntil = open, 0, 0
 	forwarder.meanWork = float64(sum.Ahead(true)) / float64(max(len(open), 1))
 	forwarder.meanOnTime = float64(sum.Ahead(false)) / float64(max(len(open), 1))
 	for _, record := range open {
@@ -300,7 +303,7 @@
 			ID: record.ID, Work: loads[record.ID].Plus(gateway.work[record.ID]).Ahead(forwarder.late), Slots: slots(record, forwarder.service),
 			Local: record.Zone == gateway.settings.Node.Zone,
 			Avoid: now-record.ReceivedAt > maxHeartbeatAge || gateway.detector.Use(healthKey(record), now) == retry.Avoid,
-			Cold:  now < record.ColdUntil,
+			Cold:  now < record.ColdUntil || forwarder.service.ColdRate > 0 && gateway.cold.State(record, forwarder.service.ColdTime, now).IsCold,
 		})
 	}
 	at := choose.Best(candidates, gateway.random)
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -17,6 +17,7 @@
 
 	"github.com/hibiscuslug/hibiscuslug/internal/board"
 	"github.com/hibiscuslug/hibiscuslug/internal/choose"
+	"github.com/hibiscuslug/hibiscuslug/internal/cold"
 	"github.com/hibiscuslug/hibiscuslug/internal/conns"
 	"github.com/hibiscuslug/hibiscuslug/internal/ctrl"
 	"github.com/hibiscuslug/hibiscuslug/internal/event"
@@ -84,6 +85,7 @@
 	meter     *meter.Meter
 	answered  *meter.Counter
 	sends     *meter.Counter
+	denied    *meter.Counter
 	firstByte *meter.Histogram
 	eventGap  *meter.Histogram
 	http      *http.Server
@@ -114,6 +116,13 @@
 	// share the gateway's own part of the limits meanwhile.
 	leaderLostAt clock.Millis
 	share        *quota.Share
+	// cold holds what this gateway observed of endpoints that may be cold, coldLogged
+	// those that were last logged as cold, and coldDenied the requests kept from them by
+	// outcome since the last log line, which was written at coldLoggedAt.
+	cold         cold.Table
+	coldLogged   map[quota.Endpoint]bool
+	coldDenied   map[string]int
+	coldLoggedAt clock.Millis
 }
 
 // New starts a gateway.
@@ -122,6 +131,7 @@
 		settings: settings, clock: ticker, log: log, view: feed.NewView(ticker), links: link.NewPool(), conns: conns.New(ticker), board: board.New(ticker, log),
 		random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), work: map[string]choose.Load{}, callerWaits: map[string]repeat.Waits{},
 		windows: map[string]*retry.RatioBudget{}, stalls: map[string]stall{}, progress: map[string]progress{}, waits: map[string]wait.Estimate{},
+		coldLogged: map[quota.Endpoint]bool{}, coldDenied: map[string]int{},
 	}
 	gateway.share = quota.NewShare(gateway.random.Float64())
 	gateway.poller = poll.New(poll.Settings{
@@ -151,6 +161,8 @@
 	gateway.eventGap = gateway.meter.Histogram(meter.EventGap)
 	gateway.meter.Gauge(meter.Dialed, func() any { return gateway.conns.Dialed() })
 	gateway.meter.Gauge(meter.Version, func() any { return gateway.Version() })
+	gateway.denied = gateway.meter.Counter(meter.ColdDenied)
+	gateway.meter.Gauge(meter.ColdEndpoints, func() any { return len(gateway.coldEndpoints()) })
 	gateway.meter.Gauge(meter.Stalled, func() any { return gateway.stalledGroups() })
 	return gateway.meter.Serve(gateway.settings.Node.MetricsListen)
 }
@@ -220,6 +232,7 @@
 		changed := gateway.view.Changed()
 		gateway.apply()
 		gateway.confirmCrashes()
+		gateway.logCold()
 		if ready, reason := gateway.isReady(); ready != wasReady {
 			wasReady = ready
 			gateway.log.Write(event.ReadinessChanged, "ready", ready, "reason", reason)
--- a/internal/gate/gate_test.go
+++ b/internal/gate/gate_test.go
@@ -124,6 +124,7 @@
 		Gateway: opts.Gateway{
 			HTTPListen: "127.0.0.1:0", Seed: []string{control}, RevokeLimit: 5 * clock.Second, Grace: 2 * clock.Second,
 			RetryRatio: 0.2, RetrySlack: 100, RetryWindow: 10 * clock.Second, StartWait: startWait,
+			ColdOver: coldOver, ColdSlack: coldSlack,
 		},
 		Dialect: platform.Dialect{},
 	}, clock.NewSystem(), event.Discard())
--- a/internal/gate/limit.go
+++ b/internal/gate/limit.go
@@ -39,48 +39,79 @@
 	share string
 }
 
-// permit obtains a permit if the chosen endpoint names a limit. Without one, it lets
-// the request choose another endpoint, or ends it when all others name limits too.
+// permit obtains a permit if the chosen endpoint names a limit or is cold. Without one,
+// it lets the request choose another endpoint, or ends it when all others need permits
+// too.
 func (forwarder *forwarder) permit(ctx context.Context, chosen roster.Record) (roster.Record, admission) {
 	gateway := forwarder.gateway
-	limit, isLimited := gateway.board.Limit(endpointKey(chosen))
-	if !isLimited {
+	limits := gateway.limitsOf(forwarder.service, chosen)
+	if len(limits) == 0 {
 		return chosen, admitted
 	}
-	limits, hasUnlimited := []quota.Limit{limit}, false
+	all, hasUnlimited := limits, false
 	for _, record := range forwarder.usable {
-		other, isLimited := gateway.board.Limit(endpointKey(record))
+		others := gateway.limitsOf(forwarder.service, record)
 		switch {
-		case !isLimited:
+		case len(others) == 0:
 			hasUnlimited = true
 		case record.ID != chosen.ID:
-			limits = append(limits, other)
+			all = append(all, others...)
 		}
 	}
-	if hasUnlimited {
-		limits = limits[:1]
+	if !hasUnlimited {
+		limits = all
 	}
 	asked := gateway.clock.Now()
 	got := gateway.askPermit(ctx, limits, forwarder.urgency <= wait.MostUrgent)
 	at := slices.IndexFunc(forwarder.usable, func(record roster.Record) bool { return record.ID == got.endpoint })
 	if at >= 0 {
-		forwarder.permittedAt = asked
+		forwarder.usePermit(got.endpoint, limits, asked)
 		return forwarder.usable[at], admitted
 	}
 	for _, denied := range limits {
 		forwarder.overLimit[denied.Endpoint.ID] = true
 	}
+	gateway.countDenied(limits, hasUnlimited)
 	if hasUnlimited {
 		return chosen, chooseAgain
 	}
-	forwarder.endOverLimit(ctx, limit, got)
+	forwarder.endOverLimit(ctx, limits[0], got)
 	return chosen, ended
 }
 
+// usePermit records a permit that was asked for at the given time.
+func (forwarder *forwarder) usePermit(endpoint string, limits []quota.Limit, asked clock.Millis) {
+	forwarder.permittedAt, forwarder.coldUntil = asked, 0
+	if slices.ContainsFunc(limits, func(limit quota.Limit) bool { return limit.Cold && limit.Endpoint.ID == endpoint }) {
+		forwarder.coldUntil = asked + quota.ColdPermitLifetime
+	}
+}
+
+// permitAgain obtains a permit for sending the request to an endpoint once more, if it
+// needs one. The first permit was used: the endpoint may have got the request.
+func (forwarder *forwarder) permitAgain(ctx context.Context, endpoint roster.Record) bool {
+	gateway := forwarder.gateway
+	limits := gateway.limitsOf(forwarder.service, endpoint)
+	if len(limits) == 0 {
+		return true
+	}
+	asked := gateway.clock.Now()
+	got := gateway.askPermit(ctx, limits, forwarder.urgency <= wait.MostUrgent)
+	if got.endpoint != endpoint.ID {
+		gateway.countDenied(limits, true)
+		return false
+	}
+	forwarder.usePermit(got.endpoint, limits, asked)
+	return true
+}
+
 // endOverLimit ends a request when all endpoints are at the limits that they name.
 func (forwarder *forwarder) endOverLimit(ctx context.Context, limit quota.Limit, denied permit) {
 	gateway := forwarder.gateway
-	const reason = "endpoints are at the limits that they name"
+	reason := "endpoints are at the limits that they name"
+	if limit.Cold {
+		reason = "endpoints are cold and at their limits"
+	}
 	fields := []any{
 		"endpoint", limit.Endpoint.ID, "limit", limit.Rate, "limitAge", gateway.clock.Now() - limit.At, "share", denied.share,
 		"gateways", gateway.poller.Gateways(), "wait", denied.wait,
@@ -121,10 +152,8 @@
 	gateways := gateway.poller.Gateways()
 	gateway.mu.Lock()
 	defer gateway.mu.Unlock()
-	for _, limit := range limits {
-		if gateway.share.Take(limit, gateways, now) {
-			return permit{endpoint: limit.Endpoint.ID, share: "own"}
-		}
-	}
-	return permit{wait: clock.Second, share: "own"}
+	endpoint, wait := quota.First(limits, func(group []quota.Limit) (bool, clock.Millis) {
+		return gateway.share.TakeAll(group, gateways, now), gateway.share.Wait(group, gateways, now)
+	})
+	return permit{endpoint: endpoint, wait: wait, share: "own"}
 }
--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -41,12 +41,14 @@
 	Dialed          = Metric{"dialed", "connections", "connections made to endpoints since the start (gateway)"}
 	Version         = Metric{"version", "version", "version of the configuration of request forwarding in force; 0 for none (gateway)"}
 	Stalled         = Metric{"stalled", "groups", "groups of ranks that take no work (gateway)"}
+	ColdEndpoints   = Metric{"coldEndpoints", "endpoints", "endpoints that get requests at the rate for cold ones (gateway)"}
+	ColdDenied      = Metric{"coldDenied", "requests", "requests kept from cold endpoints since the start, by what became of them: elsewhere or refused (gateway)"}
 	Members         = Metric{"members", "processes", "processes known by their announcements, by role (entry)"}
 	ControlBytesIn  = Metric{"controlBytesIn", "bytes", "bytes received since the start on connections for membership, configuration and commands (all)"}
 	ControlBytesOut = Metric{"controlBytesOut", "bytes", "bytes sent since the start on connections for membership, configuration and commands (all)"}
 )
 
-var allMetrics = []Metric{Requests, InFlight, Attempts, QueueLength, Running, Revision, RevisionAge, Answered, Sends, FirstByte, EventGap, Dialed, Version, Stalled, Members, ControlBytesIn, ControlBytesOut}
+var allMetrics = []Metric{Requests, InFlight, Attempts, QueueLength, Running, Revision, RevisionAge, Answered, Sends, FirstByte, EventGap, Dialed, Version, Stalled, ColdEndpoints, ColdDenied, Members, ControlBytesIn, ControlBytesOut}
 
 // revisionTimeout limits the wait of one request to /debug/revision.
 const revisionTimeout = 30 * time.Second
