notice, board, poll: notices of endpoints that leave, ask for a pause or are slow

Cause: endpoints state in answers that they leave or want no requests for a while, and the control leader is to tell of slow ranks; no process kept or passed that on. Change: package notice holds the notices by start of an endpoint. The board exchanges them as part of the evidence with a revision of their own; SetPace sets and ends the notice of a slow rank.

--- a/internal/board/board.go
+++ b/internal/board/board.go
@@ -1,6 +1,6 @@
-// Package board holds what a process knows of endpoints from their answers, crashes
-// and limits, its own observations and those of other processes, and decides by it
-// which requests may be sent. Gateways and control VMs use it and exchange its evidence
+// Package board holds what a process knows of endpoints from their answers, crashes,
+// limits and notices, its own observations and those of other processes, and decides by
+// it which requests may be sent. Gateways and control VMs use it and exchange its evidence
 // in their polls.
 package board
 
@@ -11,6 +11,7 @@
 	"github.com/hibiscuslug/hibiscuslug/internal/begun"
 	"github.com/hibiscuslug/hibiscuslug/internal/crash"
 	"github.com/hibiscuslug/hibiscuslug/internal/event"
+	"github.com/hibiscuslug/hibiscuslug/internal/notice"
 	"github.com/hibiscuslug/hibiscuslug/internal/quota"
 	"github.com/hibiscuslug/hibiscuslug/pkg/clock"
 	"github.com/hibiscuslug/hibiscuslug/pkg/wire"
@@ -27,6 +28,7 @@
 	// history holds the begins of answers that this process has seen.
 	history begun.Table
 	limits  quota.Table
+	notices notice.Table
 	// buckets grants requests to limited endpoints while this process is the control
 	// leader.
 	buckets quota.Buckets
@@ -35,11 +37,11 @@
 }
 
 // Revision tells how far a process has received the evidence of another one.
-type Revision struct{ Crashes, Limits uint64 }
+type Revision struct{ Crashes, Limits, Notices uint64 }
 
 // RevisionOf returns the revision of a message; zero for none.
 func RevisionOf(message *wire.Evidence) Revision {
-	return Revision{Crashes: message.GetRevision(), Limits: message.GetLimitRevision()}
+	return Revision{Crashes: message.GetRevision(), Limits: message.GetLimitRevision(), Notices: message.GetNoticeRevision()}
 }
 
 // New returns a board without evidence.
@@ -155,17 +157,22 @@
 	board.mu.Lock()
 	defer board.mu.Unlock()
 	hasCrashes, hasLimits := board.core.Revision() > since.Crashes, board.limits.Revision() > since.Limits
-	if !hasCrashes && !hasLimits {
+	if hasNotices := board.notices.Revision() > since.Notices; !hasCrashes && !hasLimits && !hasNotices {
 		return nil, board.changed
 	}
 	now := board.clock.Now()
-	message := &wire.Evidence{Revision: board.core.Revision(), LimitRevision: board.limits.Revision(), Now: int64(now)}
+	message := &wire.Evidence{
+		Revision: board.core.Revision(), LimitRevision: board.limits.Revision(), NoticeRevision: board.notices.Revision(), Now: int64(now),
+	}
 	if hasCrashes {
 		board.core.AddTo(message)
 	}
 	for _, limit := range board.limits.Since(since.Limits) {
 		message.Limits = append(message.Limits, limit.Message(now))
 	}
+	for _, told := range board.notices.Since(since.Notices, now) {
+		message.Notices = append(message.Notices, told.Message(now))
+	}
 	return message, board.changed
 }
 
@@ -183,6 +190,67 @@
 	for _, limit := range message.GetLimits() {
 		board.setLimits(board.limits.With(quota.FromMessage(limit, now)))
 	}
+	for _, message := range message.GetNotices() {
+		told := notice.FromMessage(message, now)
+		board.setNotices(board.notices.With(told), told.Endpoint)
+	}
+}
+
+// Noticed records what an endpoint stated of its readiness in an answer to this
+// process: that it leaves, and for how long it wants no requests.
+func (board *Board) Noticed(endpoint quota.Endpoint, isLeaving bool, pause clock.Millis) {
+	if !isLeaving && pause <= 0 {
+		return
+	}
+	board.mu.Lock()
+	defer board.mu.Unlock()
+	observed := notice.Notice{Endpoint: endpoint, Leaving: isLeaving, At: board.clock.Now()}
+	if pause > 0 {
+		observed.PauseEnd = observed.At + min(pause, notice.MaxPause)
+	}
+	board.setNotices(board.notices.WithOwn(observed), endpoint)
+}
+
+// SetPace tells all processes that an endpoint is slower than usual by a factor, for 3 s
+// from now on. A pace of at most 1 ends it. Only the control leader may set it.
+func (board *Board) SetPace(endpoint quota.Endpoint, pace float64) {
+	board.mu.Lock()
+	defer board.mu.Unlock()
+	board.setNotices(board.notices.WithOwn(notice.Slow(endpoint, pace, board.clock.Now())), endpoint)
+}
+
+// Notices returns the notices that are known.
+func (board *Board) Notices() notice.Table {
+	board.mu.Lock()
+	defer board.mu.Unlock()
+	return board.notices
+}
+
+// Notice returns what counts of a start of an endpoint now.
+func (board *Board) Notice(endpoint quota.Endpoint) notice.State {
+	return board.Notices().State(endpoint, board.clock.Now())
+}
+
+// setNotices replaces the notices and logs what begins or ends at an endpoint. The
+// caller holds mu.
+func (board *Board) setNotices(next notice.Table, endpoint quota.Endpoint) {
+	before := board.notices
+	board.notices = next
+	now := board.clock.Now()
+	was, is := before.State(endpoint, now), next.State(endpoint, now)
+	if is.Leaving && !was.Leaving {
+		board.log.Write(event.LeavingNoticed, "endpoint", endpoint.ID, "incarnation", endpoint.Incarnation)
+	}
+	if is.OwnPause > 0 && was.OwnPause == 0 || is.ToldPause > 0 && was.ToldPause == 0 {
+		board.log.Write(event.PauseNoticed, "endpoint", endpoint.ID, "incarnation", endpoint.Incarnation, "own", is.OwnPause > 0,
+			"left", max(is.OwnPause, is.ToldPause)-now)
+	}
+	if is.Pace > 0 != (was.Pace > 0) {
+		board.log.Write(event.PaceNoticed, "endpoint", endpoint.ID, "incarnation", endpoint.Incarnation, "pace", is.Pace)
+	}
+	if next.Revision() != before.Revision() {
+		board.announce()
+	}
 }
 
 // Answered records the limit that an endpoint named in an answer, nil for none, to a
@@ -252,4 +320,5 @@
 	board.mu.Lock()
 	defer board.mu.Unlock()
 	board.limits = board.limits.Expired(board.clock.Now())
+	board.notices = board.notices.Expired(board.clock.Now())
 }
--- a/internal/board/board_test.go
+++ b/internal/board/board_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"strings"
 	"testing"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -87,6 +88,52 @@
 	Expect(ok).To(BeFalse())
 })
 
+// Guards against gateways that send to an endpoint which has told another one that it
+// leaves, and against a pause that binds a gateway which was not asked for it.
+var _ = It("tells all gateways which endpoints leave and which asked another gateway for a pause", func() {
+	ticker := clock.NewManual(clock.Hour)
+	control, told, other := board.New(ticker, event.Discard()), board.New(ticker, event.Discard()), board.New(ticker, event.Discard())
+	leaving, pausing := quota.Endpoint{ID: "e1", Incarnation: 1}, quota.Endpoint{ID: "e2", Incarnation: 1}
+	told.Noticed(leaving, true, 0)
+	told.Noticed(pausing, false, 5*clock.Second)
+	exchange(told, control)
+	exchange(control, other)
+	exchange(control, told)
+	Expect([]bool{told.Notice(leaving).Closed(), told.Notice(pausing).Closed()}).To(Equal([]bool{true, true}))
+	Expect([]bool{other.Notice(leaving).Closed(), other.Notice(pausing).Closed()}).To(Equal([]bool{true, false}))
+	Expect(other.Notice(pausing).ToldPause).To(Equal(ticker.Now() + 5*clock.Second))
+	message, _ := told.Evidence(board.Revision{})
+	newer, _ := told.Evidence(board.RevisionOf(message))
+	Expect(newer).To(BeNil())
+})
+
+// Guards against a slow rank that gets requests as before, and against one that stays
+// slow at gateways after the leader has ended it or is gone.
+var _ = It("tells all gateways of a slow rank for as long as the leader renews it", func() {
+	ticker := clock.NewManual(clock.Hour)
+	var lines bytes.Buffer
+	leader, gateway := board.New(ticker, event.Discard()), board.New(ticker, event.New(&lines, "gateway1", "z1"))
+	rank := quota.Endpoint{ID: "e1", Incarnation: 1}
+	for range 5 {
+		leader.SetPace(rank, 12)
+		exchange(leader, gateway)
+		ticker.Advance(clock.Second)
+		Expect(gateway.Notice(rank).Pace).To(Equal(12.0))
+	}
+	leader.SetPace(rank, 1)
+	exchange(leader, gateway)
+	Expect(gateway.Notice(rank).Pace).To(BeZero())
+	ticker.Advance(clock.Second)
+	leader.SetPace(rank, 3)
+	exchange(leader, gateway)
+	Expect(gateway.Notice(rank).Pace).To(Equal(3.0))
+	ticker.Advance(3 * clock.Second)
+	Expect(gateway.Notice(rank).Pace).To(BeZero())
+	Expect(strings.Count(lines.String(), "event=315 ")).To(Equal(3))
+	leader.SetPace(quota.Endpoint{ID: "e2", Incarnation: 1}, 1)
+	Expect(leader.Notices().States(ticker.Now())).To(HaveLen(1))
+})
+
 // Guards against a leader that grants more than an endpoint takes because it has not
 // heard of the limit yet, or prefers an endpoint that takes no more.
 var _ = It("grants permits for the first endpoint that takes one", func() {
--- a/internal/ctrl/fleet.go
+++ b/internal/ctrl/fleet.go
@@ -82,7 +82,7 @@
 	control.recordPoll(request)
 	control.board.Merge(request.GetEvidence())
 	position := request.GetPosition()
-	evidence := board.Revision{Crashes: request.GetEvidenceRevision(), Limits: request.GetLimitRevision()}
+	evidence := board.Revision{Crashes: request.GetEvidenceRevision(), Limits: request.GetLimitRevision(), Notices: request.GetNoticeRevision()}
 	if request.GetIncarnation() != control.incarnation {
 		position, evidence = 0, board.Revision{}
 	}
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -41,6 +41,7 @@
 	ProbeFailed        = Event{244, "control leader could not be asked for a probe"}
 	PermitFailed       = Event{245, "control leader could not be asked for a permit"}
 	RequestOverLimit   = Event{246, "request kept from endpoints that are at their limits"}
+	RequestPaused      = Event{248, "request kept from endpoints that ask for a pause"}
 	EndpointJoined     = Event{301, "endpoint announced itself"}
 	EndpointExpired    = Event{302, "endpoint's announcement expired"}
 	EndpointLeaving    = Event{303, "endpoint is leaving"}
@@ -49,6 +50,9 @@
 	EndpointChanged    = Event{306, "endpoint changed"}
 	GroupSilent        = Event{307, "no stream of a group makes progress"}
 	LimitChanged       = Event{308, "limit that an endpoint names changed"}
+	LeavingNoticed     = Event{309, "endpoint states that it leaves"}
+	PauseNoticed       = Event{310, "endpoint asks for a pause"}
+	PaceNoticed        = Event{315, "endpoint is slower than usual or no longer so"}
 	RevisionApplied    = Event{401, "configuration revision applied"}
 	RevisionRefused    = Event{402, "configuration revision refused"}
 	FeedLost           = Event{403, "configuration feed lost"}
--- a/internal/poll/poll.go
+++ b/internal/poll/poll.go
@@ -59,7 +59,8 @@
 	// Loads returns the endpoint loads known directly to this process, and the number
 	// of gateways that they come from.
 	Loads func() ([]*wire.EndpointLoad, int)
-	// Board holds the evidence of crashes and limits, which is exchanged with control VMs.
+	// Board holds the evidence of crashes, limits and notices, which is exchanged with
+	// control VMs.
 	Board *board.Board
 }
 
@@ -247,7 +248,7 @@
 	request := &wire.PollRequest{
 		Node: poller.settings.Node, Zone: poller.settings.Zone, Control: poller.settings.Control, Address: poller.settings.Self,
 		Revision: poller.view.State().Revision(), Incarnation: from.incarnation, Position: from.position, Wait: int64(wait),
-		EvidenceRevision: from.evidence.Crashes, LimitRevision: from.evidence.Limits,
+		EvidenceRevision: from.evidence.Crashes, LimitRevision: from.evidence.Limits, NoticeRevision: from.evidence.Notices,
 	}
 	request.Evidence, _ = poller.settings.Board.Evidence(from.sent)
 	if withLoads {
--- a/internal/poll/poll_test.go
+++ b/internal/poll/poll_test.go
@@ -166,3 +166,18 @@
 	defer control.mu.Unlock()
 	Expect(control.received[len(control.received)-1].GetLimits()).To(HaveLen(2))
 })
+
+// Guards against a control VM that starts again just as it gets the latest notice, and
+// never gets those before it.
+var _ = It("sends all notices again to a control VM that has started again", func() {
+	control := &recorder{}
+	proxy := startServer(control)
+	evidence := board.New(clock.NewSystem(), event.Discard())
+	evidence.Noticed(quota.Endpoint{ID: "e1", Incarnation: 1}, true, 0)
+	control.onRestart = func() { evidence.Noticed(quota.Endpoint{ID: "e2", Incarnation: 1}, true, 0) }
+	startPollerWith(evidence, proxy.Address())
+	Eventually(func() int { polls, _ := control.counts(); return polls }).WithTimeout(limit).Should(BeNumerically(">", 8))
+	control.mu.Lock()
+	defer control.mu.Unlock()
+	Expect(control.received[len(control.received)-1].GetNotices()).To(HaveLen(2))
+})
