gate, choose, conns: nothing is sent to endpoints that leave or ask for a pause

Cause: gateways went on sending to endpoints that had stated in an answer that they leave or want no requests for a while, and nothing used a rank's pace. Change: the choice leaves out leaving endpoints and those that asked this gateway for a pause, and avoids those that asked others. The check is made again on the connection, right before a request is written. If all endpoints ask for a pause, callers get 503 and the earliest end. A slow endpoint counts as fuller by its pace.

--- a/internal/choose/choose.go
+++ b/internal/choose/choose.go
@@ -37,6 +37,9 @@
 	Avoid bool
 	// Cold is set while the endpoint is still slow after its start.
 	Cold bool
+	// Pace is the factor by which the endpoint is slower than usual; at most 1 if it is
+	// not.
+	Pace float64
 }
 
 // coldPenalty is the share of its slots by which a cold endpoint counts as fuller.
@@ -104,9 +107,14 @@
 }
 
 // utilization returns the share of the slots that is in use, plus the penalty of a
-// cold endpoint.
+// cold endpoint. At a slow endpoint a new request takes as long as it does at a usual
+// one with more work, which counts in place of its own.
 func (candidate Candidate) utilization() float64 {
-	used := float64(candidate.Work) / float64(max(candidate.Slots, 1))
+	work := float64(candidate.Work)
+	if candidate.Pace > 1 {
+		work = (work+1)*candidate.Pace - 1
+	}
+	used := work / float64(max(candidate.Slots, 1))
 	if candidate.Cold {
 		used += coldPenalty
 	}
--- a/internal/choose/choose_test.go
+++ b/internal/choose/choose_test.go
@@ -20,12 +20,13 @@
 type script struct {
 	Name       string `json:"name"`
 	Candidates []struct {
-		ID    string `json:"id"`
-		Work  int    `json:"work"`
-		Slots int    `json:"slots"`
-		Local bool   `json:"local"`
-		Avoid bool   `json:"avoid"`
-		Cold  bool   `json:"cold"`
+		ID    string  `json:"id"`
+		Work  int     `json:"work"`
+		Slots int     `json:"slots"`
+		Local bool    `json:"local"`
+		Avoid bool    `json:"avoid"`
+		Cold  bool    `json:"cold"`
+		Pace  float64 `json:"pace"`
 	} `json:"candidates"`
 	// Want lists the ids of the endpoints chosen in 100 calls, each at least once.
 	Want []string `json:"want"`
@@ -63,6 +64,24 @@
 	}
 })
 
+// Guards against choices that change although no endpoint is slow.
+var _ = It("chooses as without a pace where no endpoint is slow", func() {
+	random := rand.New(rand.NewPCG(2, 2))
+	for seed := range uint64(500) {
+		var plain, paced []choose.Candidate
+		for range 1 + random.IntN(8) {
+			candidate := choose.Candidate{
+				Work: random.IntN(20), Slots: random.IntN(12), Local: random.IntN(2) == 0, Avoid: random.IntN(3) == 0, Cold: random.IntN(4) == 0,
+			}
+			plain = append(plain, candidate)
+			candidate.Pace = random.Float64()
+			paced = append(paced, candidate)
+		}
+		first, second := rand.New(rand.NewPCG(seed, 3)), rand.New(rand.NewPCG(seed, 3))
+		Expect(choose.Best(paced, first)).To(Equal(choose.Best(plain, second)), "seed %d", seed)
+	}
+})
+
 // imbalanceOf simulates gateways with stale load reports, and returns the ratio of the
 // highest load to the mean load, averaged over time.
 func imbalanceOf(pick func([]choose.Candidate, *rand.Rand) int) float64 {
--- a/internal/conns/conns.go
+++ b/internal/conns/conns.go
@@ -49,7 +49,7 @@
 )
 
 // ErrNotSent marks errors of requests that were not sent because no connection could
-// be established.
+// be established or because they were no longer allowed.
 var ErrNotSent = errors.New("no connection to the endpoint")
 
 // ErrTooLong is the error of an endpoint that sends more than maxHeadBytes without
@@ -246,6 +246,9 @@
 	// Matches reports whether a response header belongs to this request; other
 	// responses are skipped.
 	Matches func(http.Header) bool
+	// Allowed is called once there is a connection, right before the request is written.
+	// The request is not sent if it returns an error; nil allows all.
+	Allowed func() error
 }
 
 // Exchange is a request and its response, whose header was received.
@@ -276,6 +279,12 @@
 		}
 		used = dialed
 	}
+	if request.Allowed != nil {
+		if err := request.Allowed(); err != nil {
+			abort(used)
+			return nil, errors.Mark(err, ErrNotSent)
+		}
+	}
 	exchange := &Exchange{pool: pool, conn: used, stop: context.AfterFunc(ctx, func() { abort(used) })}
 	if err := exchange.begin(request); err != nil {
 		exchange.stop()
--- a/internal/conns/conns_test.go
+++ b/internal/conns/conns_test.go
@@ -178,3 +178,24 @@
 	Expect(err).To(HaveOccurred())
 	Eventually(backend.Requests()[0].Disconnected).WithTimeout(limit).Should(BeClosed())
 })
+
+// Guards against a request that is sent although the endpoint has said meanwhile that it
+// wants none, on a new connection or a reused one.
+var _ = It("writes nothing once the request is no longer allowed", func() {
+	backend, err := fake.NewBackend("Id", []fake.Step{{Text: response}}, 1)
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(backend.Close)
+	pool, address := newPool(), backend.Addresses()[0]
+	refused := errors.New("not allowed")
+	for sent := range 2 {
+		_, err := pool.Do(context.Background(), conns.Request{
+			Address: address, Method: http.MethodGet, Head: []byte("GET / HTTP/1.1\r\nHost: h\r\n\r\n"), Allowed: func() error { return refused },
+		})
+		Expect(errors.Is(err, refused)).To(BeTrue())
+		Expect(errors.Is(err, conns.ErrNotSent)).To(BeTrue())
+		Expect(backend.Requests()).To(HaveLen(sent))
+		_, err = post(pool, address, []byte("b"))
+		Expect(err).NotTo(HaveOccurred())
+	}
+	Expect(pool.Dialed()).To(BeEquivalentTo(3))
+})
--- a/internal/gate/attempt.go
+++ b/internal/gate/attempt.go
@@ -50,6 +50,10 @@
 		forwarder.mayHaveRun, forwarder.brokeStale = true, true
 		exchange, err = forwarder.send(ctx, endpoint, true)
 	}
+	if errors.Is(err, errClosed) {
+		gateway.recordResult(endpoint, notRun)
+		return notSent, err
+	}
 	if err != nil {
 		ended := unknown
 		if errors.Is(err, conns.ErrNotSent) {
@@ -63,6 +67,7 @@
 	facts := gateway.settings.Dialect.Answer(exchange.Response.Header)
 	forwarder.limit = facts.Limit
 	gateway.board.Answered(endpointKey(endpoint), facts.Limit, sent)
+	gateway.observe(endpoint, exchange.Response.StatusCode, facts)
 	ended, complete, err := forwarder.readResponse(ctx, endpoint, exchange.Response)
 	exchange.Close(complete, facts.Idle)
 	if ctx.Err() == nil || ended == delivered {
@@ -87,6 +92,7 @@
 			id := gateway.settings.Dialect.Answer(header).ID
 			return id == "" || id == forwarder.task.ID
 		},
+		Allowed: func() error { return gateway.mayGet(endpoint) },
 	})
 }
 
--- /dev/null
+++ b/internal/gate/export_test.go
@@ -0,0 +1,11 @@
+package gate
+
+import (
+	"github.com/hibiscuslug/hibiscuslug/internal/notice"
+	"github.com/hibiscuslug/hibiscuslug/internal/roster"
+)
+
+// NoticeOf returns what the gateway knows of a start of an endpoint.
+func (gateway *Gateway) NoticeOf(record roster.Record) notice.State {
+	return gateway.board.Notice(endpointKey(record))
+}
--- a/internal/gate/forward.go
+++ b/internal/gate/forward.go
@@ -112,7 +112,7 @@
 	for {
 		endpoint, ok := forwarder.choose()
 		if !ok {
-			forwarder.end(ctx, "no endpoint takes the request")
+			forwarder.endUnchosen(ctx)
 			return
 		}
 		endpoint, admission := forwarder.admit(ctx, endpoint)
@@ -277,9 +277,9 @@
 // choose picks the endpoint for the next attempt.
 func (forwarder *forwarder) choose() (roster.Record, bool) {
 	gateway := forwarder.gateway
-	records := gateway.poller.Endpoints(forwarder.service.Name)
+	notices, now := gateway.board.Notices(), gateway.clock.Now()
+	records, _ := withoutClosed(gateway.poller.Endpoints(forwarder.service.Name), notices, now)
 	loads := gateway.poller.Loads()
-	now := gateway.clock.Now()
 	gateway.mu.Lock()
 	defer gateway.mu.Unlock()
 	var candidates []choose.Candidate
@@ -296,11 +296,12 @@
 	forwarder.meanWork = float64(sum.Ahead(true)) / float64(max(len(open), 1))
 	forwarder.meanOnTime = float64(sum.Ahead(false)) / float64(max(len(open), 1))
 	for _, record := range open {
+		noticed := notices.State(endpointKey(record), now)
 		candidates = append(candidates, choose.Candidate{
 			ID: record.ID, Work: loads[record.ID].Plus(gateway.work[record.ID]).Ahead(forwarder.late), Slots: slots(record, forwarder.service),
 			Local: record.Zone == gateway.settings.Node.Zone,
-			Avoid: now-record.ReceivedAt > maxHeartbeatAge || gateway.detector.Use(healthKey(record), now) == retry.Avoid,
-			Cold:  now < record.ColdUntil,
+			Avoid: now-record.ReceivedAt > maxHeartbeatAge || gateway.detector.Use(healthKey(record), now) == retry.Avoid || noticed.ToldPause > 0,
+			Cold:  now < record.ColdUntil, Pace: noticed.Pace,
 		})
 	}
 	at := choose.Best(candidates, gateway.random)
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -80,17 +80,19 @@
 	// started is set once the process was ready for the first time.
 	started atomic.Bool
 	// waiting counts the requests that wait in waitUntil.
-	waiting   atomic.Int64
-	meter     *meter.Meter
-	answered  *meter.Counter
-	sends     *meter.Counter
-	firstByte *meter.Histogram
-	eventGap  *meter.Histogram
-	http      *http.Server
-	ready     *http.Server
-	listener  net.Listener
-	cancel    context.CancelFunc
-	loops     conc.WaitGroup
+	waiting atomic.Int64
+	// pauseEnded counts the requests ended because all endpoints ask for a pause.
+	pauseEnded atomic.Int64
+	meter      *meter.Meter
+	answered   *meter.Counter
+	sends      *meter.Counter
+	firstByte  *meter.Histogram
+	eventGap   *meter.Histogram
+	http       *http.Server
+	ready      *http.Server
+	listener   net.Listener
+	cancel     context.CancelFunc
+	loops      conc.WaitGroup
 
 	// mu guards the fields below. It is a leaf lock.
 	mu     sync.Mutex
@@ -152,6 +154,8 @@
 	gateway.meter.Gauge(meter.Dialed, func() any { return gateway.conns.Dialed() })
 	gateway.meter.Gauge(meter.Version, func() any { return gateway.Version() })
 	gateway.meter.Gauge(meter.Stalled, func() any { return gateway.stalledGroups() })
+	gateway.meter.Gauge(meter.Noticed, func() any { return gateway.noticed() })
+	gateway.meter.Gauge(meter.PauseEnded, func() any { return gateway.pauseEnded.Load() })
 	return gateway.meter.Serve(gateway.settings.Node.MetricsListen)
 }
 
--- a/internal/gate/stall.go
+++ b/internal/gate/stall.go
@@ -145,6 +145,9 @@
 
 // retryAfter returns the Retry-After for a request that was not executed.
 func (forwarder *forwarder) retryAfter() clock.Millis {
+	if wait := forwarder.pauseWait(); wait > 0 {
+		return forwarder.gateway.jitter(wait)
+	}
 	if forwarder.service.Engine == nil || forwarder.gateway.stalledGroups() == 0 {
 		return busyRetryAfter
 	}
--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -41,12 +41,14 @@
 	Dialed          = Metric{"dialed", "connections", "connections made to endpoints since the start (gateway)"}
 	Version         = Metric{"version", "version", "version of the configuration of request forwarding in force; 0 for none (gateway)"}
 	Stalled         = Metric{"stalled", "groups", "groups of ranks that take no work (gateway)"}
+	Noticed         = Metric{"noticed", "endpoints", "starts of endpoints by what was noticed of them: leaving, pausing (this gateway sends nothing), pausingElsewhere and slow (gateway)"}
+	PauseEnded      = Metric{"pauseEnded", "requests", "requests ended since the start because all endpoints ask for a pause (gateway)"}
 	Members         = Metric{"members", "processes", "processes known by their announcements, by role (entry)"}
 	ControlBytesIn  = Metric{"controlBytesIn", "bytes", "bytes received since the start on connections for membership, configuration and commands (all)"}
 	ControlBytesOut = Metric{"controlBytesOut", "bytes", "bytes sent since the start on connections for membership, configuration and commands (all)"}
 )
 
-var allMetrics = []Metric{Requests, InFlight, Attempts, QueueLength, Running, Revision, RevisionAge, Answered, Sends, FirstByte, EventGap, Dialed, Version, Stalled, Members, ControlBytesIn, ControlBytesOut}
+var allMetrics = []Metric{Requests, InFlight, Attempts, QueueLength, Running, Revision, RevisionAge, Answered, Sends, FirstByte, EventGap, Dialed, Version, Stalled, Noticed, PauseEnded, Members, ControlBytesIn, ControlBytesOut}
 
 // revisionTimeout limits the wait of one request to /debug/revision.
 const revisionTimeout = 30 * time.Second
