soak: endpoints that ask for pauses, leave and start again

Cause: the soak had no endpoint that leaves or asks for a pause. Change: three in ten refusals ask for a pause of 0.4 s; two in a thousand requests make an endpoint leave, and it starts again a second later. The checks are the same as before.

--- a/test/soak/backend_test.go
+++ b/test/soak/backend_test.go
@@ -15,8 +15,12 @@
 // events is the number of events of every stream.
 const events = 12
 
-// backend is an endpoint. It refuses some requests, drops some responses,
-// truncates some streams and reports every run to the recorder.
+// leavingTime is the time after which an endpoint that leaves starts again.
+const leavingTime = time.Second
+
+// backend is an endpoint. It refuses some requests, asks for pauses, leaves and starts
+// again, drops some responses, truncates some streams and reports every run to the
+// recorder.
 type backend struct {
 	id       string
 	server   *httptest.Server
@@ -26,6 +30,8 @@
 	random   *rand.Rand
 	sequence int
 	started  int64
+	// leavesAt is when the endpoint began to leave; zero if it does not.
+	leavesAt time.Time
 }
 
 func newBackend(id string, seed uint64, recorder *recorder) *backend {
@@ -52,9 +58,23 @@
 	backend.mu.Lock()
 	defer backend.mu.Unlock()
 	backend.sequence++
+	if !backend.leavesAt.IsZero() && time.Since(backend.leavesAt) > leavingTime {
+		backend.leavesAt, backend.started = time.Time{}, time.Now().UnixMilli()
+	}
 	return fmt.Sprintf(`{"service":"desk","address":%q,"zone":"z0","slots":8,"state":"ready","sequence":%d,"born":%d}`, address, backend.sequence, backend.started)
 }
 
+// isLeaving reports whether the endpoint leaves, which it begins to do at random.
+func (backend *backend) isLeaving() bool {
+	begins := backend.randomFloat() < 0.002
+	backend.mu.Lock()
+	defer backend.mu.Unlock()
+	if begins && backend.leavesAt.IsZero() {
+		backend.leavesAt = time.Now()
+	}
+	return !backend.leavesAt.IsZero()
+}
+
 func expectedResponse(id, body string) string { return "answer to " + id + " with " + body }
 
 // ServeHTTP runs a request.
@@ -70,8 +90,14 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	if backend.isLeaving() {
+		w.Header().Set("Server-Leaving", "1")
+	}
 	if backend.randomFloat() < 0.05 {
 		w.Header().Set("Hibiscuslug-Not-Executed", "1")
+		if backend.randomFloat() < 0.3 {
+			w.Header().Set("Retry-After", "0.4")
+		}
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
