--- a/internal/gate/attempt.go
+++ b/internal/gate/attempt.go
@@ -53,6 +53,10 @@
 		}
 		exchange, err = forwarder.send(ctx, endpoint, true)
 	}
+	if errors.Is(err, errClosed) {
+		gateway.recordResult(endpoint, notRun)
+		return notSent, err
+	}
 	if err != nil {
 		ended := unknown
 		if errors.Is(err, conns.ErrNotSent) {
@@ -68,6 +72,7 @@
 	forwarder.limit = facts.Limit
 	gateway.board.Answered(endpointKey(endpoint), facts.Limit, sent)
 	gateway.recordCold(endpoint, facts.Cold, sent)
+	gateway.observe(endpoint, exchange.Response.StatusCode, facts)
 	ended, complete, err := forwarder.readResponse(ctx, endpoint, exchange.Response)
 	exchange.Close(complete, facts.Idle)
 	if ctx.Err() == nil || ended == delivered {
@@ -92,6 +97,7 @@
 			id := gateway.settings.Dialect.Answer(header).ID
 			return id == "" || id == forwarder.task.ID
 		},
+		Allowed: func() error { return gateway.mayGet(endpoint) },
 	})
 }
 
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -81,18 +81,20 @@
 	// started is set once the process was ready for the first time.
 	started atomic.Bool
 	// waiting counts the requests that wait in waitUntil.
-	waiting   atomic.Int64
-	meter     *meter.Meter
-	answered  *meter.Counter
-	sends     *meter.Counter
-	denied    *meter.Counter
-	firstByte *meter.Histogram
-	eventGap  *meter.Histogram
-	http      *http.Server
-	ready     *http.Server
-	listener  net.Listener
-	cancel    context.CancelFunc
-	loops     conc.WaitGroup
+	waiting atomic.Int64
+	// pauseEnded counts the requests ended because all endpoints ask for a pause.
+	pauseEnded atomic.Int64
+	meter      *meter.Meter
+	answered   *meter.Counter
+	sends      *meter.Counter
+	denied     *meter.Counter
+	firstByte  *meter.Histogram
+	eventGap   *meter.Histogram
+	http       *http.Server
+	ready      *http.Server
+	listener   net.Listener
+	cancel     context.CancelFunc
+	loops      conc.WaitGroup
 
 	// mu guards the fields below. It is a leaf lock.
 	mu     sync.Mutex
@@ -164,6 +166,8 @@
 	gateway.denied = gateway.meter.Counter(meter.ColdDenied)
 	gateway.meter.Gauge(meter.ColdEndpoints, func() any { return len(gateway.coldEndpoints()) })
 	gateway.meter.Gauge(meter.Stalled, func() any { return gateway.stalledGroups() })
+	gateway.meter.Gauge(meter.Noticed, func() any { return gateway.noticed() })
+	gateway.meter.Gauge(meter.PauseEnded, func() any { return gateway.pauseEnded.Load() })
 	return gateway.meter.Serve(gateway.settings.Node.MetricsListen)
 }
 
