gate: test of a slow endpoint

Cause: the use of a pace in the gateway had no test. Change: one spec. Result: it passes (go test ./internal/gate, this spec); make lint 0 issues.

--- a/internal/gate/export_test.go
+++ b/internal/gate/export_test.go
@@ -9,3 +9,8 @@
 func (gateway *Gateway) NoticeOf(record roster.Record) notice.State {
 	return gateway.board.Notice(endpointKey(record))
 }
+
+// SetPace states the pace of an endpoint, as the control leader does.
+func (gateway *Gateway) SetPace(record roster.Record, pace float64) {
+	gateway.board.SetPace(endpointKey(record), pace)
+}
--- a/internal/gate/notice_test.go
+++ b/internal/gate/notice_test.go
@@ -193,3 +193,17 @@
 	Entry("of another endpoint at the address",
 		"HTTP/1.1 421 No\r\nHibiscuslug-Request-Id: {id}\r\nHibiscuslug-Not-Executed: 1\r\nServer-Leaving: 1\r\nRetry-After: 600\r\nContent-Length: 0\r\n\r\n"),
 )
+
+// Guards against a slow rank that gets as many requests as others, and against one that
+// gets none any more once it is fast again.
+var _ = It("sends a slow endpoint nothing while others have free slots", func() {
+	site := newNoticeSite(1, []fake.Step{{Text: okResponse}}, []fake.Step{{Text: okResponse}})
+	for range 20 {
+		// The notice is valid for 3 s, so it is stated again each time.
+		site.gateway.SetPace(site.record(0, 1), 12)
+		Expect(site.look(0).StatusCode).To(Equal(http.StatusOK))
+	}
+	Expect(site.backends[0].Requests()).To(BeEmpty())
+	site.gateway.SetPace(site.record(0, 1), 1)
+	Eventually(func() int { site.look(0); return len(site.backends[0].Requests()) }).WithTimeout(limit).Should(BeNumerically(">", 0))
+})
