state, query: orders about the evacuation of a zone

Cause: an operator could not stop requests from being sent to a zone. The query language has evacuate zone, restore zone and show zones.

--- a/internal/state/change.go
+++ b/internal/state/change.go
@@ -68,6 +68,8 @@
 		return state.putPlacement(body.Placement)
 	case *wire.Change_Deployment:
 		return state.putDeployment(body.Deployment)
+	case *wire.Change_Evacuation:
+		return state.putEvacuation(body.Evacuation, change.GetAt())
 	case *wire.Change_Drop:
 		return state.drop(body.Drop)
 	default:
--- a/internal/state/command.go
+++ b/internal/state/command.go
@@ -28,10 +28,20 @@
 		return dropChange("drain", command.Undrain.Name.Text), nil
 	case command.Unblock != nil && command.Unblock.What == "request":
 		return dropChange("block", command.Unblock.Name.Text), nil
+	case command.Evacuate != nil && command.Evacuate.What == "zone":
+		return evacuation(config, command.Evacuate.Name.Text, true), nil
+	case command.Restore != nil && command.Restore.What == "zone":
+		return evacuation(config, command.Restore.Name.Text, false), nil
 	}
 	return nil, refuse(CodeInvalid, "this command does not change the configuration")
 }
 
+// evacuation returns an order about a zone that is made for the zone's present record.
+func evacuation(config *State, zone string, active bool) *wire.Change {
+	current, _ := config.Evacuation(zone)
+	return &wire.Change{Body: &wire.Change_Evacuation{Evacuation: &wire.Evacuation{Zone: zone, Active: active, After: current.GetRevision()}}}
+}
+
 func dropChange(what, name string) *wire.Change {
 	return &wire.Change{Body: &wire.Change_Drop{Drop: &wire.Drop{What: what, Name: name}}}
 }
--- a/internal/state/snapshot.go
+++ b/internal/state/snapshot.go
@@ -7,15 +7,16 @@
 // Snapshot returns the configuration as a message.
 func (state *State) Snapshot() *wire.Snapshot {
 	return &wire.Snapshot{
-		Revision:   state.revision,
-		Customers:  state.Customers(),
-		Tiers:      state.Tiers(),
-		Rules:      state.rules,
-		Drains:     state.Drains(),
-		Blocks:     state.Blocks(),
-		Groups:     state.Groups(),
-		Placements: state.Placements(),
-		Deployment: state.deployment,
+		Revision:    state.revision,
+		Customers:   state.Customers(),
+		Tiers:       state.Tiers(),
+		Rules:       state.rules,
+		Drains:      state.Drains(),
+		Blocks:      state.Blocks(),
+		Groups:      state.Groups(),
+		Placements:  state.Placements(),
+		Deployment:  state.deployment,
+		Evacuations: state.Evacuations(),
 	}
 }
 
@@ -47,5 +48,8 @@
 	for _, placement := range snapshot.GetPlacements() {
 		state.placements[placement.GetEngine()] = placement
 	}
+	for _, evacuation := range snapshot.GetEvacuations() {
+		state.evacuations[evacuation.GetZone()] = evacuation
+	}
 	return state
 }
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -37,6 +37,8 @@
 	// placements holds the desired models by engine.
 	placements map[string]*wire.Placement
 	deployment *wire.Deployment
+	// evacuations holds the latest order about each zone.
+	evacuations map[string]*wire.Evacuation
 }
 
 // New returns the initial configuration at revision 0. It contains only the
@@ -49,10 +51,11 @@
 			"paid": {Name: "paid", Level: wire.Tier_TIER_PAID, Patience: 60_000},
 			"free": {Name: "free", Level: wire.Tier_TIER_FREE, Patience: 600_000},
 		},
-		drains:     map[string]*wire.Drain{},
-		blocks:     map[uint64]*wire.Block{},
-		groups:     map[string]*wire.GroupRecord{},
-		placements: map[string]*wire.Placement{},
+		drains:      map[string]*wire.Drain{},
+		blocks:      map[uint64]*wire.Block{},
+		groups:      map[string]*wire.GroupRecord{},
+		placements:  map[string]*wire.Placement{},
+		evacuations: map[string]*wire.Evacuation{},
 	}
 }
 
--- a/pkg/query/catalogue.go
+++ b/pkg/query/catalogue.go
@@ -138,6 +138,14 @@
 		{"crashes", number, "endpoints that it crashed"},
 		{"until", instant, "end of the block"},
 	}},
+	{"zones", "availability zones that have been evacuated or may be", []Column{
+		{"zone", text, "availability zone"},
+		{"evacuated", text, "yes when its endpoints get no requests"},
+		{"since", instant, "when the latest order about the zone was accepted"},
+		{"revision", number, "configuration revision of that order; 0 without one"},
+		{"gateways", number, "gateways that hold that revision, as the control VM that answers heard in the last minute"},
+		{"missing", text, "gateways that do not hold it"},
+	}},
 	{"control", "control VMs", []Column{
 		{"name", text, "control VM"},
 		{"address", text, "IP:port"},
--- a/pkg/query/check.go
+++ b/pkg/query/check.go
@@ -11,7 +11,7 @@
 	"github.com/hibiscuslug/hibiscuslug/pkg/wire"
 )
 
-var verbs = []string{"show", "create", "alter", "drop", "drain", "undrain", "cancel", "unblock", "explain", "add", "remove"}
+var verbs = []string{"show", "create", "alter", "drop", "drain", "undrain", "cancel", "unblock", "evacuate", "restore", "explain", "add", "remove"}
 
 var recordKinds = []string{"customer", "tier", "rule"}
 
@@ -59,6 +59,10 @@
 		return command.Cancel.check("request")
 	case command.Unblock != nil:
 		return command.Unblock.check("request")
+	case command.Evacuate != nil:
+		return command.Evacuate.check("zone")
+	case command.Restore != nil:
+		return command.Restore.check("zone")
 	case command.Explain != nil:
 		return command.Explain.check("request")
 	case command.Add != nil:
--- a/pkg/query/query.go
+++ b/pkg/query/query.go
@@ -6,6 +6,7 @@
 //	drop customer|tier|rule NAME [if revision N]
 //	drain|undrain endpoint NAME [if revision N]
 //	unblock request ID [if revision N]
+//	evacuate|restore zone NAME [if revision N]
 //	cancel request ID
 //	explain request ID
 //	add|remove control NAME [if revision N]
@@ -30,6 +31,8 @@
 	Undrain    *Target   `parser:" | 'undrain':Word @@"`
 	Cancel     *Target   `parser:" | 'cancel':Word @@"`
 	Unblock    *Target   `parser:" | 'unblock':Word @@"`
+	Evacuate   *Target   `parser:" | 'evacuate':Word @@"`
+	Restore    *Target   `parser:" | 'restore':Word @@"`
 	Explain    *Target   `parser:" | 'explain':Word @@"`
 	Add        *Target   `parser:" | 'add':Word @@"`
 	Remove     *Target   `parser:" | 'remove':Word @@ )"`
