ctrl, platform: take orders about zones and tell how far they have spread

Cause: control VMs did not take the operator's orders to evacuate a zone. Change: a control VM confirms its state, acknowledges what is already fulfilled and otherwise proposes the order for the zone's present record. Control VMs keep the revision that each gateway last polled with; show zones lists the gateways without an order, and the leader logs 422 and 423 (internal/evac). Metric evacuated.

--- a/internal/ctrl/control.go
+++ b/internal/ctrl/control.go
@@ -15,6 +15,7 @@
 
 	"github.com/hibiscuslug/hibiscuslug/internal/board"
 	"github.com/hibiscuslug/hibiscuslug/internal/claim"
+	"github.com/hibiscuslug/hibiscuslug/internal/evac"
 	"github.com/hibiscuslug/hibiscuslug/internal/event"
 	"github.com/hibiscuslug/hibiscuslug/internal/feed"
 	"github.com/hibiscuslug/hibiscuslug/internal/link"
@@ -99,10 +100,11 @@
 	machine *state.Machine
 	claims  *claim.Table
 
-	// reportsMu guards reports, the load reports by node. No other lock is
-	// acquired while it is held.
+	// reportsMu guards reports, the load reports by node, and spread, the revisions
+	// that gateways hold. No other lock is acquired while it is held.
 	reportsMu sync.Mutex
 	reports   map[string]loadReport
+	spread    *evac.Spread
 
 	cancel context.CancelFunc
 	loops  conc.WaitGroup
@@ -130,6 +132,7 @@
 		inbox: make(chan input, inboxSize), waiters: map[uint64]waiter{}, pendingProposals: map[uint64][]chan<- outcome{},
 		machine: state.NewMachine(), claims: claim.NewTable(), self: settings.Node.Name,
 		incarnation: rand.Uint64(), startedAt: ticker.Now(), reports: map[string]loadReport{}, board: board.New(ticker, log),
+		spread: evac.New(settings.Control.EvacuateLimit),
 	}
 	seeded := len(settings.Control.Seed) > 0
 	if seeded {
@@ -222,6 +225,7 @@
 	control.loops.Go(func() { control.run(ctx) })
 	control.loops.Go(func() { control.tick(ctx) })
 	control.loops.Go(func() { control.writer.run(ctx) })
+	control.loops.Go(func() { control.watchSpread(ctx) })
 	control.peers.start(ctx)
 	control.server.Start()
 	if len(control.settings.Control.Seed) > 0 {
--- a/internal/ctrl/fleet.go
+++ b/internal/ctrl/fleet.go
@@ -145,11 +145,14 @@
 	if request.GetControl() {
 		control.poller.AddMember(request.GetAddress(), request.GetZone())
 	}
+	control.reportsMu.Lock()
+	defer control.reportsMu.Unlock()
+	if !request.GetControl() {
+		control.spread.Polled(request.GetNode(), request.GetRevision(), control.clock.Now())
+	}
 	if request.GetGateways() == 0 {
 		return
 	}
-	control.reportsMu.Lock()
-	defer control.reportsMu.Unlock()
 	control.reports[request.GetNode()] = loadReport{
 		loads: request.GetLoads(), gateways: request.GetGateways(), control: request.GetControl(), at: control.clock.Now(),
 	}
--- a/internal/ctrl/local.go
+++ b/internal/ctrl/local.go
@@ -14,6 +14,9 @@
 // localTable returns the table for a query about the configuration or about
 // this process.
 func (control *Control) localTable(what string) (*wire.Table, error) {
+	if what == "zones" {
+		return control.zones(), nil
+	}
 	if what == "nodes" {
 		table := tables.New("nodes")
 		tables.Add(table, tables.Node(control.announcement(), 0)...)
--- a/internal/ctrl/operate.go
+++ b/internal/ctrl/operate.go
@@ -123,6 +123,11 @@
 	if err != nil {
 		return nil, err
 	}
+	if order := change.GetEvacuation(); order != nil {
+		if err := control.checkZone(order.GetZone()); err != nil {
+			return nil, err
+		}
+	}
 	change.CommandId, change.Text, change.At = command.GetId(), query.Redact(command.GetText()), int64(control.clock.Now())
 	if parsed.IfRevision != nil {
 		change.IfRevision, change.Conditional = *parsed.IfRevision, true
--- a/internal/ctrl/seeds_test.go
+++ b/internal/ctrl/seeds_test.go
@@ -10,6 +10,8 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/sourcegraph/conc"
+
 	"github.com/hibiscuslug/hibiscuslug/internal/bounds"
 	"github.com/hibiscuslug/hibiscuslug/internal/ctrl"
 	"github.com/hibiscuslug/hibiscuslug/internal/event"
@@ -28,6 +30,8 @@
 	// On lists the VMs of the step by number.
 	On      []int  `json:"on"`
 	Version uint64 `json:"version"`
+	// Zone is the zone of an order.
+	Zone string `json:"zone"`
 }
 
 type seedScript struct {
@@ -40,14 +44,39 @@
 // seeded is a group formed from seeds, in this process. Each VM has its own
 // loopback address; all listen on the same port.
 type seeded struct {
-	script  seedScript
-	port    int
-	seeds   []string
+	script seedScript
+	port   int
+	seeds  []string
+	// zones is the setting of the known zones of VMs that start.
+	zones   []string
 	running map[int]*ctrl.Control
 	folders map[int]string
 	disks   map[int]*fake.Disk
 }
 
+// newSeeded starts the VMs of a script.
+func newSeeded(script seedScript) *seeded {
+	listener, err := ports.Listen()
+	Expect(err).NotTo(HaveOccurred())
+	Expect(listener.Close()).To(Succeed())
+	group := &seeded{script: script, running: map[int]*ctrl.Control{}, folders: map[int]string{}, disks: map[int]*fake.Disk{}}
+	_, err = fmt.Sscanf(listener.Addr().String(), "127.0.0.1:%d", &group.port)
+	Expect(err).NotTo(HaveOccurred())
+	for number := range min(script.VMs, 3) {
+		// The port of a seed belongs to another service of the VM; it is replaced.
+		group.seeds = append(group.seeds, fmt.Sprintf("127.0.0.%d:1", 10+number))
+	}
+	DeferCleanup(func() {
+		for number := range group.running {
+			group.stop(number)
+		}
+	})
+	for number := range script.VMs {
+		group.start(number, true)
+	}
+	return group
+}
+
 func (group *seeded) start(number int, bootstrap bool) {
 	if group.folders[number] == "" {
 		group.folders[number] = GinkgoT().TempDir()
@@ -59,6 +88,7 @@
 		Control: opts.Control{
 			Data: group.folders[number], Seed: group.seeds, Bootstrap: bootstrap, Tolerance: bounds.Count(group.script.Tolerance),
 			ElectionTimeout: 300, CommitLimit: 2 * clock.Second, SnapshotBytes: 4096,
+			KnownZone: group.zones, EvacuateLimit: 5 * clock.Second,
 		},
 	}, clock.NewSystem(), event.Discard())
 	Expect(err).NotTo(HaveOccurred())
@@ -145,11 +175,68 @@
 		for _, number := range step.On {
 			Eventually(func() int { return len(group.running[number].Endpoints("s")) }).WithTimeout(seedLimit).Should(BeNumerically(">", 0), "VM %d", number)
 		}
+	default:
+		group.doZone(step)
+	}
+}
+
+// doZone runs a step about a zone.
+func (group *seeded) doZone(step seedStep) {
+	switch step.Do {
+	case "evacuate", "restore":
+		for _, number := range step.On {
+			Eventually(func() error {
+				return group.running[number].Evacuate(context.Background(), step.Zone, step.Do == "evacuate")
+			}).WithTimeout(seedLimit).Should(Succeed(), "%s through VM %d", step.Do, number)
+		}
+	case "race":
+		group.race(step)
+	case "evacuated", "restored":
+		for _, number := range step.On {
+			Eventually(func() string { return group.evacuated(number, step.Zone) }).WithTimeout(seedLimit).
+				Should(Equal(map[string]string{"evacuated": "yes", "restored": "no"}[step.Do]), "VM %d", number)
+		}
 	default:
 		Fail("no step " + step.Do)
 	}
 }
 
+// evacuated returns the cell of show zones for a zone, or an empty text without one.
+func (group *seeded) evacuated(number int, zone string) string {
+	table, err := group.running[number].Local(context.Background(), &wire.NodeQuery{What: "zones"})
+	Expect(err).NotTo(HaveOccurred())
+	for _, row := range table.GetRows() {
+		if row.GetCells()[0] == zone {
+			return row.GetCells()[1]
+		}
+	}
+	return ""
+}
+
+// race sends opposite orders about a zone through two VMs at once, several times. All
+// VMs must agree on the state after it.
+func (group *seeded) race(step seedStep) {
+	for range step.Version {
+		var racing conc.WaitGroup
+		for at, number := range step.On {
+			racing.Go(func() {
+				// One of the orders may be refused as a conflict.
+				_ = group.running[number].Evacuate(context.Background(), step.Zone, at%2 == 0)
+			})
+		}
+		racing.Wait()
+	}
+	Eventually(func() bool {
+		first := group.evacuated(step.On[0], step.Zone)
+		for number := range group.running {
+			if group.evacuated(number, step.Zone) != first {
+				return false
+			}
+		}
+		return true
+	}).WithTimeout(seedLimit).Should(BeTrue())
+}
+
 // poll reports the load of one gateway and returns the sum of the other
 // gateways' loads and the number of all gateways.
 func (group *seeded) poll(number int, gateway string, running uint32) []uint32 {
@@ -202,24 +289,7 @@
 	}
 	for _, script := range scripts {
 		It(script.Name, func() {
-			listener, err := ports.Listen()
-			Expect(err).NotTo(HaveOccurred())
-			Expect(listener.Close()).To(Succeed())
-			group := &seeded{script: script, running: map[int]*ctrl.Control{}, folders: map[int]string{}, disks: map[int]*fake.Disk{}}
-			_, err = fmt.Sscanf(listener.Addr().String(), "127.0.0.1:%d", &group.port)
-			Expect(err).NotTo(HaveOccurred())
-			for number := range 3 {
-				// The port of a seed belongs to another service of the VM; it is replaced.
-				group.seeds = append(group.seeds, fmt.Sprintf("127.0.0.%d:1", 10+number))
-			}
-			DeferCleanup(func() {
-				for number := range group.running {
-					group.stop(number)
-				}
-			})
-			for number := range script.VMs {
-				group.start(number, true)
-			}
+			group := newSeeded(script)
 			for _, step := range script.Steps {
 				By(fmt.Sprintf("%+v", step))
 				group.do(step)
--- a/internal/entry/operate.go
+++ b/internal/entry/operate.go
@@ -4,6 +4,8 @@
 	"context"
 	"fmt"
 	"slices"
+	"strconv"
+	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -78,6 +80,9 @@
 	case "control":
 		results, reply.Warnings = entry.gather(ctx, nodeQuery, entry.controlAddresses())
 		results = []*wire.Table{mostConnected(results)}
+	case "zones":
+		results, reply.Warnings = entry.gather(ctx, nodeQuery, entry.controlAddresses())
+		results = []*wire.Table{mostHeard(results)}
 	default:
 		table, _ := tables.Config(show.What, entry.view, entry.clock.Now())
 		results = append(results, table)
@@ -184,6 +189,23 @@
 	return best
 }
 
+// mostHeard returns the zones of the control VM that hears from the most gateways.
+func mostHeard(results []*wire.Table) *wire.Table {
+	best, most := &wire.Table{}, -1
+	for _, table := range results {
+		heard := 0
+		for _, row := range table.GetRows() {
+			// A number that cannot be read counts as 0.
+			holding, _ := strconv.Atoi(row.GetCells()[4])
+			heard += holding + len(strings.FieldsFunc(row.GetCells()[5], func(char rune) bool { return char == ',' }))
+		}
+		if table != nil && heard > most {
+			best, most = table, heard
+		}
+	}
+	return best
+}
+
 // explain returns the stages of a request from the entry VM that received it.
 func (entry *Entry) explain(ctx context.Context, id string) *wire.CommandReply {
 	results, warnings := entry.gather(ctx, &wire.NodeQuery{What: "explain", RequestId: id}, entry.entryAddresses())
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -67,6 +67,10 @@
 	DeploymentRefused  = Event{416, "configuration of request forwarding not accepted"}
 	DeploymentInForce  = Event{417, "configuration of request forwarding in force"}
 	SettingWithdrawn   = Event{418, "value of the settings file replaced by the default"}
+	EvacuationAccepted = Event{420, "evacuation of a zone accepted"}
+	EvacuationFailed   = Event{421, "evacuation of a zone not accepted"}
+	EvacuationHeld     = Event{422, "all gateways know of the evacuation of a zone"}
+	EvacuationLate     = Event{423, "gateways do not know of the evacuation of a zone"}
 	EngineUnreachable  = Event{501, "engine does not answer"}
 	InstructionRefused = Event{502, "instruction with an old fencing number refused"}
 	RankOrdered        = Event{601, "order to a rank's engine"}
--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -34,6 +34,7 @@
 	Running         = Metric{"running", "attempts", "attempts that run, by engine (endpoint)"}
 	Revision        = Metric{"revision", "revision", "configuration revision in force (all)"}
 	RevisionAge     = Metric{"revisionAge", "ms", "time since control confirmed the revision; -1 when it never did (all)"}
+	Evacuated       = Metric{"evacuated", "zones", "availability zones whose endpoints get no requests (all)"}
 	Answered        = Metric{"answered", "requests", "requests that ended since the start, by kind of route and outcome, as KIND.OUTCOME (gateway)"}
 	Sends           = Metric{"sends", "attempts", "attempts at endpoints that ended since the start, by result (gateway)"}
 	FirstByte       = Metric{"firstByte", "ms", "time to the answer or its first event, by kind of route: count, p50, p90, p99 and largest of the last minutes (gateway)"}
@@ -46,7 +47,7 @@
 	ControlBytesOut = Metric{"controlBytesOut", "bytes", "bytes sent since the start on connections for membership, configuration and commands (all)"}
 )
 
-var allMetrics = []Metric{Requests, InFlight, Attempts, QueueLength, Running, Revision, RevisionAge, Answered, Sends, FirstByte, EventGap, Dialed, Version, Stalled, Members, ControlBytesIn, ControlBytesOut}
+var allMetrics = []Metric{Requests, InFlight, Attempts, QueueLength, Running, Revision, RevisionAge, Evacuated, Answered, Sends, FirstByte, EventGap, Dialed, Version, Stalled, Members, ControlBytesIn, ControlBytesOut}
 
 // revisionTimeout limits the wait of one request to /debug/revision.
 const revisionTimeout = 30 * time.Second
@@ -72,6 +73,7 @@
 	}
 	meter.Gauge(Revision, func() any { return view.State().Revision() })
 	meter.Gauge(RevisionAge, func() any { return age(view.Age()) })
+	meter.Gauge(Evacuated, func() any { return view.State().EvacuatedZones() })
 	return meter
 }
 
--- a/internal/state/evacuation.go
+++ b/internal/state/evacuation.go
@@ -29,6 +29,17 @@
 // IsEvacuated reports whether the endpoints of a zone get no requests.
 func (state *State) IsEvacuated(zone string) bool { return state.evacuations[zone].GetActive() }
 
+// EvacuatedZones returns the number of evacuated zones.
+func (state *State) EvacuatedZones() int {
+	count := 0
+	for _, record := range state.evacuations {
+		if record.GetActive() {
+			count++
+		}
+	}
+	return count
+}
+
 // putEvacuation stores an order about a zone. One that the zone's record already
 // fulfils is accepted and changes nothing, so that it may be sent again. One that was
 // made for another record than the present is refused as a conflict, so that a delayed
