gate: send no request to an evacuated zone

Cause: gateways did not read the orders about zones. Change: the choice of an endpoint leaves out evacuated zones, and the zone is looked up again just before each send. A request that is not sent for this counts as one that did not run and chooses another endpoint.

--- a/internal/gate/attempt.go
+++ b/internal/gate/attempt.go
@@ -50,6 +50,10 @@
 		forwarder.mayHaveRun, forwarder.brokeStale = true, true
 		exchange, err = forwarder.send(ctx, endpoint, true)
 	}
+	if errors.Is(err, errEvacuated) {
+		gateway.recordResult(endpoint, notRun)
+		return notSent, err
+	}
 	if err != nil {
 		ended := unknown
 		if errors.Is(err, conns.ErrNotSent) {
@@ -73,6 +77,9 @@
 
 func (forwarder *forwarder) send(ctx context.Context, endpoint roster.Record, fresh bool) (*conns.Exchange, error) {
 	gateway := forwarder.gateway
+	if gateway.isEvacuated(endpoint) {
+		return nil, errEvacuated
+	}
 	send := task.Send{
 		Endpoint: endpoint.ID, Address: endpoint.Address, Customer: forwarder.customer, Left: forwarder.remaining(),
 		LastEvent: forwarder.task.LastEvent, Urgency: forwarder.sentUrgency(),
--- a/internal/gate/forward.go
+++ b/internal/gate/forward.go
@@ -112,7 +112,7 @@
 	for {
 		endpoint, ok := forwarder.choose()
 		if !ok {
-			forwarder.end(ctx, "no endpoint takes the request")
+			forwarder.end(ctx, forwarder.unusableReason())
 			return
 		}
 		endpoint, admission := forwarder.admit(ctx, endpoint)
@@ -286,7 +286,7 @@
 	var open []roster.Record
 	var sum choose.Load
 	for _, record := range records {
-		if forwarder.tried[record.ID] || forwarder.overLimit[record.ID] {
+		if forwarder.tried[record.ID] || forwarder.overLimit[record.ID] || gateway.isEvacuated(record) {
 			continue
 		}
 		open = append(open, record)
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -334,3 +334,6 @@
 	}
 	return 0
 }
+
+// Revision returns the revision of the configuration that the gateway holds.
+func (gateway *Gateway) Revision() uint64 { return gateway.view.State().Revision() }
