soak: evacuate and restore zones

Cause: the soak did not check that an evacuated zone gets no requests. Change: endpoints are in two zones. One stays evacuated while faults are injected, the other is evacuated and restored at random, and orders are sent again. A run in a zone later than 5 s and the longest fault after the acknowledgement is a violation; after the end the zone must get requests again.

--- a/test/soak/backend_test.go
+++ b/test/soak/backend_test.go
@@ -18,7 +18,7 @@
 // backend is an endpoint. It refuses some requests, drops some responses,
 // truncates some streams and reports every run to the recorder.
 type backend struct {
-	id       string
+	id, zone string
 	server   *httptest.Server
 	recorder *recorder
 
@@ -28,8 +28,8 @@
 	started  int64
 }
 
-func newBackend(id string, seed uint64, recorder *recorder) *backend {
-	backend := &backend{id: id, recorder: recorder, random: rand.New(rand.NewPCG(seed, seed)), started: time.Now().UnixMilli()}
+func newBackend(id, zone string, seed uint64, recorder *recorder) *backend {
+	backend := &backend{id: id, zone: zone, recorder: recorder, random: rand.New(rand.NewPCG(seed, seed)), started: time.Now().UnixMilli()}
 	backend.server = httptest.NewServer(backend)
 	return backend
 }
@@ -52,7 +52,7 @@
 	backend.mu.Lock()
 	defer backend.mu.Unlock()
 	backend.sequence++
-	return fmt.Sprintf(`{"service":"desk","address":%q,"zone":"z0","slots":8,"state":"ready","sequence":%d,"born":%d}`, address, backend.sequence, backend.started)
+	return fmt.Sprintf(`{"service":"desk","address":%q,"zone":%q,"slots":8,"state":"ready","sequence":%d,"born":%d}`, address, backend.zone, backend.sequence, backend.started)
 }
 
 func expectedResponse(id, body string) string { return "answer to " + id + " with " + body }
@@ -75,7 +75,7 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	backend.recorder.recordRun(id, request.Header.Get("Hibiscuslug-Tenant"))
+	backend.recorder.recordRun(id, backend.zone, request.Header.Get("Hibiscuslug-Tenant"))
 	w.Header().Set("Hibiscuslug-Response-Seal", "seal-"+id)
 	if backend.randomFloat() < 0.03 {
 		panic(http.ErrAbortHandler)
--- a/test/soak/deployment_test.go
+++ b/test/soak/deployment_test.go
@@ -26,6 +26,9 @@
 	revokeLimit = 3 * time.Second
 )
 
+// backendZones are the zones of the endpoints.
+var backendZones = []string{"za", "zb"}
+
 // node is one process and the proxy through which all others connect to it.
 type node struct {
 	name      string
@@ -70,7 +73,7 @@
 		deployment.addGateway(host, number)
 	}
 	for number := range endpoints {
-		backend := newBackend(fmt.Sprintf("e%d", number), random.Uint64(), recorder)
+		backend := newBackend(fmt.Sprintf("e%d", number), backendZones[number%len(backendZones)], random.Uint64(), recorder)
 		proxy, err := fault.New(backend.address())
 		Expect(err).NotTo(HaveOccurred())
 		deployment.backends, deployment.backendProxies = append(deployment.backends, backend), append(deployment.backendProxies, proxy)
--- a/test/soak/recorder_test.go
+++ b/test/soak/recorder_test.go
@@ -30,12 +30,17 @@
 	// all configurations sent, by version.
 	acknowledged uint64
 	sent         map[uint64]string
+	// evacuated is when the evacuation of each zone was acknowledged; zones for
+	// which it was not, or for which its end was sent, are missing.
+	evacuated map[string]time.Time
+	// zoneRuns counts the runs in each zone.
+	zoneRuns map[string]int
 	// revoked is when the removal of the second key was acknowledged.
 	revoked time.Time
 }
 
 func newRecorder() *recorder {
-	return &recorder{requests: map[string]*callerRequest{}, sent: map[uint64]string{}, answered: map[string]int{}}
+	return &recorder{requests: map[string]*callerRequest{}, sent: map[uint64]string{}, answered: map[string]int{}, evacuated: map[string]time.Time{}, zoneRuns: map[string]int{}}
 }
 
 func (recorder *recorder) addViolation(format string, values ...any) {
@@ -51,9 +56,13 @@
 }
 
 // recordRun records a run at an endpoint.
-func (recorder *recorder) recordRun(id, customer string) {
+func (recorder *recorder) recordRun(id, zone, customer string) {
 	recorder.mu.Lock()
 	defer recorder.mu.Unlock()
+	recorder.zoneRuns[zone]++
+	if since, ok := recorder.evacuated[zone]; ok && time.Since(since) > evacuateLimit {
+		recorder.violations = append(recorder.violations, fmt.Sprintf("%s ran in zone %s, evacuated for %s", id, zone, time.Since(since)))
+	}
 	entry := recorder.requests[id]
 	switch {
 	case entry == nil:
@@ -65,6 +74,24 @@
 	entry.runs++
 }
 
+// runsIn returns the number of runs in a zone.
+func (recorder *recorder) runsIn(zone string) int {
+	recorder.mu.Lock()
+	defer recorder.mu.Unlock()
+	return recorder.zoneRuns[zone]
+}
+
+// recordOrder records an acknowledged evacuation of a zone, or its end before that is
+// sent.
+func (recorder *recorder) recordOrder(zone string, active bool) {
+	recorder.mu.Lock()
+	defer recorder.mu.Unlock()
+	delete(recorder.evacuated, zone)
+	if active {
+		recorder.evacuated[zone] = time.Now()
+	}
+}
+
 // recordStatus records the status that the caller got.
 func (recorder *recorder) recordStatus(id string, status int) {
 	recorder.mu.Lock()
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -32,6 +32,9 @@
 	// serve again.
 	recoveryLimit = 12 * time.Second
 	clients       = 6
+	// evacuateLimit is the time after which an evacuated zone gets no request: the
+	// bound of 5 s, and the longest fault.
+	evacuateLimit = 7100 * time.Millisecond
 )
 
 // plan holds the seeds and the duration of the fault injection per seed.
@@ -131,6 +134,9 @@
 		loading.Go(func() { deployment.runCaller(load, number, seed) })
 	}
 	loading.Go(func() { deployment.runOperator(load, seed, 2, time.Now().Add(span/2)) })
+	held := backendZones[random.IntN(len(backendZones))]
+	deployment.order(ctx, random, held, true)
+	loading.Go(func() { deployment.runEvacuations(load, seed, held) })
 	loading.Go(func() { deployment.runReader(load, seed) })
 	injector := &injector{deployment: deployment, random: random}
 	injector.run(time.Now().Add(span))
@@ -143,6 +149,12 @@
 	deployment.waitServing(ctx, "end", recoveryLimit)
 	stop()
 	loading.Wait()
+	ended := deployment.recorder.runsIn(held)
+	deployment.order(ctx, random, held, false)
+	Eventually(func() int {
+		deployment.waitServing(ctx, fmt.Sprint("restored", time.Now().UnixNano(), "-"), recoveryLimit)
+		return deployment.recorder.runsIn(held)
+	}).WithTimeout(recoveryLimit).Should(BeNumerically(">", ended), "seed %d: zone %s gets requests again", seed, held)
 	for number := range controls {
 		Eventually(func() bool { return deployment.read(ctx, number) }).WithTimeout(recoveryLimit).Should(BeTrue(), "seed %d: control%d", seed, number)
 	}
