--- a/internal/gate/attempt.go
+++ b/internal/gate/attempt.go
@@ -53,7 +53,7 @@
 		}
 		exchange, err = forwarder.send(ctx, endpoint, true)
 	}
-	if errors.Is(err, errClosed) {
+	if errors.IsAny(err, errClosed, errEvacuated) {
 		gateway.recordResult(endpoint, notRun)
 		return notSent, err
 	}
--- a/internal/gate/forward.go
+++ b/internal/gate/forward.go
@@ -289,7 +289,7 @@
 	var open []roster.Record
 	var sum choose.Load
 	for _, record := range records {
-		if forwarder.tried[record.ID] || forwarder.overLimit[record.ID] {
+		if forwarder.tried[record.ID] || forwarder.overLimit[record.ID] || gateway.isEvacuated(record) {
 			continue
 		}
 		open = append(open, record)
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -94,7 +94,9 @@
 	ready      *http.Server
 	listener   net.Listener
 	cancel     context.CancelFunc
-	loops      conc.WaitGroup
+	// evacuated holds the zones that were evacuated when follow last looked.
+	evacuated map[string]bool
+	loops     conc.WaitGroup
 
 	// mu guards the fields below. It is a leaf lock.
 	mu     sync.Mutex
@@ -133,7 +135,7 @@
 		settings: settings, clock: ticker, log: log, view: feed.NewView(ticker), links: link.NewPool(), conns: conns.New(ticker), board: board.New(ticker, log),
 		random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), work: map[string]choose.Load{}, callerWaits: map[string]repeat.Waits{},
 		windows: map[string]*retry.RatioBudget{}, stalls: map[string]stall{}, progress: map[string]progress{}, waits: map[string]wait.Estimate{},
-		coldLogged: map[quota.Endpoint]bool{}, coldDenied: map[string]int{},
+		evacuated: map[string]bool{}, coldLogged: map[quota.Endpoint]bool{}, coldDenied: map[string]int{},
 	}
 	gateway.share = quota.NewShare(gateway.random.Float64())
 	gateway.poller = poll.New(poll.Settings{
@@ -251,6 +253,7 @@
 }
 
 func (gateway *Gateway) apply() {
+	gateway.noteEvacuations()
 	deployment := gateway.view.State().Deployment()
 	if current := gateway.plan.Load(); deployment == nil || current != nil && current.Version() >= deployment.GetVersion() {
 		return
@@ -351,3 +354,6 @@
 	}
 	return 0
 }
+
+// Revision returns the revision of the configuration that the gateway holds.
+func (gateway *Gateway) Revision() uint64 { return gateway.view.State().Revision() }
--- a/internal/gate/notice.go
+++ b/internal/gate/notice.go
@@ -32,6 +32,9 @@
 
 // mayGet returns an error if an endpoint must get no request from this gateway.
 func (gateway *Gateway) mayGet(endpoint roster.Record) error {
+	if gateway.isEvacuated(endpoint) {
+		return errEvacuated
+	}
 	if gateway.board.Notice(endpointKey(endpoint)).Closed() {
 		return errClosed
 	}
@@ -67,7 +70,7 @@
 
 // endUnchosen ends a request for which there is no endpoint.
 func (forwarder *forwarder) endUnchosen(ctx context.Context) {
-	gateway, reason := forwarder.gateway, "no endpoint takes the request"
+	gateway, reason := forwarder.gateway, forwarder.unusableReason()
 	if wait := forwarder.pauseWait(); wait > 0 {
 		reason = "all endpoints ask for a pause"
 		gateway.pauseEnded.Add(1)
