shed, gate, ctrl: keep slots for more urgent streams by their recent demand

Change: gateways report their streams by service and urgency in Fleet.Poll, summed like loads. A stream is admitted as if the slots that more urgent ones had in use within the length of a stream, and have given up since, were still taken. With one urgency nothing changes.

--- a/internal/ctrl/fleet.go
+++ b/internal/ctrl/fleet.go
@@ -32,8 +32,7 @@
 // loadReport is the latest load reported by a gateway, or by a control VM for
 // all gateways that report to it.
 type loadReport struct {
-	loads    []*wire.EndpointLoad
-	gateways uint32
+	poll.Report
 	// control is set for the report of a control VM.
 	control bool
 	at      clock.Millis
@@ -73,7 +72,7 @@
 func newPoller(control *Control, seeds func() []string) *poll.Poller {
 	return poll.New(poll.Settings{
 		Node: control.settings.Node.Name, Zone: control.settings.Node.Zone, Self: control.advertised(), Control: true,
-		Sources: maxControlSources, Seeds: seeds, Loads: control.directLoads, Board: control.board,
+		Sources: maxControlSources, Seeds: seeds, Report: control.directReport, Board: control.board,
 	}, control.view, control.pool, control.clock, control.log)
 }
 
@@ -95,7 +94,8 @@
 		reply.Endpoints = append(reply.Endpoints, record.Message(instant))
 	}
 	if !request.GetControl() {
-		reply.Loads, reply.Gateways = control.loadsOfOthers(request.GetNode(), instant)
+		others := control.reportOfOthers(request.GetNode(), instant)
+		reply.Loads, reply.Uses, reply.Gateways = others.Loads, others.Uses, others.Gateways
 	}
 	reply.Members = control.controlMembers()
 	reply.Evidence, _ = control.board.Evidence(evidence)
@@ -151,57 +151,82 @@
 	control.reportsMu.Lock()
 	defer control.reportsMu.Unlock()
 	control.reports[request.GetNode()] = loadReport{
-		loads: request.GetLoads(), gateways: request.GetGateways(), control: request.GetControl(), at: control.clock.Now(),
+		Report:  poll.Report{Loads: request.GetLoads(), Uses: request.GetUses(), Gateways: request.GetGateways()},
+		control: request.GetControl(), at: control.clock.Now(),
 	}
 }
 
-// loadsOfOthers sums the loads of all gateways except the given node, and counts
+// reportOfOthers sums the loads of all gateways except the given node, and counts
 // all gateways. The count is 0 for unknown until all can have reported to this start of
 // the process.
-func (control *Control) loadsOfOthers(node string, now clock.Millis) ([]*wire.EndpointLoad, uint32) {
-	loads, gateways := control.sumReports(now, func(name string, _ loadReport) bool { return name != node })
+func (control *Control) reportOfOthers(node string, now clock.Millis) poll.Report {
+	sum := control.sumReports(now, func(name string, _ loadReport) bool { return name != node })
 	if now-control.startedAt < loadLifetime {
-		return loads, 0
+		sum.Gateways = 0
 	}
-	return loads, gateways
+	return sum
 }
 
-// directLoads sums the loads of the gateways that report to this control VM
+// directReport sums the loads of the gateways that report to this control VM
 // themselves, and counts them.
-func (control *Control) directLoads() ([]*wire.EndpointLoad, int) {
-	loads, gateways := control.sumReports(control.clock.Now(), func(_ string, received loadReport) bool { return !received.control })
-	return loads, int(gateways)
+func (control *Control) directReport() poll.Report {
+	return control.sumReports(control.clock.Now(), func(_ string, received loadReport) bool { return !received.control })
 }
 
-// sumReports adds up the loads of the wanted reports. The count of gateways
-// includes all that report here directly, and those of wanted control VMs.
-// Expired reports are deleted.
-func (control *Control) sumReports(now clock.Millis, wanted func(string, loadReport) bool) ([]*wire.EndpointLoad, uint32) {
+// sumReports adds up the wanted reports. The count of gateways includes all that report
+// here directly, and those of wanted control VMs. Expired reports are deleted.
+func (control *Control) sumReports(now clock.Millis, wanted func(string, loadReport) bool) poll.Report {
 	control.reportsMu.Lock()
 	defer control.reportsMu.Unlock()
-	sums, gateways := map[string]*wire.EndpointLoad{}, uint32(0)
+	gateways := uint32(0)
+	loads, uses := map[string]*wire.EndpointLoad{}, map[useKey]*wire.ServiceUse{}
 	for name, received := range control.reports {
 		if now-received.at > loadLifetime {
 			delete(control.reports, name)
 			continue
 		}
 		if !received.control || wanted(name, received) {
-			gateways += received.gateways
+			gateways += received.Gateways
 		}
 		if !wanted(name, received) {
 			continue
 		}
-		for _, load := range received.loads {
-			sum := sums[load.GetId()]
-			if sum == nil {
-				sum = &wire.EndpointLoad{Id: load.GetId()}
-				sums[load.GetId()] = sum
-			}
-			sum.Running += load.GetRunning()
-			sum.Late += load.GetLate()
+		for _, load := range received.Loads {
+			addLoad(loads, load)
+		}
+		for _, use := range received.Uses {
+			addUse(uses, use)
 		}
 	}
-	return slices.Collect(maps.Values(sums)), gateways
+	return poll.Report{Loads: slices.Collect(maps.Values(loads)), Uses: slices.Collect(maps.Values(uses)), Gateways: gateways}
+}
+
+func addLoad(sums map[string]*wire.EndpointLoad, load *wire.EndpointLoad) {
+	sum := sums[load.GetId()]
+	if sum == nil {
+		sum = &wire.EndpointLoad{Id: load.GetId()}
+		sums[load.GetId()] = sum
+	}
+	sum.Running += load.GetRunning()
+	sum.Late += load.GetLate()
+	sum.Ended += load.GetEnded()
+	sum.Took += load.GetTook()
+}
+
+// useKey identifies the streams of one urgency at a service.
+type useKey struct {
+	service string
+	urgency uint32
+}
+
+func addUse(sums map[useKey]*wire.ServiceUse, use *wire.ServiceUse) {
+	key := useKey{use.GetService(), use.GetUrgency()}
+	sum := sums[key]
+	if sum == nil {
+		sum = &wire.ServiceUse{Service: key.service, Urgency: key.urgency}
+		sums[key] = sum
+	}
+	sum.Streams += use.GetStreams()
 }
 
 // controlMembers lists the control VMs by address. Each is named ZONE/ADDRESS;
--- a/internal/ctrl/fleet_test.go
+++ b/internal/ctrl/fleet_test.go
@@ -4,6 +4,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/hibiscuslug/hibiscuslug/internal/poll"
 	"github.com/hibiscuslug/hibiscuslug/pkg/clock"
 )
 
@@ -14,13 +15,11 @@
 	control := &Control{startedAt: start, reports: map[string]loadReport{}}
 	report := func(now clock.Millis) {
 		for _, name := range []string{"gateway1", "gateway2"} {
-			control.reports[name] = loadReport{gateways: 1, at: now}
+			control.reports[name] = loadReport{Report: poll.Report{Gateways: 1}, at: now}
 		}
 	}
 	report(start + 100)
-	_, gateways := control.loadsOfOthers("gateway1", start+200)
-	Expect(gateways).To(BeZero())
+	Expect(control.reportOfOthers("gateway1", start+200).Gateways).To(BeZero())
 	report(start + loadLifetime)
-	_, gateways = control.loadsOfOthers("gateway1", start+loadLifetime)
-	Expect(gateways).To(Equal(uint32(2)))
+	Expect(control.reportOfOthers("gateway1", start+loadLifetime).Gateways).To(Equal(uint32(2)))
 })
--- a/internal/gate/attempt.go
+++ b/internal/gate/attempt.go
@@ -43,6 +43,7 @@
 	forwarder.begun, forwarder.brokeStale, forwarder.limit = false, false, nil
 	forwarder.begin(endpoint.ID)
 	defer forwarder.finish(endpoint.ID)
+	defer gateway.countUse(forwarder.call)()
 	sent := gateway.clock.Now()
 	exchange, err := forwarder.send(ctx, endpoint, forwarder.route.Kind == plan.NonIdempotent)
 	if errors.Is(err, conns.ErrStale) && forwarder.route.Repeatable() && ctx.Err() == nil {
@@ -195,7 +196,7 @@
 		forwarder.gateway.eventGap.Record(kindNames[forwarder.route.Kind], int64(longestPause))
 	}
 	forwarder.gateway.log.Write(event.RequestEnded, "id", forwarder.task.ID, "outcome", "answered", "status", status, "customer", forwarder.customer,
-		"route", forwarder.route.Name, "version", forwarder.version, "runs", forwarder.runs+1, "unrun", forwarder.notRunAttempts,
+		"route", forwarder.route.Name, "urgency", forwarder.urgency, "version", forwarder.version, "runs", forwarder.runs+1, "unrun", forwarder.notRunAttempts,
 		"firstByte", firstByte, "longestPause", longestPause, "took", now-forwarder.arrived)
 }
 
--- a/internal/gate/forward.go
+++ b/internal/gate/forward.go
@@ -322,10 +322,13 @@
 		return nil
 	}
 	gateway := forwarder.gateway
+	uses := gateway.poller.Uses(forwarder.service.Name)
 	gateway.mu.Lock()
 	defer gateway.mu.Unlock()
 	capacity, estimate := slots(endpoint, forwarder.service), gateway.waits[forwarder.service.Name]
-	admitted := estimate.Admits(int(forwarder.meanOnTime), capacity, forwarder.route.Objective, forwarder.urgency)
+	reserved := gateway.reserved(forwarder.service.Name, uses, forwarder.urgency)
+	occupied := forwarder.meanOnTime + float64(reserved)/float64(max(len(forwarder.usable), 1))
+	admitted := estimate.Admits(int(occupied), capacity, forwarder.route.Objective, forwarder.urgency)
 	if forwarder.late {
 		admitted = estimate.AdmitsLate(int(forwarder.meanWork), capacity, forwarder.route.Objective)
 	}
@@ -333,7 +336,7 @@
 		return nil
 	}
 	return []any{
-		"meanWork", forwarder.meanWork, "meanOnTime", forwarder.meanOnTime, "slots", capacity, "late", forwarder.late,
+		"meanWork", forwarder.meanWork, "meanOnTime", forwarder.meanOnTime, "reserved", reserved, "slots", capacity, "late", forwarder.late,
 		"wait", estimate.QueueWait(int(forwarder.meanOnTime), capacity), "waitLate", estimate.QueueWait(int(forwarder.meanWork), capacity),
 		"urgency", forwarder.urgency, "patience", forwarder.callerWait(), "used", forwarder.used,
 	}
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -30,6 +30,7 @@
 	"github.com/hibiscuslug/hibiscuslug/internal/repeat"
 	"github.com/hibiscuslug/hibiscuslug/internal/retry"
 	"github.com/hibiscuslug/hibiscuslug/internal/roster"
+	"github.com/hibiscuslug/hibiscuslug/internal/shed"
 	"github.com/hibiscuslug/hibiscuslug/internal/state"
 	"github.com/hibiscuslug/hibiscuslug/internal/task"
 	"github.com/hibiscuslug/hibiscuslug/internal/wait"
@@ -99,6 +100,10 @@
 	work     map[string]choose.Load
 	detector retry.Detector
 	windows  map[string]*retry.RatioBudget
+	// uses counts this gateway's streams at endpoints, and demands holds those of all
+	// gateways, by service.
+	uses    map[use]int
+	demands map[string]shed.Demand
 	// waits holds the estimate of queueing times of each service's streams.
 	waits map[string]wait.Estimate
 	// callerWaits holds what the callers of each route stated of their waits.
@@ -120,12 +125,12 @@
 func New(settings Settings, ticker *clock.Clock, log *event.Log) (*Gateway, error) {
 	gateway := &Gateway{
 		settings: settings, clock: ticker, log: log, view: feed.NewView(ticker), links: link.NewPool(), conns: conns.New(ticker), board: board.New(ticker, log),
-		random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), work: map[string]choose.Load{}, callerWaits: map[string]repeat.Waits{},
+		random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), work: map[string]choose.Load{}, uses: map[use]int{}, demands: map[string]shed.Demand{}, callerWaits: map[string]repeat.Waits{},
 		windows: map[string]*retry.RatioBudget{}, stalls: map[string]stall{}, progress: map[string]progress{}, waits: map[string]wait.Estimate{},
 	}
 	gateway.share = quota.NewShare(gateway.random.Float64())
 	gateway.poller = poll.New(poll.Settings{
-		Node: settings.Node.Name, Zone: settings.Node.Zone, Sources: controlSources, Seeds: gateway.seeds, Loads: gateway.loads, Board: gateway.board,
+		Node: settings.Node.Name, Zone: settings.Node.Zone, Sources: controlSources, Seeds: gateway.seeds, Report: gateway.report, Board: gateway.board,
 	}, gateway.view, gateway.links, ticker, log)
 	if err := gateway.registerMetrics(); err != nil {
 		return nil, err
@@ -201,16 +206,19 @@
 	return addresses
 }
 
-// loads returns the number of this gateway's requests at each endpoint, which the
-// poller reports to control VMs.
-func (gateway *Gateway) loads() ([]*wire.EndpointLoad, int) {
+// report returns this gateway's requests at each endpoint and its streams at each
+// service, which the poller reports to control VMs.
+func (gateway *Gateway) report() poll.Report {
 	gateway.mu.Lock()
 	defer gateway.mu.Unlock()
-	list := make([]*wire.EndpointLoad, 0, len(gateway.work))
+	report := poll.Report{Gateways: 1, Loads: make([]*wire.EndpointLoad, 0, len(gateway.work))}
 	for id, load := range gateway.work {
-		list = append(list, &wire.EndpointLoad{Id: id, Running: uint32(load.Work), Late: uint32(load.Late)})
+		report.Loads = append(report.Loads, &wire.EndpointLoad{Id: id, Running: uint32(load.Work), Late: uint32(load.Late)})
 	}
-	return list, 1
+	for use, streams := range gateway.uses {
+		report.Uses = append(report.Uses, &wire.ServiceUse{Service: use.service, Urgency: uint32(max(use.urgency, 0)), Streams: uint32(streams)})
+	}
+	return report
 }
 
 // follow applies each new configuration, confirms crashes and logs changes of readiness.
--- a/internal/gate/serve.go
+++ b/internal/gate/serve.go
@@ -205,7 +205,7 @@
 func (gateway *Gateway) refuse(w http.ResponseWriter, call *call, refused refusal) {
 	gateway.log.Write(event.RequestEnded, append([]any{
 		"id", call.task.ID, "outcome", "refused", "status", refused.status, "reason", refused.reason, "customer", call.customer,
-		"route", call.route.Name, "version", call.version, "configAge", gateway.view.AgeText(),
+		"route", call.route.Name, "urgency", call.urgency, "version", call.version, "configAge", gateway.view.AgeText(),
 		"took", gateway.clock.Now() - call.arrived, "retryAfter", refused.retryAfter,
 	}, refused.logFields...)...)
 	gateway.answered.Add(kindNames[call.route.Kind] + ".refused")
--- a/internal/poll/poll.go
+++ b/internal/poll/poll.go
@@ -18,6 +18,7 @@
 	"github.com/hibiscuslug/hibiscuslug/internal/feed"
 	"github.com/hibiscuslug/hibiscuslug/internal/link"
 	"github.com/hibiscuslug/hibiscuslug/internal/roster"
+	"github.com/hibiscuslug/hibiscuslug/internal/shed"
 	"github.com/hibiscuslug/hibiscuslug/pkg/clock"
 	"github.com/hibiscuslug/hibiscuslug/pkg/wire"
 )
@@ -56,13 +57,20 @@
 	Sources int
 	// Seeds returns the control VM addresses from the settings.
 	Seeds func() []string
-	// Loads returns the endpoint loads known directly to this process, and the number
-	// of gateways that they come from.
-	Loads func() ([]*wire.EndpointLoad, int)
+	// Report returns the load known directly to this process.
+	Report func() Report
 	// Board holds the evidence of crashes and limits, which is exchanged with control VMs.
 	Board *board.Board
 }
 
+// Report is the load of one or several gateways.
+type Report struct {
+	Loads []*wire.EndpointLoad
+	Uses  []*wire.ServiceUse
+	// Gateways is the number of gateways that the report comes from.
+	Gateways uint32
+}
+
 // Poller polls control VMs until it is closed.
 type Poller struct {
 	settings Settings
@@ -85,6 +93,8 @@
 	// inUse holds the addresses of the control VMs being polled.
 	inUse map[string]bool
 	loads map[string]choose.Load
+	// uses holds the streams in flight from other gateways, by service.
+	uses map[string][]shed.Use
 	// gateways is the highest number of gateways that a control VM reported within
 	// gatewayCountLifetime, since a partition hides some; countedAt is the time of it.
 	gateways  int
@@ -251,8 +261,8 @@
 	}
 	request.Evidence, _ = poller.settings.Board.Evidence(from.sent)
 	if withLoads {
-		loads, gateways := poller.settings.Loads()
-		request.Loads, request.Gateways = loads, uint32(gateways)
+		report := poller.settings.Report()
+		request.Loads, request.Uses, request.Gateways = report.Loads, report.Uses, report.Gateways
 	}
 	sent := poller.clock.Now()
 	reply, err := wire.NewDRPCFleetClient(poller.pool.Conn(ctx, address)).Poll(ctx, request)
@@ -315,6 +325,10 @@
 	for _, load := range reply.GetLoads() {
 		poller.loads[load.GetId()] = choose.Load{Work: int(load.GetRunning()), Late: int(load.GetLate())}
 	}
+	poller.uses = map[string][]shed.Use{}
+	for _, use := range reply.GetUses() {
+		poller.uses[use.GetService()] = append(poller.uses[use.GetService()], shed.Use{Urgency: int(use.GetUrgency()), Streams: int(use.GetStreams())})
+	}
 }
 
 // zoneOf returns the zone from a control VM's name, which has the form ZONE/ADDRESS.
@@ -396,6 +410,14 @@
 	return poller.loads
 }
 
+// Uses returns the streams of all other gateways in flight at a service, by urgency. The
+// list must not be modified.
+func (poller *Poller) Uses(service string) []shed.Use {
+	poller.mu.Lock()
+	defer poller.mu.Unlock()
+	return poller.uses[service]
+}
+
 // Gateways returns the number of gateways that share the endpoints, or 0 if no control
 // VM has told it yet.
 func (poller *Poller) Gateways() int {
--- a/internal/poll/poll_test.go
+++ b/internal/poll/poll_test.go
@@ -93,7 +93,7 @@
 	DeferCleanup(pool.Close)
 	poller := poll.New(poll.Settings{
 		Node: "gateway1", Sources: 1, Seeds: func() []string { return seeds },
-		Loads: func() ([]*wire.EndpointLoad, int) { return nil, 1 }, Board: evidence,
+		Report: func() poll.Report { return poll.Report{Gateways: 1} }, Board: evidence,
 	}, view, pool, ticker, event.Discard())
 	poller.Start()
 	DeferCleanup(poller.Close)
--- a/internal/wait/wait.go
+++ b/internal/wait/wait.go
@@ -49,6 +49,9 @@
 	return estimate
 }
 
+// Duration returns the mean time that a request occupies a slot, or 0 if it is not known.
+func (estimate Estimate) Duration() clock.Millis { return clock.Millis(estimate.duration) }
+
 // QueueWait returns the expected wait for a slot at an endpoint that already has
 // the given number of requests.
 func (estimate Estimate) QueueWait(work, slots int) clock.Millis {
