shed, gate: order the requests of equal customers by the priority of their route

Cause: a customer's priority replaced that of the route. Change: shed.Order gives the ten places that endpoints know, customer first, late ones last, then route; shed.Level does the same for the reserve. The most urgent customers keep their two places.

--- a/internal/ctrl/fleet.go
+++ b/internal/ctrl/fleet.go
@@ -213,17 +213,17 @@
 	sum.Took += load.GetTook()
 }
 
-// useKey identifies the streams of one urgency at a service.
+// useKey identifies the streams of one level at a service.
 type useKey struct {
 	service string
-	urgency uint32
+	level   uint32
 }
 
 func addUse(sums map[useKey]*wire.ServiceUse, use *wire.ServiceUse) {
-	key := useKey{use.GetService(), use.GetUrgency()}
+	key := useKey{use.GetService(), use.GetLevel()}
 	sum := sums[key]
 	if sum == nil {
-		sum = &wire.ServiceUse{Service: key.service, Urgency: key.urgency}
+		sum = &wire.ServiceUse{Service: key.service, Level: key.level}
 		sums[key] = sum
 	}
 	sum.Streams += use.GetStreams()
--- a/internal/ctrl/seeds_test.go
+++ b/internal/ctrl/seeds_test.go
@@ -160,13 +160,13 @@
 		}
 		_, err := group.running[other].Poll(context.Background(), &wire.PollRequest{
 			Node: fmt.Sprintf("gateway%d", other), Gateways: 1, Loads: []*wire.EndpointLoad{{Id: "e1", Running: 2, Late: 1}},
-			Uses: []*wire.ServiceUse{{Service: "s", Urgency: 1, Streams: 2}, {Service: "s", Urgency: 2, Streams: 1}},
+			Uses: []*wire.ServiceUse{{Service: "s", Level: 1, Streams: 2}, {Service: "s", Level: 2, Streams: 1}},
 		})
 		Expect(err).NotTo(HaveOccurred())
 	}
 	reply, err := group.running[number].Poll(context.Background(), &wire.PollRequest{
 		Node: gateway, Gateways: 1, Loads: []*wire.EndpointLoad{{Id: "e1", Running: running, Late: running / 2}},
-		Uses: []*wire.ServiceUse{{Service: "s", Urgency: 1, Streams: running}, {Service: "s", Urgency: 2, Streams: running / 2}},
+		Uses: []*wire.ServiceUse{{Service: "s", Level: 1, Streams: running}, {Service: "s", Level: 2, Streams: running / 2}},
 	})
 	Expect(err).NotTo(HaveOccurred())
 	sum, late := uint32(0), uint32(0)
@@ -177,7 +177,7 @@
 	Expect(late).To(Equal(sum / 2))
 	uses := map[uint32]uint32{}
 	for _, use := range reply.GetUses() {
-		uses[use.GetUrgency()] += use.GetStreams()
+		uses[use.GetLevel()] += use.GetStreams()
 	}
 	Expect([]uint32{uses[1], uses[2]}).To(Equal([]uint32{sum, sum / 2}))
 	return []uint32{sum, reply.GetGateways()}
--- a/internal/gate/attempt.go
+++ b/internal/gate/attempt.go
@@ -13,8 +13,8 @@
 	"github.com/hibiscuslug/hibiscuslug/internal/event"
 	"github.com/hibiscuslug/hibiscuslug/internal/plan"
 	"github.com/hibiscuslug/hibiscuslug/internal/roster"
+	"github.com/hibiscuslug/hibiscuslug/internal/shed"
 	"github.com/hibiscuslug/hibiscuslug/internal/task"
-	"github.com/hibiscuslug/hibiscuslug/internal/wait"
 	"github.com/hibiscuslug/hibiscuslug/pkg/clock"
 )
 
@@ -214,14 +214,9 @@
 	}
 }
 
-// sentUrgency returns the urgency that the endpoint gets: of equally urgent requests,
-// one that can still be on time comes before one that is late in any case.
+// sentUrgency returns the urgency that the endpoint gets.
 func (forwarder *forwarder) sentUrgency() int {
-	urgency := 2 * max(forwarder.urgency, wait.MostUrgent)
-	if forwarder.late {
-		urgency++
-	}
-	return urgency
+	return shed.Order(forwarder.urgency, forwarder.route.Priority, forwarder.late)
 }
 
 // begin and finish count the requests in flight at an endpoint.
--- a/internal/gate/forward.go
+++ b/internal/gate/forward.go
@@ -14,6 +14,7 @@
 	"github.com/hibiscuslug/hibiscuslug/internal/plan"
 	"github.com/hibiscuslug/hibiscuslug/internal/retry"
 	"github.com/hibiscuslug/hibiscuslug/internal/roster"
+	"github.com/hibiscuslug/hibiscuslug/internal/shed"
 	"github.com/hibiscuslug/hibiscuslug/internal/task"
 	"github.com/hibiscuslug/hibiscuslug/pkg/clock"
 )
@@ -326,7 +327,7 @@
 	gateway.mu.Lock()
 	defer gateway.mu.Unlock()
 	capacity, estimate := slots(endpoint, forwarder.service), gateway.waits[forwarder.service.Name]
-	reserved := gateway.reserved(forwarder.service.Name, uses, forwarder.urgency)
+	reserved := gateway.reserved(forwarder.service.Name, uses, shed.Level(forwarder.urgency, forwarder.route.Priority))
 	occupied := forwarder.meanOnTime + float64(reserved)/float64(max(len(forwarder.usable), 1))
 	admitted := estimate.Admits(int(occupied), capacity, forwarder.route.Objective, forwarder.urgency)
 	if forwarder.late {
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -216,7 +216,7 @@
 		report.Loads = append(report.Loads, &wire.EndpointLoad{Id: id, Running: uint32(load.Work), Late: uint32(load.Late)})
 	}
 	for use, streams := range gateway.uses {
-		report.Uses = append(report.Uses, &wire.ServiceUse{Service: use.service, Urgency: uint32(max(use.urgency, 0)), Streams: uint32(streams)})
+		report.Uses = append(report.Uses, &wire.ServiceUse{Service: use.service, Level: uint32(use.level), Streams: uint32(streams)})
 	}
 	return report
 }
--- a/internal/poll/poll.go
+++ b/internal/poll/poll.go
@@ -327,7 +327,7 @@
 	}
 	poller.uses = map[string][]shed.Use{}
 	for _, use := range reply.GetUses() {
-		poller.uses[use.GetService()] = append(poller.uses[use.GetService()], shed.Use{Urgency: int(use.GetUrgency()), Streams: int(use.GetStreams())})
+		poller.uses[use.GetService()] = append(poller.uses[use.GetService()], shed.Use{Level: int(use.GetLevel()), Streams: int(use.GetStreams())})
 	}
 }
 
@@ -410,7 +410,7 @@
 	return poller.loads
 }
 
-// Uses returns the streams of all other gateways in flight at a service, by urgency. The
+// Uses returns the streams of all other gateways in flight at a service, by level. The
 // list must not be modified.
 func (poller *Poller) Uses(service string) []shed.Use {
 	poller.mu.Lock()
--- a/internal/shed/shed.go
+++ b/internal/shed/shed.go
@@ -20,25 +20,59 @@
 	defaultWindow = 2 * clock.Second
 )
 
-// Use is the number of streams of one urgency in flight at a service, from all gateways.
+// Use is the number of streams of one level in flight at a service, from all gateways. A
+// level is what Level returns.
 type Use struct {
-	Urgency int
+	Level   int
 	Streams int
 }
 
-// Demand holds the streams in flight at one service by urgency, and the most of each in
+const (
+	// stepsPerUrgency is the number of steps that are told apart within an urgency.
+	stepsPerUrgency = 3
+	// maxOrder is the last place in the order in which endpoints begin requests.
+	maxOrder = 9
+)
+
+// Level ranks a stream among others of its service: by urgency first, which is the
+// customer's priority if it has one, and within an urgency by step, the priority of the
+// route. The lowest level is the most urgent.
+func Level(urgency, step int) int {
+	return max(urgency, 0)*stepsPerUrgency + min(max(step, 0), stepsPerUrgency-1)
+}
+
+// Order returns the place of a request in the order in which endpoints begin what waits;
+// 0 goes first. A request that is late in any case comes after all others of its urgency.
+// The steps of the most urgent customers share a place, since there are only ten.
+func Order(urgency, step int, isLate bool) int {
+	const places = stepsPerUrgency + 1
+	late := 0
+	if isLate {
+		late = 1
+	}
+	if urgency <= 0 {
+		return late
+	}
+	place := 2 + (urgency-1)*places + min(max(step, 0), stepsPerUrgency-1)
+	if isLate {
+		place = 2 + urgency*places - 1
+	}
+	return min(place, maxOrder)
+}
+
+// Demand holds the streams in flight at one service by level, and the most of each in
 // a recent window. It is an immutable value; the zero value is empty.
 type Demand struct {
 	levels []level
 }
 
-// level is one urgency. peaks holds the most streams in flight in each interval of the
-// window, the latest last; begun is when the latest interval began.
+// level holds the streams of one level. peaks holds the most streams in flight in each
+// interval of the window, the latest last; begun is when the latest interval began.
 type level struct {
-	urgency int
-	now     int
-	peaks   [buckets]int
-	begun   clock.Millis
+	number int
+	now    int
+	peaks  [buckets]int
+	begun  clock.Millis
 }
 
 // With returns the demand with the streams in flight now. The window is the time that a
@@ -53,9 +87,9 @@
 		levels[at] = levels[at].advanced(window, now).with(0)
 	}
 	for _, use := range uses {
-		at, known := slices.BinarySearchFunc(levels, use.Urgency, func(level level, urgency int) int { return level.urgency - urgency })
+		at, known := slices.BinarySearchFunc(levels, use.Level, func(level level, number int) int { return level.number - number })
 		if !known {
-			levels = slices.Insert(levels, at, level{urgency: use.Urgency, begun: now})
+			levels = slices.Insert(levels, at, level{number: use.Level, begun: now})
 		}
 		levels[at] = levels[at].with(levels[at].now + use.Streams)
 	}
@@ -87,11 +121,11 @@
 func (level level) idle() bool { return slices.Max(level.peaks[:]) == 0 }
 
 // Reserved returns the number of slots to keep free for streams that are more urgent
-// than the given urgency: what their recent peak exceeds their present number.
-func (demand Demand) Reserved(urgency int) int {
+// than the given level: what their recent peak exceeds their present number.
+func (demand Demand) Reserved(than int) int {
 	reserved := 0
 	for _, level := range demand.levels {
-		if level.urgency < urgency {
+		if level.number < than {
 			reserved += slices.Max(level.peaks[:]) - level.now
 		}
 	}
--- a/internal/shed/shed_test.go
+++ b/internal/shed/shed_test.go
@@ -103,7 +103,7 @@
 	var uses []shed.Use
 	for _, list := range [][]stream{pool.running, pool.waiting} {
 		for _, flow := range list {
-			uses = append(uses, shed.Use{Urgency: flow.urgency, Streams: 1})
+			uses = append(uses, shed.Use{Level: flow.urgency, Streams: 1})
 		}
 	}
 	pool.demand = pool.demand.With(uses, pool.script.Duration, now)
@@ -186,15 +186,34 @@
 		})
 	}
 
+	// Guards against routes of different priority that are served alike because all
+	// customers have the same priority, and against late requests that go before others.
+	It("orders by customer, then late ones last, then by route", func() {
+		type request struct {
+			urgency, step int
+			late          bool
+		}
+		ordered := []request{{0, 2, false}, {0, 0, true}, {1, 0, false}, {1, 1, false}, {1, 2, false}, {1, 0, true}, {2, 0, false}, {2, 2, false}, {2, 0, true}}
+		for at, first := range ordered {
+			for _, second := range ordered[at+1:] {
+				Expect(shed.Order(first.urgency, first.step, first.late)).To(BeNumerically("<", shed.Order(second.urgency, second.step, second.late)), "%+v and %+v", first, second)
+			}
+		}
+		Expect(shed.Order(7, 0, false)).To(Equal(9))
+		Expect(shed.Level(0, 2)).To(BeNumerically("<", shed.Level(1, 0)))
+		Expect(shed.Level(1, 0)).To(BeNumerically("<", shed.Level(1, 2)))
+		Expect(shed.Level(1, 9)).To(BeNumerically("<", shed.Level(2, 0)))
+	})
+
 	// Guards against a reserve that outlives the demand that it is for.
 	It("gives back what more urgent streams no longer need within the length of a stream", func() {
-		demand := shed.Demand{}.With([]shed.Use{{Urgency: 0, Streams: 50}, {Urgency: 1, Streams: 20}}, 1600, 0)
+		demand := shed.Demand{}.With([]shed.Use{{Level: 0, Streams: 50}, {Level: 1, Streams: 20}}, 1600, 0)
 		Expect(demand.Reserved(1)).To(BeZero())
-		demand = demand.With([]shed.Use{{Urgency: 0, Streams: 10}}, 1600, 400)
+		demand = demand.With([]shed.Use{{Level: 0, Streams: 10}}, 1600, 400)
 		Expect(demand.Reserved(0)).To(BeZero())
 		Expect(demand.Reserved(1)).To(Equal(40))
 		Expect(demand.Reserved(2)).To(Equal(60))
-		demand = demand.With([]shed.Use{{Urgency: 0, Streams: 10}}, 1600, 2100)
+		demand = demand.With([]shed.Use{{Level: 0, Streams: 10}}, 1600, 2100)
 		Expect(demand.Reserved(2)).To(BeZero())
 	})
 })
