--- a/internal/gate/attempt.go
+++ b/internal/gate/attempt.go
@@ -13,8 +13,8 @@
 	"github.com/hibiscuslug/hibiscuslug/internal/event"
 	"github.com/hibiscuslug/hibiscuslug/internal/plan"
 	"github.com/hibiscuslug/hibiscuslug/internal/roster"
+	"github.com/hibiscuslug/hibiscuslug/internal/shed"
 	"github.com/hibiscuslug/hibiscuslug/internal/task"
-	"github.com/hibiscuslug/hibiscuslug/internal/wait"
 	"github.com/hibiscuslug/hibiscuslug/pkg/clock"
 )
 
@@ -43,6 +43,7 @@
 	forwarder.begun, forwarder.brokeStale, forwarder.limit = false, false, nil
 	forwarder.begin(endpoint.ID)
 	defer forwarder.finish(endpoint.ID)
+	defer gateway.countUse(forwarder.call)()
 	sent := gateway.clock.Now()
 	exchange, err := forwarder.send(ctx, endpoint, forwarder.route.Kind == plan.NonIdempotent)
 	if errors.Is(err, conns.ErrStale) && forwarder.route.Repeatable() && ctx.Err() == nil {
@@ -206,7 +207,7 @@
 		forwarder.gateway.eventGap.Record(kindNames[forwarder.route.Kind], int64(longestPause))
 	}
 	forwarder.gateway.log.Write(event.RequestEnded, "id", forwarder.task.ID, "outcome", "answered", "status", status, "customer", forwarder.customer,
-		"route", forwarder.route.Name, "version", forwarder.version, "runs", forwarder.runs+1, "unrun", forwarder.notRunAttempts,
+		"route", forwarder.route.Name, "urgency", forwarder.urgency, "version", forwarder.version, "runs", forwarder.runs+1, "unrun", forwarder.notRunAttempts,
 		"firstByte", firstByte, "longestPause", longestPause, "took", now-forwarder.arrived)
 }
 
@@ -224,14 +225,9 @@
 	}
 }
 
-// sentUrgency returns the urgency that the endpoint gets: of equally urgent requests,
-// one that can still be on time comes before one that is late in any case.
+// sentUrgency returns the urgency that the endpoint gets.
 func (forwarder *forwarder) sentUrgency() int {
-	urgency := 2 * max(forwarder.urgency, wait.MostUrgent)
-	if forwarder.late {
-		urgency++
-	}
-	return urgency
+	return shed.Order(forwarder.urgency, forwarder.route.Priority, forwarder.late)
 }
 
 // begin and finish count the requests in flight at an endpoint.
