stage, coord: size and time of a stage from what a group measures

Stages were bounded by two experts a rank and by thresholds of the share of slots in use at the moment, so a group that was not full kept a skew of 1.75 to 2.1 and met the next peak with it.

Package stage derives from measured times (pass, copy, fixed time of a stage, interval between shifts), the recent peak of slots in use and the pause limit how many experts a rank may copy, what a copy must gain and whether a planned stage is worth its copies. A read right after a shift has a weight of 0.8 in the loads.

--- a/internal/coord/coord.go
+++ b/internal/coord/coord.go
@@ -23,6 +23,7 @@
 	"github.com/hibiscuslug/hibiscuslug/internal/plan"
 	"github.com/hibiscuslug/hibiscuslug/internal/rebal"
 	"github.com/hibiscuslug/hibiscuslug/internal/roster"
+	"github.com/hibiscuslug/hibiscuslug/internal/stage"
 	"github.com/hibiscuslug/hibiscuslug/internal/swap"
 	"github.com/hibiscuslug/hibiscuslug/pkg/clock"
 	"github.com/hibiscuslug/hibiscuslug/pkg/wire"
@@ -93,6 +94,12 @@
 	current        expert.Map
 	hasMap         bool
 	planned        expert.Map
+	// stage holds the figures by which stages are decided; run is the last stage.
+	stage stage.Group
+	run   stageRun
+	// passStep is the step read at passFrom, from which passes are measured.
+	passStep uint64
+	passFrom clock.Millis
 	// counts holds the choices last read from each rank; pending holds those
 	// that are not yet part of loads.
 	counts  map[int]rankCounts
@@ -135,7 +142,7 @@
 			clear(coordinator.groups)
 		} else if config := coordinator.settings.Plan(); config != nil {
 			for _, service := range config.Services() {
-				if service.Engine != nil && service.Engine.Layers > 0 && coordinator.service(ctx, service) {
+				if service.Engine != nil && service.Engine.Layers > 0 && coordinator.service(ctx, config, service) {
 					wait = busyReadInterval
 				}
 			}
@@ -148,20 +155,21 @@
 
 // service runs the groups of one service. It reports whether any of them is
 // switching.
-func (coordinator *Coordinator) service(ctx context.Context, service plan.Service) bool {
+func (coordinator *Coordinator) service(ctx context.Context, config *plan.Plan, service plan.Service) bool {
 	byGroup := map[string][]roster.Record{}
 	for _, record := range coordinator.settings.Endpoints(service.Name) {
 		if record.Group.Name != "" {
 			byGroup[record.Group.Name] = append(byGroup[record.Group.Name], record)
 		}
 	}
-	busy := false
+	busy, maxPause := false, config.MaxPause(service.Name)
 	for name, records := range byGroup {
 		state := coordinator.groups[service.Name+"/"+name]
 		if state == nil {
-			state = &group{name: name, engine: *service.Engine}
+			state = &group{name: name, engine: *service.Engine, stage: stage.NewGroup(*service.Engine)}
 			coordinator.groups[service.Name+"/"+name] = state
 		}
+		state.stage = state.stage.WithMaxPause(maxPause)
 		ranks, err := inOrder(records)
 		if err != nil {
 			coordinator.logReadError(state, err)
@@ -215,8 +223,11 @@
 			return group.swap.Busy()
 		}
 		coordinator.logReadError(group, nil)
-		group.addCounts(states)
-		sends := group.swap.Next(rankStates(states), coordinator.clock.Now())
+		now := coordinator.clock.Now()
+		group.addCounts(states, now)
+		group.measure(states, now)
+		group.follow(rankStates(states), now)
+		sends := group.swap.Next(rankStates(states), now)
 		if len(sends) == 0 && !group.swap.Busy() {
 			coordinator.plan(ctx, group, ranks, states)
 			sends = group.swap.Next(rankStates(states), coordinator.clock.Now())
--- a/internal/coord/maps.go
+++ b/internal/coord/maps.go
@@ -8,7 +8,6 @@
 
 	"github.com/hibiscuslug/hibiscuslug/internal/event"
 	"github.com/hibiscuslug/hibiscuslug/internal/expert"
-	"github.com/hibiscuslug/hibiscuslug/internal/plan"
 	"github.com/hibiscuslug/hibiscuslug/internal/rebal"
 	"github.com/hibiscuslug/hibiscuslug/internal/roster"
 	"github.com/hibiscuslug/hibiscuslug/internal/swap"
@@ -16,70 +15,41 @@
 	"github.com/hibiscuslug/hibiscuslug/pkg/wire"
 )
 
-// maxNewPerLayer is the maximum number of experts that may be new to a rank in
-// one layer in a stage.
-const maxNewPerLayer = 1
-
-// stageCopyTime is how long a rank may copy experts in one stage, unless a single
-// expert takes longer. Popularity shifts every few seconds, and a small stage
-// comes into force sooner.
-const stageCopyTime = 100 * clock.Millis(1)
-
-// maxNewPerRank is the maximum number of experts that may be new to a rank in
-// one stage, however short a copy is: passes take longer while ranks copy.
-const maxNewPerRank = 2
-
-// newPerRank returns how many experts may be new to a rank in one stage, in all
-// layers together. If the copy time is unknown, it returns the limit of a single
-// layer.
-func newPerRank(engine plan.Engine) int {
-	if engine.CopyMillis <= 0 {
-		return maxNewPerLayer
-	}
-	return min(max(1, int(float64(stageCopyTime)/engine.CopyMillis)), maxNewPerRank)
-}
-
-// loadWeight is the weight of a new measurement in the loads. It is high enough
-// to follow a shift within two reads, and low enough to ignore single requests.
-const loadWeight = 0.4
-
-// threshold is the skew at which copying experts pays off. A group with free
-// request slots loses little by a longer pass; a full one loses requests.
-type threshold struct {
-	// fill is the minimum share of request slots in use at which the threshold
-	// applies.
-	fill float64
-	// startSkew, stopSkew and minGain are the Start, Stop and MinGain of
-	// rebal.Settings.
-	startSkew, stopSkew, minGain float64
-}
+// loadWeight is the weight of a new measurement in the loads, low enough to ignore
+// single requests; shiftWeight is that of the first one after a shift, since a stage
+// may make the whole change to the new popularity.
+const (
+	loadWeight  = 0.4
+	shiftWeight = 0.8
+)
 
-// thresholds are ordered from a full group to an idle one.
-var thresholds = []threshold{
-	{fill: 0.55, startSkew: 1.10, stopSkew: 1.03, minGain: 0.001},
-	{fill: 0.35, startSkew: 1.50, stopSkew: 1.20, minGain: 0.008},
-	{fill: 0, startSkew: 2.20, stopSkew: 1.60, minGain: 0.03},
-}
+// minPasses is the minimum number of passes whose mean duration is measured, since
+// reads are at any time of a pass.
+const minPasses = 2
 
-// plannerSettings returns the planner settings that match the load of a group.
-func plannerSettings(group *group, states []*wire.RankState) rebal.Settings {
-	taken := 0
+// measure adds the demand and the duration of passes since the last read to the
+// figures by which stages are decided. Passes are measured while no switch is in
+// progress, since passes take longer while ranks copy.
+func (group *group) measure(states []*wire.RankState, now clock.Millis) {
+	inUse := 0
 	for _, state := range states {
-		taken += int(state.GetRunning() + state.GetWaiting())
-	}
-	fill := float64(taken) / float64(max(len(states)*group.engine.RequestSlots, 1))
-	settings := rebal.Settings{MaxCopies: maxNewPerLayer * group.current.Ranks(), PerRank: maxNewPerLayer, PerRankAll: newPerRank(group.engine)}
-	for _, level := range thresholds {
-		if fill >= level.fill {
-			settings.Start, settings.Stop, settings.MinGain = level.startSkew, level.stopSkew, level.minGain
-			break
-		}
+		inUse += int(state.GetRunning() + state.GetWaiting())
+	}
+	group.stage = group.stage.WithDemand(inUse, len(states), now)
+	step := states[0].GetStep()
+	if group.swap.Busy() || group.passFrom == 0 || step < group.passStep {
+		group.passFrom, group.passStep = now, step
+		return
+	}
+	if passes := step - group.passStep; passes >= minPasses && group.hasMap && group.loads != nil {
+		mean := float64(now-group.passFrom) / float64(passes)
+		group.stage = group.stage.WithPass(mean, rebal.MeanSkew(group.current, group.loads))
+		group.passFrom, group.passStep = now, step
 	}
-	return settings
 }
 
 // addCounts adds the expert choices since the last read to the loads.
-func (group *group) addCounts(states []*wire.RankState) {
+func (group *group) addCounts(states []*wire.RankState, now clock.Millis) {
 	layers, experts := group.engine.Layers, group.engine.Experts
 	for rank, state := range states {
 		// The sizes of the configuration are used only if an engine confirms them.
@@ -101,7 +71,15 @@
 		}
 	}
 	if shares, ok := normalize(group.pending); ok {
-		group.loads = group.loads.WithWeight(shares, loadWeight)
+		weight := loadWeight
+		if group.loads != nil {
+			next, isShift := group.stage.WithDistance(group.loads.Distance(shares), now)
+			if isShift {
+				weight = shiftWeight
+			}
+			group.stage = next
+		}
+		group.loads = group.loads.WithWeight(shares, weight)
 		group.pending = newLoads(layers, experts)
 	}
 }
@@ -134,6 +112,36 @@
 	return shares, len(measured) > 0
 }
 
+// stageRun is the stage that was started last.
+type stageRun struct {
+	// version is the version of its map; 0 once the stage has ended.
+	version uint64
+	// copies is the largest number of experts that a rank copies for it.
+	copies                int
+	startedAt, preparedAt clock.Millis
+}
+
+// follow notes when all ranks have copied their experts for the stage under way, and
+// measures a stage whose map is in use in all ranks.
+func (group *group) follow(ranks []swap.Rank, now clock.Millis) {
+	run := &group.run
+	if run.version == 0 {
+		return
+	}
+	isPrepared, isInUse := true, true
+	for _, rank := range ranks {
+		isPrepared = isPrepared && (rank.Prepared == run.version || rank.Map == run.version)
+		isInUse = isInUse && rank.Map == run.version
+	}
+	if isPrepared && run.preparedAt == 0 {
+		run.preparedAt = now
+	}
+	if isInUse {
+		group.stage = group.stage.WithStage(now-run.startedAt, run.preparedAt-run.startedAt, run.copies)
+		run.version = 0
+	}
+}
+
 // plan reads the map in use if it has changed, and starts the switch to a
 // better one.
 func (coordinator *Coordinator) plan(ctx context.Context, group *group, ranks []roster.Record, states []*wire.RankState) {
@@ -151,15 +159,25 @@
 	if group.swap.Busy() || group.loads == nil {
 		return
 	}
-	next, changed := rebal.New(plannerSettings(group, states)).Plan(group.current, group.loads)
+	now, skew := coordinator.clock.Now(), rebal.MeanSkew(group.current, group.loads)
+	settings, ok := group.stage.Settings(skew, now)
+	if !ok {
+		return
+	}
+	next, changed := rebal.New(settings).Plan(group.current, group.loads)
 	if !changed {
 		return
 	}
+	planned, copies := rebal.MeanSkew(next, group.loads), next.RankCopies(group.current)
+	if !group.stage.IsWorth(skew, planned, copies, now) {
+		return
+	}
 	group.planned = next
 	target := swap.NextVersion(current)
-	group.swap.Start(target, epoch, coordinator.clock.Now())
+	group.swap.Start(target, epoch, now)
+	group.run = stageRun{version: target, copies: copies, startedAt: now}
 	coordinator.log.Write(event.MapWanted, "group", group.name, "version", target, "epoch", epoch, "copies", next.Copies(group.current),
-		"skewNow", rebal.MeanSkew(group.current, group.loads), "skewPlanned", rebal.MeanSkew(next, group.loads))
+		"skewNow", skew, "skewPlanned", planned, "perRank", copies, "maxPerRank", settings.PerRankAll, "minGain", settings.MinGain)
 }
 
 // loadMap reads the map in use from the ranks.
--- a/internal/expert/map.go
+++ b/internal/expert/map.go
@@ -74,14 +74,30 @@
 // replaces an old one: those that a rank holds in this map and not in the old
 // one.
 func (plan Map) Copies(old Map) int {
+	copies := 0
+	for rank := range plan.ranks {
+		copies += plan.copiesOf(old, rank)
+	}
+	return copies
+}
+
+// RankCopies returns the largest number of experts that one rank has to load when
+// this map replaces an old one.
+func (plan Map) RankCopies(old Map) int {
+	most := 0
+	for rank := range plan.ranks {
+		most = max(most, plan.copiesOf(old, rank))
+	}
+	return most
+}
+
+func (plan Map) copiesOf(old Map, rank int) int {
 	copies := 0
 	for layer := range plan.layers {
-		for rank := range plan.ranks {
-			before := old.rankSlots(layer, rank)
-			for _, expert := range plan.rankSlots(layer, rank) {
-				if expert != Free && !slices.Contains(before, expert) {
-					copies++
-				}
+		before := old.rankSlots(layer, rank)
+		for _, expert := range plan.rankSlots(layer, rank) {
+			if expert != Free && !slices.Contains(before, expert) {
+				copies++
 			}
 		}
 	}
--- a/internal/plan/plan.go
+++ b/internal/plan/plan.go
@@ -214,6 +214,21 @@
 	return service, ok
 }
 
+// MaxPause returns the strictest objective for the longest pause among the routes of
+// streams that a service serves; 0 for none.
+func (plan *Plan) MaxPause(service string) clock.Millis {
+	strictest := clock.Millis(0)
+	for _, list := range plan.byHost {
+		for _, route := range list {
+			serves := slices.ContainsFunc(route.Shares, func(share Share) bool { return share.Service == service && share.Weight > 0 })
+			if serves && route.Kind == Streaming && route.MaxPause > 0 && (strictest == 0 || route.MaxPause < strictest) {
+				strictest = route.MaxPause
+			}
+		}
+	}
+	return strictest
+}
+
 // Services returns all services, ordered by name.
 func (plan *Plan) Services() []Service {
 	list := make([]Service, 0, len(plan.services))
--- a/internal/rebal/load.go
+++ b/internal/rebal/load.go
@@ -40,6 +40,18 @@
 	return mixed
 }
 
+// Distance returns the share of the tokens of a layer, as a mean over the layers,
+// that a measurement finds at other experts than the loads do.
+func (loads Loads) Distance(measured Loads) float64 {
+	sum := 0.0
+	for layer := range loads {
+		for at := range loads[layer] {
+			sum += math.Abs(loads[layer][at]-measured[layer][at]) / 2
+		}
+	}
+	return sum / float64(max(len(loads), 1))
+}
+
 // Skew returns the load of the busiest rank in a layer over the mean load of
 // the ranks. The busiest rank determines the duration of the layer. The tokens
 // of an expert are spread evenly over its slots.
