pace, rebal, coord: experts of slow ranks go to others

Nothing used the pace that an engine reports, so one rank at 12 times slowed its whole group. The load of a rank counts multiplied by its pace; from a pace of 3 it loses all experts that others have places for, and no expert is placed on it. A rank that is fast again gets its share back even if the skew is low. Lines 608 and 609 name the rank, its pace and the time that a pass loses; line 610 tells of a shift. coord.Settings.SetPace is called once a second while a rank is slow, and with 1 when it no longer is; the daemon does not set it yet.

--- a/internal/coord/coord.go
+++ b/internal/coord/coord.go
@@ -20,7 +20,9 @@
 	"github.com/hibiscuslug/hibiscuslug/internal/event"
 	"github.com/hibiscuslug/hibiscuslug/internal/expert"
 	"github.com/hibiscuslug/hibiscuslug/internal/link"
+	"github.com/hibiscuslug/hibiscuslug/internal/pace"
 	"github.com/hibiscuslug/hibiscuslug/internal/plan"
+	"github.com/hibiscuslug/hibiscuslug/internal/quota"
 	"github.com/hibiscuslug/hibiscuslug/internal/rebal"
 	"github.com/hibiscuslug/hibiscuslug/internal/roster"
 	"github.com/hibiscuslug/hibiscuslug/internal/stage"
@@ -70,6 +72,9 @@
 	Engine func(address string) agent.Engine
 	// Leads reports whether this process is certain to be the control leader.
 	Leads func() bool
+	// SetPace tells gateways by how many times a rank is slower than the others; 1
+	// ends that. It is called once a second while the rank is slow. May be nil.
+	SetPace func(endpoint quota.Endpoint, pace float64)
 }
 
 // Coordinator manages the expert maps of all groups.
@@ -97,6 +102,11 @@
 	// stage holds the figures by which stages are decided; run is the last stage.
 	stage stage.Group
 	run   stageRun
+	// paces holds the ranks that are slow, and slow by rank when they were last
+	// reported; wasSlow is set until all ranks have their share of experts again.
+	paces   pace.Ranks
+	slow    map[int]slowReport
+	wasSlow bool
 	// passStep is the step read at passFrom, from which passes are measured.
 	passStep uint64
 	passFrom clock.Millis
@@ -224,9 +234,15 @@
 		}
 		coordinator.logReadError(group, nil)
 		now := coordinator.clock.Now()
-		group.addCounts(states, now)
+		if group.addCounts(states, now) {
+			coordinator.log.Write(event.PopularityShifted, "group", group.name, "interval", group.stage.Interval())
+		}
 		group.measure(states, now)
 		group.follow(rankStates(states), now)
+		if round == 0 {
+			group.paces = group.paces.WithRead(pacesOf(states))
+			coordinator.reportSlow(group, ranks, now)
+		}
 		sends := group.swap.Next(rankStates(states), now)
 		if len(sends) == 0 && !group.swap.Busy() {
 			coordinator.plan(ctx, group, ranks, states)
--- a/internal/coord/coord_test.go
+++ b/internal/coord/coord_test.go
@@ -21,6 +21,7 @@
 	"github.com/hibiscuslug/hibiscuslug/internal/opts"
 	"github.com/hibiscuslug/hibiscuslug/internal/plan"
 	"github.com/hibiscuslug/hibiscuslug/internal/ports"
+	"github.com/hibiscuslug/hibiscuslug/internal/quota"
 	"github.com/hibiscuslug/hibiscuslug/internal/roster"
 	"github.com/hibiscuslug/hibiscuslug/pkg/clock"
 	"github.com/hibiscuslug/hibiscuslug/pkg/wire"
@@ -50,13 +51,15 @@
 	highest  [size]uint64
 	prepared [size][][]uint32
 	isMixed  bool
+	// told holds the paces that gateways were told of, by endpoint.
+	told map[quota.Endpoint]float64
 	// stopOnHold stops the agent of rank 0 once a rank is held; agentStopped is
 	// set once that has happened.
 	stopOnHold, agentStopped bool
 }
 
 func newGroup() *group {
-	group := &group{}
+	group := &group{told: map[quota.Endpoint]float64{}}
 	for at := range group.ranks {
 		set := &wire.RankSet{}
 		for expertID := at; expertID < experts; expertID += size {
@@ -105,6 +108,24 @@
 	return group.agentStopped
 }
 
+func (group *group) setPace(rank int, pace float64) {
+	group.mu.Lock()
+	defer group.mu.Unlock()
+	group.ranks[rank].Pace = pace
+}
+
+func (group *group) toldPace(rank int) float64 {
+	group.mu.Lock()
+	defer group.mu.Unlock()
+	return group.told[quota.Endpoint{ID: fmt.Sprintf("e%d", rank), Incarnation: 1}]
+}
+
+func (group *group) held(rank int) int {
+	group.mu.Lock()
+	defer group.mu.Unlock()
+	return len(group.ranks[rank].Experts[0].GetExperts())
+}
+
 // popularReplicas counts the ranks that hold the most popular expert.
 func (group *group) popularReplicas() int {
 	group.mu.Lock()
@@ -235,6 +256,11 @@
 	running := coord.New(coord.Settings{
 		Listen: "127.0.0.1:" + port, Plan: func() *plan.Plan { return document },
 		Endpoints: func(string) []roster.Record { return records }, Leads: func() bool { return true },
+		SetPace: func(endpoint quota.Endpoint, pace float64) {
+			group.mu.Lock()
+			defer group.mu.Unlock()
+			group.told[endpoint] = pace
+		},
 		Engine: func(at string) agent.Engine {
 			return engine{group, slices.IndexFunc(records, func(record roster.Record) bool { return record.Address == at })}
 		},
@@ -251,6 +277,23 @@
 	Expect(group.isMixed).To(BeFalse())
 })
 
+// Guards against a group in which every pass waits for one slow rank.
+var _ = It("takes the experts from a slow rank and returns them when it is fast again", func() {
+	const slow = 2
+	group := newGroup()
+	group.setPace(slow, 12)
+	start(group)
+	Eventually(func() int { return group.held(slow) }).WithTimeout(limit).Should(BeZero())
+	Expect(group.toldPace(slow)).To(Equal(12.0))
+	Expect(group.toldPace(0)).To(BeZero())
+	group.setPace(slow, 1)
+	Eventually(func() int { return group.held(slow) }).WithTimeout(limit).Should(BeNumerically(">", 0))
+	Expect(group.toldPace(slow)).To(Equal(1.0))
+	group.mu.Lock()
+	defer group.mu.Unlock()
+	Expect(group.isMixed).To(BeFalse())
+})
+
 // Guards against a hold that stands until the stopped agent of the rank with the
 // hold is running again.
 var _ = It("resumes a group when the agent of the rank with the hold has stopped", func() {
--- a/internal/coord/maps.go
+++ b/internal/coord/maps.go
@@ -29,7 +29,7 @@
 
 // measure adds the demand and the duration of passes since the last read to the
 // figures by which stages are decided. Passes are measured while no switch is in
-// progress, since passes take longer while ranks copy.
+// progress and no rank is slow, since passes take longer then.
 func (group *group) measure(states []*wire.RankState, now clock.Millis) {
 	inUse := 0
 	for _, state := range states {
@@ -37,7 +37,7 @@
 	}
 	group.stage = group.stage.WithDemand(inUse, len(states), now)
 	step := states[0].GetStep()
-	if group.swap.Busy() || group.passFrom == 0 || step < group.passStep {
+	if group.swap.Busy() || len(group.paces.Slow()) > 0 || group.passFrom == 0 || step < group.passStep {
 		group.passFrom, group.passStep = now, step
 		return
 	}
@@ -48,8 +48,10 @@
 	}
 }
 
-// addCounts adds the expert choices since the last read to the loads.
-func (group *group) addCounts(states []*wire.RankState, now clock.Millis) {
+// addCounts adds the expert choices since the last read to the loads. It reports
+// whether their popularity has shifted.
+func (group *group) addCounts(states []*wire.RankState, now clock.Millis) bool {
+	shifted := false
 	layers, experts := group.engine.Layers, group.engine.Experts
 	for rank, state := range states {
 		// The sizes of the configuration are used only if an engine confirms them.
@@ -73,15 +75,14 @@
 	if shares, ok := normalize(group.pending); ok {
 		weight := loadWeight
 		if group.loads != nil {
-			next, isShift := group.stage.WithDistance(group.loads.Distance(shares), now)
-			if isShift {
+			if group.stage, shifted = group.stage.WithDistance(group.loads.Distance(shares), now); shifted {
 				weight = shiftWeight
 			}
-			group.stage = next
 		}
 		group.loads = group.loads.WithWeight(shares, weight)
 		group.pending = newLoads(layers, experts)
 	}
+	return shifted
 }
 
 func newLoads(layers, experts int) rebal.Loads {
@@ -159,17 +160,21 @@
 	if group.swap.Busy() || group.loads == nil {
 		return
 	}
-	now, skew := coordinator.clock.Now(), rebal.MeanSkew(group.current, group.loads)
+	paces := group.slowPaces()
+	now, skew := coordinator.clock.Now(), rebal.PacedSkew(group.current, group.loads, paces)
 	settings, ok := group.stage.Settings(skew, now)
 	if !ok {
 		return
 	}
+	settings.Paces = paces
 	next, changed := rebal.New(settings).Plan(group.current, group.loads)
 	if !changed {
+		group.wasSlow = len(group.paces.Slow()) > 0
 		return
 	}
-	planned, copies := rebal.MeanSkew(next, group.loads), next.RankCopies(group.current)
-	if !group.stage.IsWorth(skew, planned, copies, now) {
+	planned, copies := rebal.PacedSkew(next, group.loads, paces), next.RankCopies(group.current)
+	settles := rebal.Unsettled(next, paces) < rebal.Unsettled(group.current, paces)
+	if !settles && !group.stage.IsWorth(skew, planned, copies, now) {
 		return
 	}
 	group.planned = next
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -76,6 +76,9 @@
 	GroupRead          = Event{605, "ranks of a group can all be read again"}
 	HoldEnded          = Event{606, "hold of a group ended without an agent"}
 	RankUnread         = Event{607, "engine cannot be read after an order"}
+	RankSlow           = Event{608, "rank slows its group"}
+	RankNotSlow        = Event{609, "rank is no longer slow"}
+	PopularityShifted  = Event{610, "popularity of experts has shifted"}
 )
 
 // Log writes the events of one process.
--- a/internal/rebal/load.go
+++ b/internal/rebal/load.go
@@ -56,21 +56,37 @@
 // the ranks. The busiest rank determines the duration of the layer. The tokens
 // of an expert are spread evenly over its slots.
 func Skew(plan expert.Map, layer int, load []float64) float64 {
+	return pacedSkew(plan, layer, load, nil)
+}
+
+func pacedSkew(plan expert.Map, layer int, load, paces []float64) float64 {
 	ranks := rankLoads(plan, layer, load)
 	maximum, sum := 0.0, 0.0
-	for _, rank := range ranks {
-		maximum = math.Max(maximum, rank)
+	for at, rank := range ranks {
+		maximum = math.Max(maximum, rank*paceOf(paces, at))
 		sum += rank
 	}
 	return maximum * float64(len(ranks)) / sum
 }
 
+// paceOf returns the pace of a rank; paces is nil when all ranks are equally fast.
+func paceOf(paces []float64, rank int) float64 {
+	if paces == nil {
+		return 1
+	}
+	return paces[rank]
+}
+
 // MeanSkew returns the mean skew of all layers, since a pass runs one layer
 // after the other.
-func MeanSkew(plan expert.Map, loads Loads) float64 {
+func MeanSkew(plan expert.Map, loads Loads) float64 { return PacedSkew(plan, loads, nil) }
+
+// PacedSkew returns the mean skew of all layers where the load of each rank counts
+// multiplied by its pace, the factor by which it is slower than usual.
+func PacedSkew(plan expert.Map, loads Loads, paces []float64) float64 {
 	sum := 0.0
 	for layer, load := range loads {
-		sum += Skew(plan, layer, load)
+		sum += pacedSkew(plan, layer, load, paces)
 	}
 	return sum / float64(len(loads))
 }
--- a/internal/rebal/planner.go
+++ b/internal/rebal/planner.go
@@ -27,6 +27,9 @@
 	// MinGain is the minimum reduction of skew per copied expert. It weighs the
 	// time saved until the next plan against the passes slowed by copying.
 	MinGain float64
+	// Paces holds, for each rank, by how many times it is slower than usual; nil if
+	// all are equally fast. The load of a rank counts multiplied by its pace.
+	Paces []float64
 }
 
 // Default returns the settings of bench/expert and tests; package coord has its
@@ -37,6 +40,11 @@
 	return Settings{Start: 1.05, Stop: 1.03, MaxCopies: 12, MinGain: 0.001}
 }
 
+// drainPace is the pace from which a rank loses all experts that others can hold. It
+// would carry less than a third of the load of another rank, and an expert on it that
+// becomes popular would slow the whole group.
+const drainPace = 3
+
 // Planner changes maps with a bounded number of copies at a time.
 type Planner struct {
 	settings Settings
@@ -51,21 +59,74 @@
 func (planner *Planner) Plan(plan expert.Map, loads Loads) (expert.Map, bool) {
 	next := plan
 	spent := make([]int, plan.Ranks())
-	for _, layer := range bySkew(plan, loads) {
-		if Skew(plan, layer, loads[layer]) < planner.settings.Start {
-			break
+	for _, layer := range bySkew(plan, loads, planner.settings.Paces) {
+		if pacedSkew(plan, layer, loads[layer], planner.settings.Paces) < planner.settings.Start && !planner.isUnsettled(plan, layer) {
+			continue
 		}
 		next = next.WithLayer(layer, planner.planLayer(next, layer, loads[layer], spent))
 	}
-	return next, next.Copies(plan) > 0
+	// A map that only takes replicas from slow ranks copies nothing.
+	return next, next.Copies(plan) > 0 || plan.Copies(next) > 0
+}
+
+// isUnsettled reports whether a layer is planned even if its skew is low.
+func (planner *Planner) isUnsettled(plan expert.Map, layer int) bool {
+	return unsettled(plan, layer, planner.settings.Paces) > 0
+}
+
+// Unsettled returns how many experts ranks hold that are too slow to hold any, plus
+// the number of ranks that are not slow and hold none in a layer, over all layers.
+func Unsettled(plan expert.Map, paces []float64) int {
+	count := 0
+	for layer := range plan.Layers() {
+		count += unsettled(plan, layer, paces)
+	}
+	return count
+}
+
+func unsettled(plan expert.Map, layer int, paces []float64) int {
+	count := 0
+	for rank, pace := range paces {
+		switch held := heldExperts(plan, layer, rank); {
+		case isDrained(pace):
+			count += held
+		case isFast(pace) && held == 0:
+			count++
+		}
+	}
+	return count
+}
+
+func heldExperts(plan expert.Map, layer, rank int) int {
+	count, size := 0, plan.SlotsPerRank()
+	for _, expertID := range plan.Slots(layer)[rank*size : (rank+1)*size] {
+		if expertID != expert.Free {
+			count++
+		}
+	}
+	return count
 }
 
+// hasIdleRank reports whether a rank that is not slow holds no expert of a layer.
+func hasIdleRank(plan expert.Map, layer int, paces []float64) bool {
+	for rank, pace := range paces {
+		if isFast(pace) && heldExperts(plan, layer, rank) == 0 {
+			return true
+		}
+	}
+	return false
+}
+
+func isDrained(pace float64) bool { return pace >= drainPace }
+
+func isFast(pace float64) bool { return pace <= 1 }
+
 // bySkew returns the layers in order of falling skew, so that the bound over
 // all layers is spent where it saves most.
-func bySkew(plan expert.Map, loads Loads) []int {
+func bySkew(plan expert.Map, loads Loads, paces []float64) []int {
 	order, skews := make([]int, len(loads)), make([]float64, len(loads))
 	for layer, load := range loads {
-		order[layer], skews[layer] = layer, Skew(plan, layer, load)
+		order[layer], skews[layer] = layer, pacedSkew(plan, layer, load, paces)
 	}
 	slices.SortStableFunc(order, func(first, second int) int { return cmp.Compare(skews[second], skews[first]) })
 	return order
@@ -75,17 +136,33 @@
 // skew is low enough, the next move gains too little per copy, or MaxCopies is
 // reached. It adds the experts that are new to each rank to spent.
 func (planner *Planner) planLayer(plan expert.Map, layer int, load []float64, spent []int) []uint16 {
-	work := newLayout(plan, layer, load)
+	work := newLayout(plan, layer, load, planner.settings.Paces)
+	stop := planner.settings.Stop
+	if hasIdleRank(plan, layer, planner.settings.Paces) {
+		// A rank that was slow gets its share back even if the skew is low.
+		stop = 1
+	}
 	work.setNewLimits(planner.settings, spent)
 	copies := 0
-	for copies < planner.settings.MaxCopies && work.skew() > planner.settings.Stop {
+	for copies < planner.settings.MaxCopies && work.skew() > stop {
 		best := work.bestMove()
-		if best.copies == 0 || best.gain/float64(best.copies) < planner.settings.MinGain*work.meanLoad || copies+best.copies > planner.settings.MaxCopies {
+		if best.gain <= 0 || best.gain < float64(best.copies)*planner.settings.MinGain*work.meanLoad || copies+best.copies > planner.settings.MaxCopies {
 			break
 		}
 		work.apply(best)
 		copies += best.copies
 	}
+	for {
+		next, ok := work.drainMove()
+		if !ok {
+			next, ok = work.fillMove()
+		}
+		if !ok || copies+next.copies > planner.settings.MaxCopies {
+			break
+		}
+		work.apply(next)
+		copies += next.copies
+	}
 	for rank := range spent {
 		spent[rank] += work.newCounts[rank]
 	}
@@ -104,8 +181,11 @@
 	slotsPerRank int
 	load         []float64
 	replicas     []int
-	rankLoads    []float64
-	meanLoad     float64
+	// rankLoads holds the loads of the ranks multiplied by their paces; meanLoad is
+	// the mean without them.
+	rankLoads []float64
+	paces     []float64
+	meanLoad  float64
 	// isNew marks the slots whose expert is new to the rank; newCounts counts
 	// them by rank.
 	isNew     []bool
@@ -121,26 +201,40 @@
 	touched   []int
 }
 
-// move changes the expert of one slot or exchanges the experts of two.
+// moveKind is what a move does.
+type moveKind int
+
+const (
+	// copyTo copies the expert of slot to other.
+	copyTo moveKind = iota
+	// exchange swaps the experts of the two slots.
+	exchange
+	// vacate copies the expert of slot to other and frees slot. It and drop take
+	// experts from slow ranks only.
+	vacate
+	// drop frees slot; the expert has other replicas.
+	drop
+)
+
+// move changes the expert of one slot or of two.
 type move struct {
 	slot, other int
-	// exchange swaps the experts of the two slots; otherwise the expert of slot
-	// is copied to other.
-	exchange bool
-	copies   int
-	gain     float64
+	kind        moveKind
+	copies      int
+	gain        float64
 }
 
-func newLayout(plan expert.Map, layer int, load []float64) *layout {
+func newLayout(plan expert.Map, layer int, load, paces []float64) *layout {
 	work := &layout{
 		slots: append([]uint16(nil), plan.Slots(layer)...), current: plan.Slots(layer), slotsPerRank: plan.SlotsPerRank(), load: load,
-		replicas: countReplicas(plan, layer, len(load)), rankLoads: rankLoads(plan, layer, load),
+		replicas: countReplicas(plan, layer, len(load)), rankLoads: rankLoads(plan, layer, load), paces: paces,
 	}
 	work.slotsOf, work.ranksByLoad = make([][]int, len(load)), make([]int, len(work.rankLoads))
 	work.isNew, work.newCounts = make([]bool, len(work.slots)), make([]int, len(work.rankLoads))
 	work.deltas, work.isTouched = make([]float64, len(work.rankLoads)), make([]bool, len(work.rankLoads))
 	for at, rank := range work.rankLoads {
 		work.meanLoad += rank / float64(len(work.rankLoads))
+		work.rankLoads[at] *= paceOf(paces, at)
 		work.ranksByLoad[at] = at
 	}
 	work.index()
@@ -173,12 +267,20 @@
 func (work *layout) bestMove() move {
 	busiest := work.busiestRank()
 	found := move{}
+	kinds := []move{{kind: copyTo, copies: 1}, {kind: exchange, copies: 2}}
+	if paceOf(work.paces, busiest) > 1 {
+		if dropped := work.bestDrop(busiest); dropped.gain > 0 {
+			return dropped
+		}
+		kinds = append(kinds, move{kind: vacate, copies: 1})
+	}
 	for slot := busiest * work.slotsPerRank; slot < (busiest+1)*work.slotsPerRank; slot++ {
 		for other := range work.slots {
 			if work.rank(other) == busiest {
 				continue
 			}
-			for _, candidate := range []move{{slot: slot, other: other, copies: 1}, {slot: slot, other: other, exchange: true, copies: 2}} {
+			for _, candidate := range kinds {
+				candidate.slot, candidate.other = slot, other
 				candidate.gain = work.gain(busiest, candidate)
 				if candidate.gain/float64(candidate.copies) > found.gain/float64(max(found.copies, 1)) {
 					found = candidate
@@ -189,21 +291,108 @@
 	return found
 }
 
+// bestDrop returns the move that takes a replica from a slow rank and gains most, if
+// there is any; otherwise it returns a move of another kind. It copies nothing.
+func (work *layout) bestDrop(rank int) move {
+	found := move{gain: math.Inf(-1)}
+	for slot := rank * work.slotsPerRank; slot < (rank+1)*work.slotsPerRank; slot++ {
+		expertID := work.slots[slot]
+		if expertID == expert.Free || work.replicas[expertID] < 2 {
+			continue
+		}
+		fewer := work.load[expertID] / float64(work.replicas[expertID]-1)
+		work.addExpertLoad(expertID, fewer-work.share(expertID))
+		work.addRankLoad(rank, -fewer)
+		if gain := work.changedGain(work.rankLoads[work.busiestRank()]); gain > found.gain {
+			found = move{slot: slot, other: slot, kind: drop, gain: gain}
+		}
+	}
+	return found
+}
+
+// drainMove returns the move that takes an expert from a drained rank with the lowest
+// load of the busiest rank after it. It reports false if no other rank can hold the
+// expert. That load may rise: later moves and stages even it out, as no expert comes
+// to a drained rank.
+func (work *layout) drainMove() (move, bool) {
+	busiest := work.busiestRank()
+	found, ok := move{}, false
+	consider := func(candidate move) {
+		if !ok || candidate.gain > found.gain {
+			found, ok = candidate, true
+		}
+	}
+	for rank, pace := range work.paces {
+		if !isDrained(pace) {
+			continue
+		}
+		if dropped := work.bestDrop(rank); dropped.kind == drop {
+			consider(dropped)
+			continue
+		}
+		for slot := rank * work.slotsPerRank; slot < (rank+1)*work.slotsPerRank; slot++ {
+			for other := range work.slots {
+				if candidate := (move{slot: slot, other: other, kind: vacate, copies: 1}); work.isAllowed(candidate) {
+					candidate.gain = work.gain(busiest, candidate)
+					consider(candidate)
+				}
+			}
+		}
+	}
+	return found, ok
+}
+
+// fillMove returns the copy to a rank that is fast again and holds no expert which
+// leaves the lowest load of the busiest rank, the most popular expert first. It reports
+// false if there is no such rank.
+func (work *layout) fillMove() (move, bool) {
+	busiest := work.busiestRank()
+	found, ok := move{}, false
+	for rank, pace := range work.paces {
+		first := rank * work.slotsPerRank
+		held := work.slots[first : first+work.slotsPerRank]
+		if !isFast(pace) || slices.ContainsFunc(held, func(expertID uint16) bool { return expertID != expert.Free }) {
+			continue
+		}
+		for slot := range work.slots {
+			candidate := move{slot: slot, other: first, kind: copyTo, copies: 1}
+			if !work.isAllowed(candidate) {
+				continue
+			}
+			candidate.gain = work.gain(busiest, candidate)
+			isBetter := candidate.gain > found.gain || candidate.gain == found.gain && work.share(work.slots[slot]) > work.share(work.slots[found.slot])
+			if !ok || isBetter {
+				found, ok = candidate, true
+			}
+		}
+	}
+	return found, ok
+}
+
 func (work *layout) gain(busiest int, candidate move) float64 {
 	before := work.rankLoads[busiest]
-	from, into := work.slots[candidate.slot], work.slots[candidate.other]
-	if from == into || from == expert.Free || work.hasReplica(work.rank(candidate.other), from) || !work.allowsNew(candidate.other, from) {
+	if !work.isAllowed(candidate) {
 		return 0
 	}
-	if candidate.exchange {
+	from, into := work.slots[candidate.slot], work.slots[candidate.other]
+	if candidate.kind == exchange {
 		return work.exchangeGain(before, candidate, from, into)
 	}
-	if into != expert.Free && work.replicas[into] < 2 {
-		return 0
+	if candidate.kind == vacate {
+		return work.vacateGain(before, candidate, from, into)
 	}
 	return work.copyGain(before, candidate, from, into)
 }
 
+// isAllowed reports whether the expert of a slot may be placed in the other slot.
+func (work *layout) isAllowed(candidate move) bool {
+	from, into, rank := work.slots[candidate.slot], work.slots[candidate.other], work.rank(candidate.other)
+	if from == into || from == expert.Free || isDrained(paceOf(work.paces, rank)) || work.hasReplica(rank, from) || !work.allowsNew(candidate.other, from) {
+		return false
+	}
+	return candidate.kind == exchange || into == expert.Free || work.replicas[into] > 1
+}
+
 // setNewLimits bounds the experts that are new to each rank, less those that
 // other layers already add.
 func (work *layout) setNewLimits(settings Settings, spent []int) {
@@ -269,22 +458,44 @@
 		return 0
 	}
 	shift := work.share(from) - work.share(into)
-	after := math.Max(before-shift, work.rankLoads[work.rank(candidate.other)]+shift)
+	slot, other := work.rank(candidate.slot), work.rank(candidate.other)
+	after := math.Max(before-shift*paceOf(work.paces, slot), work.rankLoads[other]+shift*paceOf(work.paces, other))
 	return before - after
 }
 
 // copyGain returns the gain of one more replica of an expert. The tokens of the
 // replica that it replaces go to the other slots of that expert.
 func (work *layout) copyGain(before float64, candidate move, from, into uint16) float64 {
-	defer work.clearChanges()
 	more := work.load[from] / float64(work.replicas[from]+1)
 	work.addExpertLoad(from, more-work.share(from))
-	fewer := 0.0
-	if into != expert.Free {
-		fewer = work.load[into] / float64(work.replicas[into]-1)
-		work.addExpertLoad(into, fewer-work.share(into))
+	work.addRankLoad(work.rank(candidate.other), more-work.displace(into))
+	return work.changedGain(before)
+}
+
+// vacateGain returns the gain when an expert moves to another rank. The tokens of the
+// replica that it replaces go to the other slots of that expert.
+func (work *layout) vacateGain(before float64, candidate move, from, into uint16) float64 {
+	share := work.share(from)
+	work.addRankLoad(work.rank(candidate.slot), -share)
+	work.addRankLoad(work.rank(candidate.other), share-work.displace(into))
+	return work.changedGain(before)
+}
+
+// displace spreads the tokens of a replica that is replaced over the other slots of
+// its expert, including its own, and returns what each of them then has.
+func (work *layout) displace(into uint16) float64 {
+	if into == expert.Free {
+		return 0
 	}
-	work.addRankLoad(work.rank(candidate.other), more-fewer)
+	fewer := work.load[into] / float64(work.replicas[into]-1)
+	work.addExpertLoad(into, fewer-work.share(into))
+	return fewer
+}
+
+// changedGain returns by how much the evaluated changes reduce the load of the busiest
+// rank, and discards them.
+func (work *layout) changedGain(before float64) float64 {
+	defer work.clearChanges()
 	after := 0.0
 	for _, rank := range work.touched {
 		after = max(after, work.rankLoads[rank]+work.deltas[rank])
@@ -310,7 +521,7 @@
 		work.isTouched[rank] = true
 		work.touched = append(work.touched, rank)
 	}
-	work.deltas[rank] += delta
+	work.deltas[rank] += delta * paceOf(work.paces, rank)
 }
 
 // clearChanges discards the evaluated changes.
@@ -336,18 +547,28 @@
 
 func (work *layout) apply(chosen move) {
 	from, into := work.slots[chosen.slot], work.slots[chosen.other]
-	work.place(chosen.other, from)
-	if chosen.exchange {
+	switch chosen.kind {
+	case drop:
+		work.place(chosen.slot, expert.Free)
+		work.replicas[from]--
+	case exchange:
+		work.place(chosen.other, from)
 		work.place(chosen.slot, into)
-	} else {
-		work.replicas[from]++
+	case copyTo, vacate:
+		work.place(chosen.other, from)
+		if chosen.kind == vacate {
+			work.place(chosen.slot, expert.Free)
+		} else {
+			work.replicas[from]++
+		}
 		if into != expert.Free {
 			work.replicas[into]--
 		}
 	}
 	clear(work.rankLoads)
 	for slot, expertID := range work.slots {
-		work.rankLoads[work.rank(slot)] += work.share(expertID)
+		rank := work.rank(slot)
+		work.rankLoads[rank] += work.share(expertID) * paceOf(work.paces, rank)
 	}
 	work.index()
 }
--- a/internal/stage/stage.go
+++ b/internal/stage/stage.go
@@ -127,6 +127,16 @@
 	return group
 }
 
+// Interval returns the mean time between shifts of popularity.
+func (group Group) Interval() clock.Millis { return group.interval }
+
+// Lost returns the time that a pass loses to a slow rank, in ms: skew is that with the
+// pace of the rank, without the skew if it were as fast as the others.
+func (group Group) Lost(pace, skew, without float64) float64 {
+	share := group.engine.ExpertShare
+	return group.evenPass * ((1-share)*(pace-1) + share*(skew-without))
+}
+
 // WithDistance returns the group after a read of popularity at a distance from the
 // loads, and reports whether popularity has shifted since the read before.
 func (group Group) WithDistance(distance float64, now clock.Millis) (Group, bool) {
