--- a/internal/rebal/bench_test.go
+++ b/internal/rebal/bench_test.go
@@ -22,3 +22,22 @@
 		planner.Plan(initial, loads)
 	}
 }
+
+// BenchmarkPlanStage plans one stage for a group of 129 ranks right after a shift, with
+// the bounds of package stage for copies of 14 ms and with those before it.
+func BenchmarkPlanStage(b *testing.B) {
+	const ranks, slotsPerRank, layers, experts = 129, 3, 12, 258
+	for name, settings := range map[string]rebal.Settings{
+		"before": {Start: 1.10, Stop: 1.03, MaxCopies: ranks, PerRank: 1, PerRankAll: 2, MinGain: 0.001},
+		"now":    {Start: 1.15, Stop: 1.08, MaxCopies: 2 * ranks, PerRank: 2, PerRankAll: 8, MinGain: 0.001},
+	} {
+		b.Run(name, func(b *testing.B) {
+			RegisterTestingT(b)
+			random := rand.New(rand.NewPCG(1, 1))
+			initial, loads := rebal.Full(ranks, slotsPerRank, skewedLoads(random, layers, experts)), skewedLoads(random, layers, experts)
+			for b.Loop() {
+				rebal.New(settings).Plan(initial, loads)
+			}
+		})
+	}
+}
--- a/internal/rebal/planner.go
+++ b/internal/rebal/planner.go
@@ -45,6 +45,10 @@
 // becomes popular would slow the whole group.
 const drainPace = 3
 
+// maxTargets is the number of ranks among which the target of a move is searched
+// first. Without a bound, a plan for 129 ranks takes several times as long.
+const maxTargets = 32
+
 // Planner changes maps with a bounded number of copies at a time.
 type Planner struct {
 	settings Settings
@@ -266,7 +270,7 @@
 // per copy, without making another rank as busy.
 func (work *layout) bestMove() move {
 	busiest := work.busiestRank()
-	found := move{}
+	var found move
 	kinds := []move{{kind: copyTo, copies: 1}, {kind: exchange, copies: 2}}
 	if paceOf(work.paces, busiest) > 1 {
 		if dropped := work.bestDrop(busiest); dropped.gain > 0 {
@@ -274,9 +278,38 @@
 		}
 		kinds = append(kinds, move{kind: vacate, copies: 1})
 	}
+	if found = work.bestOf(kinds, busiest, work.leastBusy()); found.gain > 0 {
+		return found
+	}
+	return work.bestOf(kinds, busiest, nil)
+}
+
+// leastBusy marks the ranks with the least load that may take another expert, at most
+// maxTargets of them. It returns nil if there are no more ranks than that.
+func (work *layout) leastBusy() []bool {
+	if len(work.rankLoads) <= maxTargets {
+		return nil
+	}
+	isTarget, count := make([]bool, len(work.rankLoads)), 0
+	for _, rank := range slices.Backward(work.ranksByLoad) {
+		if work.newLimits != nil && work.newCounts[rank] >= work.newLimits[rank] {
+			continue
+		}
+		isTarget[rank] = true
+		if count++; count == maxTargets {
+			break
+		}
+	}
+	return isTarget
+}
+
+// bestOf returns the best move from the busiest rank to the targets; nil stands for
+// all ranks.
+func (work *layout) bestOf(kinds []move, busiest int, isTarget []bool) move {
+	found := move{}
 	for slot := busiest * work.slotsPerRank; slot < (busiest+1)*work.slotsPerRank; slot++ {
 		for other := range work.slots {
-			if work.rank(other) == busiest {
+			if rank := work.rank(other); rank == busiest || isTarget != nil && !isTarget[rank] {
 				continue
 			}
 			for _, candidate := range kinds {
