--- a/internal/plan/plan.go
+++ b/internal/plan/plan.go
@@ -65,8 +65,7 @@
 }
 
 // Engine describes the capacity and speed of a service's model engines. Nothing reads
-// KVTokens, Stride, ReadTokensPerS, UsualPrompt, UsualAnswer, Spare, ExpertShare and
-// FormTime yet.
+// KVTokens, Stride, ReadTokensPerS, UsualPrompt, UsualAnswer and FormTime yet.
 type Engine struct {
 	// RequestSlots is the number of requests that an engine can run at a time.
 	RequestSlots int
--- a/internal/stage/stage.go
+++ b/internal/stage/stage.go
@@ -22,14 +22,15 @@
 	copySlowdown = 0.15
 	// copyPrice is the time of passes that a single copy must save for each unit of
 	// time in which its rank copies; stagePrice is that of a stage, by the rank that
-	// copies most. They include copySlowdown; the rest is for the bytes. With a
-	// stagePrice of copySlowdown alone a group of the model copies all the time, four
-	// times as many experts for a skew that is lower by less than its spread.
+	// copies most. They include copySlowdown; the rest
+	// is for the bytes. With a stagePrice of copySlowdown alone, groups of 32 and 72
+	// ranks in the model copy a quarter more for no lower skew.
 	copyPrice  = 1.0
 	stagePrice = 0.5
 	// startSkew is the skew at or above which a layer is planned anew, stopSkew the
 	// skew at which its planning ends. The noise of reads alone gives about 1.08: with
-	// 1.10 and 1.03 groups of the model copy twice as much for the same skew.
+	// 1.10 and 1.03, groups of 32 and 72 ranks in the model copy 1.6 to 1.8 times as much
+	// for the same skew.
 	startSkew = 1.15
 	stopSkew  = 1.08
 	// copyPart is the time of the copies of a stage in its fixed times.
