--- a/internal/coord/coord.go
+++ b/internal/coord/coord.go
@@ -20,9 +20,12 @@
 	"github.com/hibiscuslug/hibiscuslug/internal/event"
 	"github.com/hibiscuslug/hibiscuslug/internal/expert"
 	"github.com/hibiscuslug/hibiscuslug/internal/link"
+	"github.com/hibiscuslug/hibiscuslug/internal/pace"
 	"github.com/hibiscuslug/hibiscuslug/internal/plan"
+	"github.com/hibiscuslug/hibiscuslug/internal/quota"
 	"github.com/hibiscuslug/hibiscuslug/internal/rebal"
 	"github.com/hibiscuslug/hibiscuslug/internal/roster"
+	"github.com/hibiscuslug/hibiscuslug/internal/stage"
 	"github.com/hibiscuslug/hibiscuslug/internal/swap"
 	"github.com/hibiscuslug/hibiscuslug/pkg/clock"
 	"github.com/hibiscuslug/hibiscuslug/pkg/wire"
@@ -69,6 +72,9 @@
 	Engine func(address string) agent.Engine
 	// Leads reports whether this process is certain to be the control leader.
 	Leads func() bool
+	// SetPace tells gateways by how many times a rank is slower than the others; 1
+	// ends that. It is called once a second while the rank is slow. May be nil.
+	SetPace func(endpoint quota.Endpoint, pace float64)
 }
 
 // Coordinator manages the expert maps of all groups.
@@ -93,6 +99,17 @@
 	current        expert.Map
 	hasMap         bool
 	planned        expert.Map
+	// stage holds the figures by which stages are decided; run is the last stage.
+	stage stage.Group
+	run   stageRun
+	// paces holds the ranks that are slow, and slow by rank when they were last
+	// reported; wasSlow is set until all ranks have their share of experts again.
+	paces   pace.Ranks
+	slow    map[int]slowReport
+	wasSlow bool
+	// passStep is the step read at passFrom, from which passes are measured.
+	passStep uint64
+	passFrom clock.Millis
 	// counts holds the choices last read from each rank; pending holds those
 	// that are not yet part of loads.
 	counts  map[int]rankCounts
@@ -135,7 +152,7 @@
 			clear(coordinator.groups)
 		} else if config := coordinator.settings.Plan(); config != nil {
 			for _, service := range config.Services() {
-				if service.Engine != nil && service.Engine.Layers > 0 && coordinator.service(ctx, service) {
+				if service.Engine != nil && service.Engine.Layers > 0 && coordinator.service(ctx, config, service) {
 					wait = busyReadInterval
 				}
 			}
@@ -148,20 +165,21 @@
 
 // service runs the groups of one service. It reports whether any of them is
 // switching.
-func (coordinator *Coordinator) service(ctx context.Context, service plan.Service) bool {
+func (coordinator *Coordinator) service(ctx context.Context, config *plan.Plan, service plan.Service) bool {
 	byGroup := map[string][]roster.Record{}
 	for _, record := range coordinator.settings.Endpoints(service.Name) {
 		if record.Group.Name != "" {
 			byGroup[record.Group.Name] = append(byGroup[record.Group.Name], record)
 		}
 	}
-	busy := false
+	busy, maxPause := false, config.MaxPause(service.Name)
 	for name, records := range byGroup {
 		state := coordinator.groups[service.Name+"/"+name]
 		if state == nil {
-			state = &group{name: name, engine: *service.Engine}
+			state = &group{name: name, engine: *service.Engine, stage: stage.NewGroup(*service.Engine)}
 			coordinator.groups[service.Name+"/"+name] = state
 		}
+		state.stage = state.stage.WithMaxPause(maxPause)
 		ranks, err := inOrder(records)
 		if err != nil {
 			coordinator.logReadError(state, err)
@@ -215,8 +233,17 @@
 			return group.swap.Busy()
 		}
 		coordinator.logReadError(group, nil)
-		group.addCounts(states)
-		sends := group.swap.Next(rankStates(states), coordinator.clock.Now())
+		now := coordinator.clock.Now()
+		if group.addCounts(states, now) {
+			coordinator.log.Write(event.PopularityShifted, "group", group.name, "interval", group.stage.Interval())
+		}
+		group.measure(states, now)
+		group.follow(rankStates(states), now)
+		if round == 0 {
+			group.paces = group.paces.WithRead(pacesOf(states))
+			coordinator.reportSlow(group, ranks, now)
+		}
+		sends := group.swap.Next(rankStates(states), now)
 		if len(sends) == 0 && !group.swap.Busy() {
 			coordinator.plan(ctx, group, ranks, states)
 			sends = group.swap.Next(rankStates(states), coordinator.clock.Now())
--- a/internal/ctrl/fleet.go
+++ b/internal/ctrl/fleet.go
@@ -13,6 +13,7 @@
 	"github.com/hibiscuslug/hibiscuslug/internal/crash"
 	"github.com/hibiscuslug/hibiscuslug/internal/poll"
 	"github.com/hibiscuslug/hibiscuslug/internal/quorum"
+	"github.com/hibiscuslug/hibiscuslug/internal/quota"
 	"github.com/hibiscuslug/hibiscuslug/internal/roster"
 	"github.com/hibiscuslug/hibiscuslug/pkg/clock"
 	"github.com/hibiscuslug/hibiscuslug/pkg/wire"
@@ -284,5 +285,9 @@
 	return control.status.Load().Role == quorum.Leader && control.view.Age() < control.settings.Control.ElectionTimeout
 }
 
+// SetPace tells all gateways the factor by which an endpoint is slower than usual; at most
+// 1 if it is not.
+func (control *Control) SetPace(endpoint quota.Endpoint, pace float64) { control.board.SetPace(endpoint, pace) }
+
 // Now returns the current time of the process's clock.
 func (control *Control) Now() clock.Millis { return control.clock.Now() }
--- a/internal/daemon/agent.go
+++ b/internal/daemon/agent.go
@@ -53,7 +53,7 @@
 // withCoordinator starts the coordinator next to a control process.
 func withCoordinator(running role, control *ctrl.Control, node opts.Node, ticker *clock.Clock, log *event.Log) role {
 	return &coordinatedControl{role: running, coordinator: coord.New(coord.Settings{
-		Listen: node.Listen, Plan: latestPlan(control, log), Endpoints: control.Endpoints, Leads: control.IsLeader,
+		Listen: node.Listen, Plan: latestPlan(control, log), Endpoints: control.Endpoints, Leads: control.IsLeader, SetPace: control.SetPace,
 		Engine: func(address string) agent.Engine { return platform.NewEngine(address) },
 	}, ticker, log)}
 }
