--- a/internal/ctrl/fleet.go
+++ b/internal/ctrl/fleet.go
@@ -287,7 +287,9 @@
 
 // SetPace tells all gateways the factor by which an endpoint is slower than usual; at most
 // 1 if it is not.
-func (control *Control) SetPace(endpoint quota.Endpoint, pace float64) { control.board.SetPace(endpoint, pace) }
+func (control *Control) SetPace(endpoint quota.Endpoint, pace float64) {
+	control.board.SetPace(endpoint, pace)
+}
 
 // Now returns the current time of the process's clock.
 func (control *Control) Now() clock.Millis { return control.clock.Now() }
