route, retry: race a slow attempt also when the first check comes too early

Cause: an attempt was checked once, at the delay after it was sent. If its begin had not been reported by then, or no other engine was listed, it was never raced. A mean of 0 ms (answers within one millisecond) counted as no mean, so nothing was raced after it either.

A mean of 0, or a begin reported later than 1 s, both likely under load, give the failure seen. Which of them it was, the lost log can't say.

Change: the check is repeated, by the time since the attempt began. Before any first event was measured, a stream is raced after a quarter of the caller's patience.

--- a/internal/retry/policy.go
+++ b/internal/retry/policy.go
@@ -9,6 +9,9 @@
 	// which an attempt counts as slow.
 	hedgeFactor   = 4
 	minHedgeDelay = 1 * clock.Second
+	// firstHedgeShare divides the patience of a caller while no time to a first event
+	// is known. The rest is left for the second attempt.
+	firstHedgeShare = 4
 	// meanWeight is the weight of a new value in the moving average of the time
 	// to the first event.
 	meanWeight = 0.05
@@ -19,8 +22,10 @@
 	Budget   Budget
 	Detector Detector
 	// meanFirstEvent is the moving average of the time to the first event, in
-	// milliseconds; zero before the first request.
+	// milliseconds. It may be 0: engines may answer within a millisecond.
 	meanFirstEvent float64
+	// isMeasured is set once there was a first event.
+	isMeasured bool
 }
 
 // NewPolicy returns the policy of an entry VM that has just started.
@@ -72,15 +77,19 @@
 
 // WithFirstEvent records the time to the first event of a request.
 func (policy Policy) WithFirstEvent(elapsed clock.Millis) Policy {
-	if policy.meanFirstEvent == 0 {
-		policy.meanFirstEvent = float64(elapsed)
+	if !policy.isMeasured {
+		policy.meanFirstEvent, policy.isMeasured = float64(elapsed), true
 	}
 	policy.meanFirstEvent += meanWeight * (float64(elapsed) - policy.meanFirstEvent)
 	return policy
 }
 
-// HedgeAfter returns the time without a first event after which an attempt may
-// be hedged, and reports whether a first request has set the mean.
-func (policy Policy) HedgeAfter() (clock.Millis, bool) {
-	return max(minHedgeDelay, clock.Millis(hedgeFactor*policy.meanFirstEvent)), policy.meanFirstEvent > 0
+// HedgeAfter returns the time without a first event after which an attempt may be
+// hedged, for a caller with the given patience, and reports whether it follows from
+// measured times.
+func (policy Policy) HedgeAfter(patience clock.Millis) (delay clock.Millis, isMeasured bool) {
+	if !policy.isMeasured {
+		return max(minHedgeDelay, patience/firstHedgeShare), false
+	}
+	return max(minHedgeDelay, clock.Millis(hedgeFactor*policy.meanFirstEvent)), true
 }
--- a/internal/route/attempt.go
+++ b/internal/route/attempt.go
@@ -18,6 +18,10 @@
 	"github.com/hibiscuslug/hibiscuslug/pkg/wire"
 )
 
+// hedgeCheckInterval is the minimum time between checks for a second engine of a slow
+// attempt.
+const hedgeCheckInterval = 100 * clock.Millis(1)
+
 // sentAttempt is an attempt that was sent to an endpoint process, and its result.
 type sentAttempt struct {
 	exchange *exchange
@@ -37,16 +41,9 @@
 	var running conc.WaitGroup
 	defer running.Wait()
 	first := dispatch.launch(ctx, &running, choice, alone, ended)
-	slow, stop := dispatch.hedgeTimer(first)
-	defer stop()
-	select {
-	case done := <-ended:
+	second, done := dispatch.awaitHedge(ctx, &running, first, ended)
+	if done != nil {
 		return dispatch.recordResult(done)
-	case <-slow:
-	}
-	second, ok := dispatch.sendHedge(ctx, &running, first, ended)
-	if !ok {
-		return dispatch.recordResult(<-ended)
 	}
 	return dispatch.race(first, second, ended)
 }
@@ -80,27 +77,54 @@
 	return dispatch.recordResult(two)
 }
 
-// hedgeTimer returns a channel that receives when the attempt is slow enough
-// to be hedged, and a function that stops the timer. The channel is nil when
-// the attempt must not be hedged. Only paid work is hedged: free work is not
-// entitled to a second engine.
-func (dispatch *dispatch) hedgeTimer(first *sentAttempt) (<-chan time.Time, func() bool) {
-	dispatch.router.mu.Lock()
-	delay, ok := dispatch.router.policy.HedgeAfter()
-	dispatch.router.mu.Unlock()
-	if !ok || first.flight.Alone || !dispatch.request.Idempotent || dispatch.request.Tier != wire.Tier_TIER_PAID || dispatch.delivery.started() {
-		return nil, func() bool { return true }
+// awaitHedge waits until the attempt ends, and returns it, or until it is slow and a
+// second one was sent, and returns that one. It checks again as long as no second
+// attempt can be sent: the endpoint may report late that the first one began, and
+// another engine may be listed late.
+func (dispatch *dispatch) awaitHedge(ctx context.Context, running *conc.WaitGroup, first *sentAttempt, ended chan *sentAttempt) (second, done *sentAttempt) {
+	delay, ok := dispatch.hedgeDelay(first)
+	if !ok {
+		return nil, <-ended
 	}
 	timer := time.NewTimer(delay.Duration())
-	return timer.C, timer.Stop
+	defer timer.Stop()
+	for {
+		select {
+		case done := <-ended:
+			return nil, done
+		case <-timer.C:
+		}
+		if dispatch.delivery.started() {
+			return nil, <-ended
+		}
+		remaining := delay - first.exchange.runningFor()
+		if remaining <= 0 {
+			if second, ok := dispatch.sendHedge(ctx, running, first, ended); ok {
+				return second, nil
+			}
+		}
+		timer.Reset(max(remaining, hedgeCheckInterval).Duration())
+	}
 }
 
-// sendHedge sends a second attempt if the first one runs, has not answered yet,
-// and the retry budget allows it.
-func (dispatch *dispatch) sendHedge(ctx context.Context, running *conc.WaitGroup, first *sentAttempt, ended chan *sentAttempt) (*sentAttempt, bool) {
-	if !first.exchange.isBegun() || dispatch.delivery.started() {
-		return nil, false
+// hedgeDelay returns the time without an answer after which the attempt is slow, and
+// reports whether it may be hedged. Only paid work is hedged: free work is not entitled
+// to a second engine. Before the first measured time, the length of an answer that is
+// not a stream says nothing about its engine.
+func (dispatch *dispatch) hedgeDelay(first *sentAttempt) (clock.Millis, bool) {
+	request := dispatch.request
+	if first.flight.Alone || !request.Idempotent || request.Tier != wire.Tier_TIER_PAID || dispatch.delivery.started() {
+		return 0, false
 	}
+	dispatch.router.mu.Lock()
+	defer dispatch.router.mu.Unlock()
+	delay, isMeasured := dispatch.router.policy.HedgeAfter(request.Deadline - first.exchange.sentAt)
+	return delay, isMeasured || request.Stream
+}
+
+// sendHedge sends a second attempt if another engine is available and the retry budget
+// allows it.
+func (dispatch *dispatch) sendHedge(ctx context.Context, running *conc.WaitGroup, first *sentAttempt, ended chan *sentAttempt) (*sentAttempt, bool) {
 	engine := first.choice.Candidate.Engine.GetName()
 	// Excludes the engine of the first attempt from the choice.
 	dispatch.failedEngines[engine] = first.choice.Candidate.Incarnation
--- a/internal/route/exchange.go
+++ b/internal/route/exchange.go
@@ -146,6 +146,15 @@
 
 func (exchange *exchange) markBegun(now clock.Millis) { exchange.begunAt.CompareAndSwap(0, int64(now)) }
 
+// runningFor returns the time since the attempt began; 0 if it has not begun.
+func (exchange *exchange) runningFor() clock.Millis {
+	begun := clock.Millis(exchange.begunAt.Load())
+	if begun == 0 {
+		return 0
+	}
+	return exchange.router.clock.Now() - begun
+}
+
 func (exchange *exchange) isBegun() bool { return exchange.begunAt.Load() != 0 }
 
 // head sends the head of a stream to the caller. Other answers are buffered
