gate, fake: tell a crash from a partition that begins or ends meanwhile

Cause of the failure seen: the fake began a partition by closing its endpoints one after the other, connections included. A gateway whose connection broke first found another endpoint that still accepted one, and took the break for a crash. The suspicion, endpoints that return one after the other, is a second order that gives the same result.

Change: the fake closes all listeners before it closes connections, and a partition lasts until the test heals it, after the gateways have asked. In the product a partition may end between the refusal of one endpoint and the answer of another; the endpoint must now refuse a connection again after that.

--- a/internal/fake/brittle.go
+++ b/internal/fake/brittle.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"net"
 	"net/http"
-	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -32,8 +31,11 @@
 	mu        sync.Mutex
 	addresses []string
 	servers   []*http.Server
-	crashes   int
-	answers   int
+	listeners []net.Listener
+	// cut is set from the begin of a partition until Heal.
+	cut     bool
+	crashes int
+	answers int
 }
 
 // BrittleSettings of a Brittle.
@@ -44,8 +46,8 @@
 	// id in IDHeader.
 	AnswerHeader map[string]string
 	IDHeader     string
-	// Partition makes all endpoints refuse connections in place of a crash of one, and
-	// come back as the same incarnations.
+	// Partition makes all endpoints refuse connections in place of a crash of one, until
+	// Heal, and come back as the same incarnations.
 	Partition bool
 	// Started is called when an endpoint starts, with its number, address and
 	// incarnation.
@@ -55,7 +57,7 @@
 // NewBrittle starts the endpoints.
 func NewBrittle(settings BrittleSettings, count int) (*Brittle, error) {
 	ctx, cancel := context.WithCancel(context.Background())
-	brittle := &Brittle{settings: settings, ctx: ctx, cancel: cancel, addresses: make([]string, count), servers: make([]*http.Server, count)}
+	brittle := &Brittle{settings: settings, ctx: ctx, cancel: cancel, addresses: make([]string, count), servers: make([]*http.Server, count), listeners: make([]net.Listener, count)}
 	for number := range count {
 		listener, err := ports.Listen()
 		if err != nil {
@@ -84,7 +86,7 @@
 		_, _ = fmt.Fprint(w, "id: 1\ndata: a\n\n")
 	})}
 	brittle.mu.Lock()
-	brittle.servers[number] = server
+	brittle.servers[number], brittle.listeners[number] = server, listener
 	brittle.mu.Unlock()
 	brittle.running.Go(func() {
 		// The error says that the server was closed.
@@ -93,24 +95,51 @@
 	brittle.settings.Started(number, listener.Addr().String(), incarnation)
 }
 
-// crash ends an endpoint, or all of them, and starts it again after a while.
+// crash ends an endpoint and starts it again after a while, or begins a partition.
 func (brittle *Brittle) crash(number, incarnation int) {
 	brittle.mu.Lock()
 	brittle.crashes++
-	targets, next := []int{number}, incarnation+1
+	server := brittle.servers[number]
+	brittle.mu.Unlock()
 	if brittle.settings.Partition {
-		targets, next = nil, incarnation
-		for target := range brittle.servers {
-			targets = append(targets, target)
-		}
+		brittle.partition()
+		return
+	}
+	// The connections are not used any more.
+	_ = server.Close()
+	brittle.running.Go(func() { brittle.restart(number, incarnation+1) })
+}
+
+// partition closes all listeners before it closes connections: a gateway that sees a
+// broken connection finds no endpoint that still accepts one.
+func (brittle *Brittle) partition() {
+	brittle.mu.Lock()
+	defer brittle.mu.Unlock()
+	if brittle.cut {
+		return
 	}
-	servers := slices.Clone(brittle.servers)
+	brittle.cut = true
+	for _, listener := range brittle.listeners {
+		_ = listener.Close()
+	}
+	for _, server := range brittle.servers {
+		_ = server.Close()
+	}
+}
+
+// Heal ends a partition. Endpoints accept connections again one after the other, so no
+// gateway should be asking whether their zone can be reached.
+func (brittle *Brittle) Heal() error {
+	brittle.mu.Lock()
+	wasCut := brittle.cut
+	brittle.cut = false
 	brittle.mu.Unlock()
-	for _, target := range targets {
-		// The connections are not used any more.
-		_ = servers[target].Close()
-		brittle.running.Go(func() { brittle.restart(target, next) })
+	for number := 0; wasCut && number < len(brittle.addresses); number++ {
+		if err := brittle.listen(number, 1); err != nil {
+			return err
+		}
 	}
+	return nil
 }
 
 func (brittle *Brittle) restart(number, incarnation int) {
@@ -119,12 +148,19 @@
 		return
 	case <-time.After(brittleDownTime):
 	}
+	// The error says that the endpoints are being closed.
+	_ = brittle.listen(number, incarnation)
+}
+
+// listen starts an endpoint at its earlier address.
+func (brittle *Brittle) listen(number, incarnation int) error {
 	var config net.ListenConfig
 	listener, err := config.Listen(brittle.ctx, "tcp", brittle.addresses[number])
 	if err != nil {
-		return
+		return err
 	}
 	brittle.start(number, incarnation, listener)
+	return nil
 }
 
 // Crashes returns the number of crashes so far.
--- a/internal/gate/crash.go
+++ b/internal/gate/crash.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
@@ -57,27 +58,35 @@
 	}
 }
 
-// hasCrashed reports whether nothing listens at an endpoint's address. A partition may
-// refuse connections to all endpoints of another zone, so one of them must accept a
-// connection.
+// hasCrashed reports whether nothing listens at an endpoint's address.
 func (forwarder *forwarder) hasCrashed(ctx context.Context, endpoint roster.Record) bool {
 	gateway := forwarder.gateway
-	if !errors.Is(gateway.conns.Reach(ctx, endpoint.Address), unix.ECONNREFUSED) {
+	var others []roster.Record
+	if endpoint.Zone != gateway.settings.Node.Zone {
+		others = slices.DeleteFunc(gateway.poller.Endpoints(forwarder.service.Name), func(other roster.Record) bool {
+			return other.Zone != endpoint.Zone || other.ID == endpoint.ID
+		})
+	}
+	return refusesAlone(endpoint, others, endpoint.Zone == gateway.settings.Node.Zone, func(record roster.Record) error {
+		return gateway.conns.Reach(ctx, record.Address)
+	})
+}
+
+// refusesAlone reports whether an endpoint refuses connections for a reason of its own.
+// A partition may refuse connections to all endpoints of another zone, so one of the
+// others there must accept a connection. The partition may end between the two
+// attempts, so the endpoint must refuse one again after that.
+func refusesAlone(endpoint roster.Record, others []roster.Record, isOwnZone bool, reach func(roster.Record) error) bool {
+	refuses := func() bool { return errors.Is(reach(endpoint), unix.ECONNREFUSED) }
+	if !refuses() {
 		return false
 	}
-	if endpoint.Zone == gateway.settings.Node.Zone {
+	if isOwnZone {
 		return true
 	}
-	asked := 0
-	for _, other := range gateway.poller.Endpoints(forwarder.service.Name) {
-		if other.Zone != endpoint.Zone || other.ID == endpoint.ID {
-			continue
-		}
-		if gateway.conns.Reach(ctx, other.Address) == nil {
-			return true
-		}
-		if asked++; asked == maxZoneChecks {
-			break
+	for _, other := range others[:min(len(others), maxZoneChecks)] {
+		if reach(other) == nil {
+			return refuses()
 		}
 	}
 	return false
--- a/internal/gate/crash_test.go
+++ b/internal/gate/crash_test.go
@@ -105,6 +105,7 @@
 	site := startBrittleSite(3, true)
 	site.ask(deadlyParts)
 	Expect(site.brittle.Crashes()).To(BeNumerically(">", 0))
+	Expect(site.brittle.Heal()).To(Succeed())
 	Eventually(func() int { return site.ask(soundParts) }).WithTimeout(limit).Should(Equal(http.StatusOK))
 	before := site.brittle.Crashes()
 	site.ask(deadlyParts)
