crash, state, ctrl: blocks for crashes outlast the processes

Cause: what keeps a deadly part away from endpoints was in the memory of gateways and control VMs alone. After the end of all of them the part crashed the next endpoint at once.

Change: the control leader puts each established block into the replicated log as wire.CrashBlock, once, and again only for a longer time or to lift it (event 224). A process that knows fewer crashes than a block was decided by keeps the part away until the recorded time. Without blocks in the configuration no decision changes.

--- a/internal/board/board.go
+++ b/internal/board/board.go
@@ -246,6 +246,24 @@
 	return "", wait
 }
 
+// Record replaces the blocks for crashes by those of the configuration.
+func (board *Board) Record(blocks []*wire.CrashBlock) {
+	records := make([]crash.Record, len(blocks))
+	for at, block := range blocks {
+		records[at] = crash.RecordFromMessage(block)
+	}
+	board.Step(crash.Recorded{Records: records})
+}
+
+// Unrecorded returns the blocks for crashes that the configuration lacks, and ends of
+// those that it should no longer hold.
+func (board *Board) Unrecorded() []crash.Record {
+	board.mu.Lock()
+	core := board.core
+	board.mu.Unlock()
+	return core.Unrecorded(board.clock.Now())
+}
+
 // Expire drops evidence that is too old to count.
 func (board *Board) Expire() {
 	board.Step(crash.Tick{})
--- a/internal/crash/core.go
+++ b/internal/crash/core.go
@@ -76,6 +76,8 @@
 	blocks map[uint64]block
 	// begun holds, by prompt part, when an answer to a request with it last began.
 	begun map[uint64]clock.Millis
+	// recorded holds the blocks of the configuration.
+	recorded map[recordKey]Record
 	// probedAt is when the last probe was granted; zero for never.
 	probedAt clock.Millis
 	// revision counts the changes of what other processes need to know.
@@ -107,6 +109,8 @@
 		return core.withEnded(event.Fingerprint, now), nil
 	case Begun:
 		return core.withBegun(event), nil
+	case Recorded:
+		return core.withRecorded(event, now), nil
 	case Tick:
 		return core.withTick(now)
 	}
@@ -119,6 +123,9 @@
 	if decision.Treatment == Block {
 		return decision
 	}
+	if record, ok := core.recordAgainst(request, now); ok {
+		return Decision{Treatment: Block, Until: record.Until, Crashes: record.Crashes, Latest: record.At, Part: record.Part}
+	}
 	if parts := core.decideParts(request, now); parts.Treatment != Normal {
 		return parts
 	}
@@ -143,7 +150,7 @@
 
 // Idle reports whether there are no crashes, silent endpoints or blocks.
 func (core Core) Idle() bool {
-	return len(core.crashes) == 0 && len(core.silent) == 0 && len(core.blocks) == 0
+	return len(core.recorded) == 0 && len(core.crashes) == 0 && len(core.silent) == 0 && len(core.blocks) == 0
 }
 
 // Crashes returns the crashes to share with other entry VMs, newest first.
@@ -250,7 +257,8 @@
 	core.crashes = filtered(core.crashes, func(crash Crash) bool { return crash.At > cutoff })
 	core.silent = filtered(core.silent, func(crash Crash) bool { return crash.At > cutoff })
 	core.cleared = filtered(core.cleared, func(at clock.Millis) bool { return at > cutoff })
-	if len(core.crashes) == 0 {
+	core.recorded = filtered(core.recorded, func(record Record) bool { return record.Until > now })
+	if len(core.crashes) == 0 && len(core.recorded) == 0 {
 		core.begun = nil
 	}
 	return core.withBlocks(now)
--- a/internal/crash/crash.go
+++ b/internal/crash/crash.go
@@ -82,7 +82,8 @@
 	return crash
 }
 
-// Event is one of Crashed, Silent, Announced, Cleared, Blocked, Ended and Tick.
+// Event is one of Crashed, Silent, Announced, Cleared, Blocked, Ended, Begun, Recorded and
+// Tick.
 type Event interface{ event() }
 
 // Crashed reports a crash, detected by this or another entry VM.
@@ -119,6 +120,9 @@
 	At   clock.Millis
 }
 
+// Recorded reports all blocks for crashes that the configuration holds.
+type Recorded struct{ Records []Record }
+
 // Tick reports that time has passed.
 type Tick struct{}
 
@@ -129,6 +133,7 @@
 func (Blocked) event()   {}
 func (Ended) event()     {}
 func (Begun) event()     {}
+func (Recorded) event()  {}
 func (Tick) event()      {}
 
 // Action is one of Share and Propose.
--- a/internal/crash/parts.go
+++ b/internal/crash/parts.go
@@ -204,17 +204,24 @@
 			return core
 		}
 	}
+	if record, ok := core.recorded[recordKey{part: event.Part}]; ok && event.At > record.At && old <= record.At {
+		core.begun = with(core.begun, event.Part, event.At)
+		core.revision++
+	}
 	return core
 }
 
-// IsSuspect reports whether a request with the part ran on an endpoint that crashed.
+// IsSuspect reports whether a request with the part ran on an endpoint that crashed, as
+// far as is known or recorded.
 func (core Core) IsSuspect(part uint64) bool {
-	return core.hasCrash(func(crash Crash) bool { return crash.hasPart(part) })
+	_, ok := core.recorded[recordKey{part: part}]
+	return ok || core.hasCrash(func(crash Crash) bool { return crash.hasPart(part) })
 }
 
 // IsSuspectRequest reports whether the request ran on an endpoint that crashed.
 func (core Core) IsSuspectRequest(fingerprint uint64) bool {
-	return core.hasCrash(func(crash Crash) bool { return crash.has(fingerprint) })
+	_, ok := core.recorded[recordKey{fingerprint: fingerprint}]
+	return ok || core.hasCrash(func(crash Crash) bool { return crash.has(fingerprint) })
 }
 
 func (core Core) hasCrash(matches func(Crash) bool) bool {
--- a/internal/ctrl/control.go
+++ b/internal/ctrl/control.go
@@ -221,6 +221,7 @@
 	control.cancel = cancel
 	control.loops.Go(func() { control.run(ctx) })
 	control.loops.Go(func() { control.tick(ctx) })
+	control.loops.Go(func() { control.recordBlocks(ctx) })
 	control.loops.Go(func() { control.writer.run(ctx) })
 	control.peers.start(ctx)
 	control.server.Start()
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -31,6 +31,7 @@
 	CrashSuspected     = Event{221, "endpoint crashed with requests running"}
 	RequestBlocked     = Event{222, "request blocked for crashing endpoints"}
 	BlockNotAccepted   = Event{223, "block could not be put into the configuration"}
+	BlockRecorded      = Event{224, "block for crashes put into the configuration"}
 	AttemptRefused     = Event{230, "attempt refused by the queue"}
 	OrderFailed        = Event{231, "order to an engine failed"}
 	RequestRefused     = Event{232, "request refused at admission"}
--- a/internal/poll/poll.go
+++ b/internal/poll/poll.go
@@ -264,6 +264,7 @@
 		return nil, from, err
 	}
 	poller.merge(reply, sent, withLoads && !poller.settings.Control)
+	poller.settings.Board.Record(poller.view.State().CrashBlocks())
 	poller.settings.Board.Merge(reply.GetEvidence())
 	return reply, from.next(request, reply), nil
 }
--- a/internal/state/change.go
+++ b/internal/state/change.go
@@ -62,6 +62,8 @@
 		state.drains = with(state.drains, body.Drain.GetEndpoint(), body.Drain)
 	case *wire.Change_Block:
 		state.blocks = with(state.blocks, body.Block.GetFingerprint(), body.Block)
+	case *wire.Change_CrashBlock:
+		return state.putCrashBlock(body.CrashBlock)
 	case *wire.Change_Group:
 		return state.putGroup(body.Group)
 	case *wire.Change_Placement:
@@ -213,6 +215,18 @@
 	return refuse(CodeNotFound, "there is no block of request %s", requestID)
 }
 
+// putCrashBlock stores a block for crashes in place of an earlier one of the same part
+// or request, and drops the blocks that have ended by the time of the new one. A block
+// that ends when it was decided lifts the earlier one.
+func (state *State) putCrashBlock(block *wire.CrashBlock) error {
+	if (block.GetPart() == 0) == (block.GetFingerprint() == 0) {
+		return refuse(CodeInvalid, "a block for crashes needs either a part or a request")
+	}
+	state.crashBlocks = with(state.crashBlocks, crashKey{block.GetPart(), block.GetFingerprint()}, block)
+	maps.DeleteFunc(state.crashBlocks, func(_ crashKey, other *wire.CrashBlock) bool { return other.GetUntil() <= block.GetAt() })
+	return nil
+}
+
 // checkExistence refuses to create a record that exists, or to alter one that
 // does not.
 func checkExistence(what, name string, exists, create bool) error {
--- a/internal/state/snapshot.go
+++ b/internal/state/snapshot.go
@@ -7,15 +7,16 @@
 // Snapshot returns the configuration as a message.
 func (state *State) Snapshot() *wire.Snapshot {
 	return &wire.Snapshot{
-		Revision:   state.revision,
-		Customers:  state.Customers(),
-		Tiers:      state.Tiers(),
-		Rules:      state.rules,
-		Drains:     state.Drains(),
-		Blocks:     state.Blocks(),
-		Groups:     state.Groups(),
-		Placements: state.Placements(),
-		Deployment: state.deployment,
+		Revision:    state.revision,
+		Customers:   state.Customers(),
+		Tiers:       state.Tiers(),
+		Rules:       state.rules,
+		Drains:      state.Drains(),
+		Blocks:      state.Blocks(),
+		CrashBlocks: state.CrashBlocks(),
+		Groups:      state.Groups(),
+		Placements:  state.Placements(),
+		Deployment:  state.deployment,
 	}
 }
 
@@ -41,6 +42,9 @@
 	for _, block := range snapshot.GetBlocks() {
 		state.blocks[block.GetFingerprint()] = block
 	}
+	for _, block := range snapshot.GetCrashBlocks() {
+		state.crashBlocks[crashKey{block.GetPart(), block.GetFingerprint()}] = block
+	}
 	for _, group := range snapshot.GetGroups() {
 		state.groups[group.GetName()] = group
 	}
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -33,12 +33,17 @@
 	drains map[string]*wire.Drain
 	// blocks holds the blocked requests by fingerprint.
 	blocks map[uint64]*wire.Block
-	groups map[string]*wire.GroupRecord
+	// crashBlocks holds the parts and requests that are blocked for crashes.
+	crashBlocks map[crashKey]*wire.CrashBlock
+	groups      map[string]*wire.GroupRecord
 	// placements holds the desired models by engine.
 	placements map[string]*wire.Placement
 	deployment *wire.Deployment
 }
 
+// crashKey identifies the part or the request of a block for crashes; the other is 0.
+type crashKey struct{ part, fingerprint uint64 }
+
 // New returns the initial configuration at revision 0. It contains only the
 // built-in tiers.
 func New() *State {
@@ -49,10 +54,11 @@
 			"paid": {Name: "paid", Level: wire.Tier_TIER_PAID, Patience: 60_000},
 			"free": {Name: "free", Level: wire.Tier_TIER_FREE, Patience: 600_000},
 		},
-		drains:     map[string]*wire.Drain{},
-		blocks:     map[uint64]*wire.Block{},
-		groups:     map[string]*wire.GroupRecord{},
-		placements: map[string]*wire.Placement{},
+		drains:      map[string]*wire.Drain{},
+		blocks:      map[uint64]*wire.Block{},
+		crashBlocks: map[crashKey]*wire.CrashBlock{},
+		groups:      map[string]*wire.GroupRecord{},
+		placements:  map[string]*wire.Placement{},
 	}
 }
 
@@ -98,6 +104,13 @@
 // Blocks returns the blocked requests, sorted by fingerprint.
 func (state *State) Blocks() []*wire.Block { return sorted(state.blocks) }
 
+// CrashBlocks returns the blocks for crashes, sorted by part and request.
+func (state *State) CrashBlocks() []*wire.CrashBlock {
+	return slices.SortedFunc(maps.Values(state.crashBlocks), func(first, second *wire.CrashBlock) int {
+		return cmp.Or(cmp.Compare(first.GetPart(), second.GetPart()), cmp.Compare(first.GetFingerprint(), second.GetFingerprint()))
+	})
+}
+
 // Deployment returns the deployment of the forwarding configuration, or nil if
 // none has been accepted yet.
 func (state *State) Deployment() *wire.Deployment { return state.deployment }
