crash, board: bound the evidence in a poll and send only what changed

Cause: each change sent all evidence again. When 43 of 129 endpoints end at once with 10 requests each, it has 69,203 bytes with four parts in a prompt and 117,364 with eight; one poll should stay under 64 KiB.

Change: a poll carries the items that changed since the revision the other side has, in the order of their changes and up to 60 KiB. The message's revision is that of its last item, so the next poll continues there. What is known of a crash's suspects is sent after the crash, since a process that does not know the crash drops it; without that the new test fails.

--- a/internal/board/board.go
+++ b/internal/board/board.go
@@ -161,7 +161,7 @@
 	now := board.clock.Now()
 	message := &wire.Evidence{Revision: board.core.Revision(), LimitRevision: board.limits.Revision(), Now: int64(now)}
 	if hasCrashes {
-		board.core.AddTo(message)
+		board.core.AddTo(message, since.Crashes)
 	}
 	for _, limit := range board.limits.Since(since.Limits) {
 		message.Limits = append(message.Limits, limit.Message(now))
--- a/internal/crash/codec.go
+++ b/internal/crash/codec.go
@@ -1,10 +1,17 @@
 package crash
 
 import (
+	"cmp"
+	"slices"
+
 	"github.com/hibiscuslug/hibiscuslug/pkg/clock"
 	"github.com/hibiscuslug/hibiscuslug/pkg/wire"
 )
 
+// MaxEvidenceBytes bounds the crashes, begins and clearances in a message, unless a single
+// one is longer. A poll has limits and notices beside them and should stay under 64 KiB.
+const MaxEvidenceBytes = 60 << 10
+
 // MaxSharedCrashes is the maximum number of crashes in a message, newest first.
 const MaxSharedCrashes = 64
 
@@ -36,20 +43,43 @@
 	return crash
 }
 
-// AddTo adds the crashes, the begins of answers and the cleared requests to a message.
-func (core Core) AddTo(message *wire.Evidence) {
-	crashes := core.Crashes()
-	for _, crash := range crashes[:min(len(crashes), MaxSharedCrashes)] {
-		message.Crashes = append(message.Crashes, crash.Message())
-	}
-	for part, at := range core.begun {
-		message.Begun = append(message.Begun, &wire.PartBegun{Part: part, At: int64(at)})
+// AddTo adds the crashes, the begins of answers and the cleared requests that changed
+// after a revision to a message, in the order of their changes, up to MaxEvidenceBytes.
+// The message's revision is that of the last one that it contains.
+func (core Core) AddTo(message *wire.Evidence, since uint64) {
+	var items []item
+	for key, revision := range core.changed {
+		if revision > since && core.holds(key) {
+			items = append(items, key)
+		}
 	}
-	for fingerprint, at := range core.cleared {
-		if core.IsSuspectRequest(fingerprint) {
-			message.Cleared = append(message.Cleared, &wire.Clearance{Fingerprint: fingerprint, At: int64(at)})
+	slices.SortFunc(items, func(first, second item) int { return cmp.Compare(core.changed[first], core.changed[second]) })
+	message.Revision = core.revision
+	size := 0
+	for at, key := range items {
+		part := core.encode(key)
+		// An item may be longer by itself.
+		if size += part.SizeVT(); at > 0 && size > MaxEvidenceBytes {
+			message.Revision = core.changed[items[at-1]]
+			return
 		}
+		message.Crashes = append(message.Crashes, part.GetCrashes()...)
+		message.Begun = append(message.Begun, part.GetBegun()...)
+		message.Cleared = append(message.Cleared, part.GetCleared()...)
+	}
+}
+
+// encode encodes an item; a clearance of a request that is not a suspect is left out.
+func (core Core) encode(key item) *wire.Evidence {
+	switch crash, ok := core.crashes[key.crash]; {
+	case ok:
+		return &wire.Evidence{Crashes: []*wire.CrashReport{crash.Message()}}
+	case key.part != 0:
+		return &wire.Evidence{Begun: []*wire.PartBegun{{Part: key.part, At: int64(core.begun[key.part])}}}
+	case core.IsSuspectRequest(key.fingerprint):
+		return &wire.Evidence{Cleared: []*wire.Clearance{{Fingerprint: key.fingerprint, At: int64(core.cleared[key.fingerprint])}}}
 	}
+	return &wire.Evidence{}
 }
 
 // Events decodes evidence. Instants are converted to the receiver's clock, by which
--- a/internal/crash/core.go
+++ b/internal/crash/core.go
@@ -80,8 +80,31 @@
 	recorded map[recordKey]Record
 	// probedAt is when the last probe was granted; zero for never.
 	probedAt clock.Millis
-	// revision counts the changes of what other processes need to know.
+	// revision counts the changes of what other processes need to know, and changed holds
+	// the revision of the latest change of each item.
 	revision uint64
+	changed  map[item]uint64
+}
+
+// item identifies a crash, the begin of answers with a part or the clearance of a
+// request; the other fields are zero.
+type item struct {
+	crash       crashKey
+	part        uint64
+	fingerprint uint64
+}
+
+// withChanged counts changes of items that other processes need to know.
+func (core Core) withChanged(keys ...item) Core {
+	core.changed = maps.Clone(core.changed)
+	if core.changed == nil {
+		core.changed = map[item]uint64{}
+	}
+	for _, key := range keys {
+		core.revision++
+		core.changed[key] = core.revision
+	}
+	return core
 }
 
 // Step applies an event and returns the next core and the actions to carry out.
@@ -179,7 +202,7 @@
 	core.crashes = with(core.crashes, crash.key(), merged)
 	var actions []Action
 	if !known || len(merged.Suspects) != len(old.Suspects) || merged.Retracted != old.Retracted || merged.QuarantinedFingerprint != old.QuarantinedFingerprint {
-		core.revision++
+		core = core.withChanged(core.itemsOf(merged)...)
 		actions = append(actions, Share{Crash: merged})
 	}
 	if merged.Retracted {
@@ -189,6 +212,23 @@
 	return core, append(actions, proposals...)
 }
 
+// itemsOf returns a crash and what is known of its suspects. A process that does not know
+// the crash drops the rest, so the rest is sent after it.
+func (core Core) itemsOf(crash Crash) []item {
+	list := []item{{crash: crash.key()}}
+	for _, suspect := range crash.Suspects {
+		if _, ok := core.cleared[suspect.Fingerprint]; ok {
+			list = append(list, item{fingerprint: suspect.Fingerprint})
+		}
+		for _, part := range suspect.Parts {
+			if _, ok := core.begun[part]; ok {
+				list = append(list, item{part: part})
+			}
+		}
+	}
+	return list
+}
+
 // withAnnounced turns a silent endpoint into a crashed one when it returns as
 // another incarnation, and retracts a crash when the same incarnation still
 // announces itself.
@@ -208,7 +248,7 @@
 	if crash, ok := core.crashes[id]; ok && !crash.Retracted && now-crash.At >= retractAfter {
 		crash.Retracted = true
 		core.crashes = with(core.crashes, id, crash)
-		core.revision++
+		core = core.withChanged(core.itemsOf(crash)...)
 		core = core.withoutUnfounded(now)
 		actions = append(actions, Share{Crash: crash})
 	}
@@ -224,8 +264,7 @@
 	if len(counted) == len(before) {
 		return core
 	}
-	core.revision++
-	return core.withoutUnfounded(now)
+	return core.withChanged(item{fingerprint: event.Fingerprint}).withoutUnfounded(now)
 }
 
 // withoutUnfounded ends the blocks that were derived from crashes and that too few
@@ -254,16 +293,25 @@
 		}
 	}
 	cutoff := now - suspicionTime
-	core.crashes = filtered(core.crashes, func(crash Crash) bool { return crash.At > cutoff })
-	core.silent = filtered(core.silent, func(crash Crash) bool { return crash.At > cutoff })
-	core.cleared = filtered(core.cleared, func(at clock.Millis) bool { return at > cutoff })
-	core.recorded = filtered(core.recorded, func(record Record) bool { return record.Until > now })
+	core.crashes = filtered(core.crashes, func(_ crashKey, crash Crash) bool { return crash.At > cutoff })
+	core.silent = filtered(core.silent, func(_ crashKey, crash Crash) bool { return crash.At > cutoff })
+	core.cleared = filtered(core.cleared, func(_ uint64, at clock.Millis) bool { return at > cutoff })
+	core.recorded = filtered(core.recorded, func(_ recordKey, record Record) bool { return record.Until > now })
 	if len(core.crashes) == 0 && len(core.recorded) == 0 {
 		core.begun = nil
 	}
+	core.changed = filtered(core.changed, func(key item, _ uint64) bool { return core.holds(key) })
 	return core.withBlocks(now)
 }
 
+// holds reports whether an item is still known.
+func (core Core) holds(key item) bool {
+	_, isCrash := core.crashes[key.crash]
+	_, isBegun := core.begun[key.part]
+	_, isCleared := core.cleared[key.fingerprint]
+	return isCrash || isBegun || isCleared
+}
+
 // withBlocks blocks the requests that are identified as the cause of enough
 // crashes, and proposes the blocks to the control VMs.
 func (core Core) withBlocks(now clock.Millis) (Core, []Action) {
@@ -367,8 +415,8 @@
 }
 
 // filtered returns a copy of the records with those to keep.
-func filtered[K comparable, V any](records map[K]V, keep func(V) bool) map[K]V {
+func filtered[K comparable, V any](records map[K]V, keep func(K, V) bool) map[K]V {
 	next := maps.Clone(records)
-	maps.DeleteFunc(next, func(_ K, value V) bool { return !keep(value) })
+	maps.DeleteFunc(next, func(id K, value V) bool { return !keep(id, value) })
 	return next
 }
--- a/internal/crash/parts.go
+++ b/internal/crash/parts.go
@@ -200,13 +200,12 @@
 		isHistory := event.At <= crash.At && crash.At-event.At <= historyTime && (!known || crash.At-old > historyTime)
 		if exonerates || isHistory {
 			core.begun = with(core.begun, event.Part, event.At)
-			core.revision++
-			return core
+			return core.withChanged(item{part: event.Part})
 		}
 	}
 	if record, ok := core.recorded[recordKey{part: event.Part}]; ok && event.At > record.At && old <= record.At {
 		core.begun = with(core.begun, event.Part, event.At)
-		core.revision++
+		return core.withChanged(item{part: event.Part})
 	}
 	return core
 }
--- a/internal/crash/parts_test.go
+++ b/internal/crash/parts_test.go
@@ -128,7 +128,7 @@
 	}
 	evidence := func(core crash.Core, at clock.Millis) *wire.Evidence {
 		message := &wire.Evidence{Now: int64(at)}
-		core.AddTo(message)
+		core.AddTo(message, 0)
 		return message
 	}
 	message := evidence(first, now)
