--- a/internal/board/board.go
+++ b/internal/board/board.go
@@ -165,7 +165,7 @@
 		Revision: board.core.Revision(), LimitRevision: board.limits.Revision(), NoticeRevision: board.notices.Revision(), Now: int64(now),
 	}
 	if hasCrashes {
-		board.core.AddTo(message)
+		board.core.AddTo(message, since.Crashes)
 	}
 	for _, limit := range board.limits.Since(since.Limits) {
 		message.Limits = append(message.Limits, limit.Message(now))
@@ -314,6 +314,24 @@
 	})
 }
 
+// Record replaces the blocks for crashes by those of the configuration.
+func (board *Board) Record(blocks []*wire.CrashBlock) {
+	records := make([]crash.Record, len(blocks))
+	for at, block := range blocks {
+		records[at] = crash.RecordFromMessage(block)
+	}
+	board.Step(crash.Recorded{Records: records})
+}
+
+// Unrecorded returns the blocks for crashes that the configuration lacks, and ends of
+// those that it should no longer hold.
+func (board *Board) Unrecorded() []crash.Record {
+	board.mu.Lock()
+	core := board.core
+	board.mu.Unlock()
+	return core.Unrecorded(board.clock.Now())
+}
+
 // Expire drops evidence that is too old to count.
 func (board *Board) Expire() {
 	board.Step(crash.Tick{})
--- a/internal/ctrl/control.go
+++ b/internal/ctrl/control.go
@@ -224,6 +224,7 @@
 	control.cancel = cancel
 	control.loops.Go(func() { control.run(ctx) })
 	control.loops.Go(func() { control.tick(ctx) })
+	control.loops.Go(func() { control.recordBlocks(ctx) })
 	control.loops.Go(func() { control.writer.run(ctx) })
 	control.loops.Go(func() { control.watchSpread(ctx) })
 	control.peers.start(ctx)
--- a/internal/state/snapshot.go
+++ b/internal/state/snapshot.go
@@ -13,6 +13,7 @@
 		Rules:       state.rules,
 		Drains:      state.Drains(),
 		Blocks:      state.Blocks(),
+		CrashBlocks: state.CrashBlocks(),
 		Groups:      state.Groups(),
 		Placements:  state.Placements(),
 		Deployment:  state.deployment,
@@ -42,6 +43,9 @@
 	for _, block := range snapshot.GetBlocks() {
 		state.blocks[block.GetFingerprint()] = block
 	}
+	for _, block := range snapshot.GetCrashBlocks() {
+		state.crashBlocks[crashKey{block.GetPart(), block.GetFingerprint()}] = block
+	}
 	for _, group := range snapshot.GetGroups() {
 		state.groups[group.GetName()] = group
 	}
