gate, poll: divide the work of a plain service by the estimates of its endpoints

Change: gateways report the complete responses of the last 2 s with their loads and take those of others from the poll. The choice uses the estimated pace and limit for services without engines, and sends a slow endpoint about one real request a second. Event 313, metric slowEndpoints.

--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -55,6 +55,7 @@
 	PauseNoticed       = Event{310, "endpoint asks for a pause"}
 	EndpointCold       = Event{311, "endpoint is cold"}
 	EndpointWarm       = Event{312, "endpoint is no longer cold"}
+	EstimateChanged    = Event{313, "estimate of an endpoint changed"}
 	PaceNoticed        = Event{315, "endpoint is slower than usual or no longer so"}
 	RevisionApplied    = Event{401, "configuration revision applied"}
 	RevisionRefused    = Event{402, "configuration revision refused"}
--- a/internal/gate/attempt.go
+++ b/internal/gate/attempt.go
@@ -40,7 +40,7 @@
 	if forwarder.permittedAt > 0 && gateway.clock.Now()-forwarder.permittedAt > permitLifetime || forwarder.hasExpired() {
 		return notSent, errors.New("the permit expired before the request was sent")
 	}
-	forwarder.begun, forwarder.brokeStale, forwarder.limit = false, false, nil
+	forwarder.begun, forwarder.brokeStale, forwarder.limit, forwarder.readAt = false, false, nil, 0
 	forwarder.begin(endpoint.ID)
 	defer forwarder.finish(endpoint.ID)
 	defer gateway.countUse(forwarder.call)()
@@ -75,6 +75,9 @@
 	gateway.recordCold(endpoint, facts.Cold, sent)
 	gateway.observe(endpoint, exchange.Response.StatusCode, facts)
 	ended, complete, err := forwarder.readResponse(ctx, endpoint, exchange.Response)
+	if forwarder.readAt > 0 {
+		gateway.recordResponse(forwarder.service, endpoint, forwarder.readAt-sent)
+	}
 	exchange.Close(complete, facts.Idle)
 	if ctx.Err() == nil || ended == delivered {
 		gateway.recordResult(endpoint, ended)
@@ -164,6 +167,7 @@
 		return failed, true, nil
 	}
 	if response.StatusCode < http.StatusMultipleChoices {
+		forwarder.readAt = forwarder.gateway.clock.Now()
 		forwarder.recordBegun()
 	}
 	forwarder.deliver(buffered)
--- a/internal/gate/forward.go
+++ b/internal/gate/forward.go
@@ -94,6 +94,9 @@
 	// begun is set once the current attempt has returned a part of its response, and
 	// brokeStale when its reused connection broke without one.
 	begun, brokeStale bool
+	// readAt is when the current attempt had read a complete successful response, before
+	// the caller took it; zero if it has not.
+	readAt clock.Millis
 	// limit is the limit that the endpoint of the current attempt named; nil for none.
 	limit *float64
 	// crashRequest identifies the request as the cause of a crash; see identity.
@@ -282,10 +285,12 @@
 func (forwarder *forwarder) choose() (roster.Record, bool) {
 	gateway := forwarder.gateway
 	notices, now := gateway.board.Notices(), gateway.clock.Now()
-	records, _ := withoutClosed(gateway.poller.Endpoints(forwarder.service.Name), notices, now)
-	loads := gateway.poller.Loads()
+	all := gateway.poller.Endpoints(forwarder.service.Name)
+	records, _ := withoutClosed(all, notices, now)
+	loads, totals := gateway.poller.Loads(), gateway.poller.Totals()
 	gateway.mu.Lock()
 	defer gateway.mu.Unlock()
+	estimates, explored := gateway.estimates(forwarder.service, all, totals, now), -1
 	var candidates []choose.Candidate
 	var open []roster.Record
 	var sum choose.Load
@@ -300,16 +305,23 @@
 	forwarder.meanWork = float64(sum.Ahead(true)) / float64(max(len(open), 1))
 	forwarder.meanOnTime = float64(sum.Ahead(false)) / float64(max(len(open), 1))
 	for _, record := range open {
-		noticed := notices.State(endpointKey(record), now)
+		noticed, estimate := notices.State(endpointKey(record), now), estimates.Of(endpointKey(record))
 		candidates = append(candidates, choose.Candidate{
-			ID: record.ID, Work: loads[record.ID].Plus(gateway.work[record.ID]).Ahead(forwarder.late), Slots: slots(record, forwarder.service),
+			ID: record.ID, Work: loads[record.ID].Plus(gateway.work[record.ID]).Ahead(forwarder.late), Slots: estimate.Slots(slots(record, forwarder.service)),
 			Local: record.Zone == gateway.settings.Node.Zone,
 			Avoid: now-record.ReceivedAt > maxHeartbeatAge || gateway.detector.Use(healthKey(record), now) == retry.Avoid || noticed.ToldPause > 0,
 			Cold:  now < record.ColdUntil || forwarder.service.ColdRate > 0 && gateway.cold.State(record, forwarder.service.ColdTime, now).IsCold,
-			Pace:  noticed.Pace,
+			Pace:  max(noticed.Pace, estimate.Pace),
 		})
+		last := candidates[len(candidates)-1]
+		if estimate.Pace > 0 && !last.Avoid && !last.Cold && estimates.Explores(endpointKey(record), last.Work, gateway.random.Float64()) {
+			explored = len(candidates) - 1
+		}
 	}
 	at := choose.Best(candidates, gateway.random)
+	if explored >= 0 && forwarder.runs+forwarder.notRunAttempts == 0 {
+		at = explored
+	}
 	if at < 0 {
 		return roster.Record{}, false
 	}
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -22,6 +22,7 @@
 	"github.com/hibiscuslug/hibiscuslug/internal/ctrl"
 	"github.com/hibiscuslug/hibiscuslug/internal/event"
 	"github.com/hibiscuslug/hibiscuslug/internal/feed"
+	"github.com/hibiscuslug/hibiscuslug/internal/knee"
 	"github.com/hibiscuslug/hibiscuslug/internal/link"
 	"github.com/hibiscuslug/hibiscuslug/internal/meter"
 	"github.com/hibiscuslug/hibiscuslug/internal/opts"
@@ -97,6 +98,8 @@
 	cancel     context.CancelFunc
 	// evacuated holds the zones that were evacuated when follow last looked.
 	evacuated map[string]bool
+	// estimated holds the estimates that follow last logged.
+	estimated map[quota.Endpoint]knee.Estimate
 	loops     conc.WaitGroup
 
 	// mu guards the fields below. It is a leaf lock.
@@ -132,6 +135,10 @@
 	coldLogged   map[quota.Endpoint]bool
 	coldDenied   map[string]int
 	coldLoggedAt clock.Millis
+	// responses holds this gateway's complete responses within the last window by endpoint
+	// ID, and knees the estimates of the endpoints by service.
+	responses map[string][]response
+	knees     map[string]knee.Table
 }
 
 // New starts a gateway.
@@ -141,6 +148,7 @@
 		random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), work: map[string]choose.Load{}, uses: map[use]int{}, demands: map[string]shed.Demand{}, callerWaits: map[string]repeat.Waits{},
 		windows: map[string]*retry.RatioBudget{}, stalls: map[string]stall{}, progress: map[string]progress{}, waits: map[string]wait.Estimate{},
 		evacuated: map[string]bool{}, coldLogged: map[quota.Endpoint]bool{}, coldDenied: map[string]int{},
+		responses: map[string][]response{}, knees: map[string]knee.Table{}, estimated: map[quota.Endpoint]knee.Estimate{},
 	}
 	gateway.share = quota.NewShare(gateway.random.Float64())
 	gateway.poller = poll.New(poll.Settings{
@@ -174,6 +182,7 @@
 	gateway.meter.Gauge(meter.ColdEndpoints, func() any { return len(gateway.coldEndpoints()) })
 	gateway.meter.Gauge(meter.Stalled, func() any { return gateway.stalledGroups() })
 	gateway.meter.Gauge(meter.Noticed, func() any { return gateway.noticed() })
+	gateway.meter.Gauge(meter.SlowEndpoints, func() any { return gateway.slowEndpoints() })
 	gateway.meter.Gauge(meter.PauseEnded, func() any { return gateway.pauseEnded.Load() })
 	return gateway.meter.Serve(gateway.settings.Node.MetricsListen)
 }
@@ -230,8 +239,20 @@
 	gateway.mu.Lock()
 	defer gateway.mu.Unlock()
 	report := poll.Report{Gateways: 1, Loads: make([]*wire.EndpointLoad, 0, len(gateway.work))}
+	now := gateway.clock.Now()
 	for id, load := range gateway.work {
-		report.Loads = append(report.Loads, &wire.EndpointLoad{Id: id, Running: uint32(load.Work), Late: uint32(load.Late)})
+		total := gateway.total(id, now)
+		report.Loads = append(report.Loads, &wire.EndpointLoad{
+			Id: id, Running: uint32(load.Work), Late: uint32(load.Late), Ended: uint32(total.Ended), Took: uint32(total.Took),
+		})
+	}
+	for id := range gateway.responses {
+		if _, ok := gateway.work[id]; ok {
+			continue
+		}
+		if total := gateway.total(id, now); total.Ended > 0 {
+			report.Loads = append(report.Loads, &wire.EndpointLoad{Id: id, Ended: uint32(total.Ended), Took: uint32(total.Took)})
+		}
 	}
 	for use, streams := range gateway.uses {
 		report.Uses = append(report.Uses, &wire.ServiceUse{Service: use.service, Level: uint32(use.level), Streams: uint32(streams)})
@@ -247,6 +268,8 @@
 		gateway.apply()
 		gateway.confirmCrashes()
 		gateway.logCold()
+		gateway.updateEstimates()
+		gateway.logEstimates()
 		if ready, reason := gateway.isReady(); ready != wasReady {
 			wasReady = ready
 			gateway.log.Write(event.ReadinessChanged, "ready", ready, "reason", reason)
--- a/internal/poll/poll.go
+++ b/internal/poll/poll.go
@@ -16,6 +16,7 @@
 	"github.com/hibiscuslug/hibiscuslug/internal/choose"
 	"github.com/hibiscuslug/hibiscuslug/internal/event"
 	"github.com/hibiscuslug/hibiscuslug/internal/feed"
+	"github.com/hibiscuslug/hibiscuslug/internal/knee"
 	"github.com/hibiscuslug/hibiscuslug/internal/link"
 	"github.com/hibiscuslug/hibiscuslug/internal/roster"
 	"github.com/hibiscuslug/hibiscuslug/internal/shed"
@@ -94,6 +95,8 @@
 	// inUse holds the addresses of the control VMs being polled.
 	inUse map[string]bool
 	loads map[string]choose.Load
+	// totals holds the recent responses to all other gateways, by endpoint ID.
+	totals map[string]knee.Total
 	// uses holds the streams in flight from other gateways, by service.
 	uses map[string][]shed.Use
 	// gateways is the highest number of gateways that a control VM reported within
@@ -323,8 +326,10 @@
 		poller.gateways, poller.countedAt = int(reply.GetGateways()), now
 	}
 	poller.loads = make(map[string]choose.Load, len(reply.GetLoads()))
+	poller.totals = make(map[string]knee.Total, len(reply.GetLoads()))
 	for _, load := range reply.GetLoads() {
 		poller.loads[load.GetId()] = choose.Load{Work: int(load.GetRunning()), Late: int(load.GetLate())}
+		poller.totals[load.GetId()] = knee.Total{Ended: int(load.GetEnded()), Took: clock.Millis(load.GetTook())}
 	}
 	poller.uses = map[string][]shed.Use{}
 	for _, use := range reply.GetUses() {
@@ -411,6 +416,14 @@
 	return poller.loads
 }
 
+// Totals returns the recent responses to all other gateways by endpoint ID. The map must
+// not be modified.
+func (poller *Poller) Totals() map[string]knee.Total {
+	poller.mu.Lock()
+	defer poller.mu.Unlock()
+	return poller.totals
+}
+
 // Uses returns the streams of all other gateways in flight at a service, by level. The
 // list must not be modified.
 func (poller *Poller) Uses(service string) []shed.Use {
--- a/internal/poll/poll_test.go
+++ b/internal/poll/poll_test.go
@@ -15,6 +15,7 @@
 	"github.com/hibiscuslug/hibiscuslug/internal/event"
 	"github.com/hibiscuslug/hibiscuslug/internal/fault"
 	"github.com/hibiscuslug/hibiscuslug/internal/feed"
+	"github.com/hibiscuslug/hibiscuslug/internal/knee"
 	"github.com/hibiscuslug/hibiscuslug/internal/link"
 	"github.com/hibiscuslug/hibiscuslug/internal/poll"
 	"github.com/hibiscuslug/hibiscuslug/internal/quota"
@@ -34,7 +35,7 @@
 
 func (source) Poll(context.Context, *wire.PollRequest) (*wire.PollReply, error) {
 	return &wire.PollReply{
-		Config: &wire.FeedItem{}, Incarnation: 1, Position: 1, Gateways: 4, Loads: []*wire.EndpointLoad{{Id: "e1", Running: 7, Late: 2}},
+		Config: &wire.FeedItem{}, Incarnation: 1, Position: 1, Gateways: 4, Loads: []*wire.EndpointLoad{{Id: "e1", Running: 7, Late: 2, Ended: 5, Took: 300}},
 		Endpoints: []*wire.EndpointRecord{{Id: "e1", Service: "desk", Address: "10.0.0.1:80", Born: 1, Sequence: 1}},
 	}, nil
 }
@@ -134,6 +135,7 @@
 	Eventually(view.Confirmed).WithTimeout(limit).Should(BeNumerically(">", 0))
 	Eventually(func() int { return len(poller.Endpoints("desk")) }).WithTimeout(limit).Should(Equal(1))
 	Expect(poller.Loads()).To(Equal(map[string]choose.Load{"e1": {Work: 7, Late: 2}}))
+	Expect(poller.Totals()).To(Equal(map[string]knee.Total{"e1": {Ended: 5, Took: 300}}))
 	Expect(poller.Gateways()).To(Equal(4))
 })
 
