--- a/internal/knee/knee_test.go
+++ b/internal/knee/knee_test.go
@@ -39,11 +39,20 @@
 	// Knee is the number of concurrent requests above which an endpoint slows down; 0 for
 	// none.
 	Knee int `json:"knee"`
+	// Peak is the factor of the rate from 8 s to 16 s; 0 for none.
+	Peak float64 `json:"peak"`
 	// MaxLate is the largest share of requests over the objective, relative to plain
 	// choice.
 	MaxLate float64 `json:"maxLate"`
 }
 
+func (scenario scenario) rateAt(now clock.Millis) float64 {
+	if scenario.Peak > 0 && now >= slowFrom && now < slowUntil {
+		return scenario.Rate * scenario.Peak
+	}
+	return scenario.Rate
+}
+
 const (
 	seconds   = 24
 	slowFrom  = 8 * clock.Second
@@ -140,7 +149,7 @@
 				work[each.endpoint]++
 			}
 		}
-		for arrivals := given.Rate / float64(clock.Second); arrivals > 0; arrivals-- {
+		for arrivals := given.rateAt(now) / float64(clock.Second); arrivals > 0; arrivals-- {
 			if model.random.Float64() >= arrivals {
 				continue
 			}
@@ -255,3 +264,21 @@
 	Expect(restarted.Of(key(0))).To(Equal(knee.Estimate{}))
 	Expect(slow.Of(key(1)).Slots(6)).To(Equal(6))
 })
+
+// Guards against a limit that does not follow an endpoint past its knee, one that does not
+// grow back, and one that queued requests reduce below what runs at the same time.
+var _ = DescribeTable("the limit of an endpoint past its knee", func(ended int, took clock.Millis, limit int) {
+	// 40 responses of 30 ms in 2 s set the unloaded time.
+	table := steady(knee.Table{}, 0, 10*clock.Second, 40, 30, 30, 30)
+	// All are alike, so that none has a pace.
+	table = steady(table, 10*clock.Second, 13*clock.Second, ended, took, took, took)
+	Expect(table.Of(key(0)).Pace).To(BeZero())
+	Expect(table.Of(key(0)).Slots(6)).To(Equal(limit))
+	table = steady(table, 13*clock.Second, 25*clock.Second, 40, 30, 30, 30)
+	Expect(table.Of(key(0)).Slots(6)).To(Equal(6))
+},
+	Entry("it runs two without delay and takes three times as long", 133, clock.Millis(90), 2),
+	Entry("it runs all six and as many wait", 400, clock.Millis(75), 6),
+	Entry("too few responses to tell", 9, clock.Millis(200), 6),
+	Entry("no slower than tolerated", 200, clock.Millis(45), 6),
+)
