stage: no stage while passes leave callers room for a shift

Change: a group whose passes, at the recent peak of demand, take at most half of the pause that callers accept keeps its map: a shift may double them.

--- a/internal/coord/maps.go
+++ b/internal/coord/maps.go
@@ -43,7 +43,7 @@
 	}
 	if passes := step - group.passStep; passes >= minPasses && group.hasMap && group.loads != nil {
 		mean := float64(now-group.passFrom) / float64(passes)
-		group.stage = group.stage.WithPass(mean, rebal.MeanSkew(group.current, group.loads))
+		group.stage = group.stage.WithPass(mean, rebal.MeanSkew(group.current, group.loads), now)
 		group.passFrom, group.passStep = now, step
 	}
 }
--- a/internal/stage/model_test.go
+++ b/internal/stage/model_test.go
@@ -79,7 +79,7 @@
 // rule decides about stages.
 type rule interface {
 	demand(inUse, ranks int, now clock.Millis)
-	pass(millis, skew float64)
+	pass(millis, skew float64, now clock.Millis)
 	distance(distance float64, now clock.Millis) bool
 	stage(took, prepared clock.Millis, copies int)
 	settings(skew float64, now clock.Millis) (rebal.Settings, bool)
@@ -96,7 +96,7 @@
 func (rule *fixedRule) demand(inUse, ranks int, _ clock.Millis) {
 	rule.fill = float64(inUse) / float64(ranks*slotsPerRank)
 }
-func (rule *fixedRule) pass(float64, float64)                            {}
+func (rule *fixedRule) pass(float64, float64, clock.Millis)              {}
 func (rule *fixedRule) distance(float64, clock.Millis) bool              { return false }
 func (rule *fixedRule) stage(clock.Millis, clock.Millis, int)            {}
 func (rule *fixedRule) isWorth(float64, float64, int, clock.Millis) bool { return true }
@@ -127,7 +127,9 @@
 func (rule *measuredRule) demand(inUse, ranks int, now clock.Millis) {
 	rule.group = rule.group.WithDemand(inUse, ranks, now)
 }
-func (rule *measuredRule) pass(millis, skew float64) { rule.group = rule.group.WithPass(millis, skew) }
+func (rule *measuredRule) pass(millis, skew float64, now clock.Millis) {
+	rule.group = rule.group.WithPass(millis, skew, now)
+}
 func (rule *measuredRule) distance(distance float64, now clock.Millis) bool {
 	next, isShift := rule.group.WithDistance(distance, now)
 	rule.group = next
@@ -365,7 +367,7 @@
 		group.rule.stage(now-clock.Millis(run.startedAt), clock.Millis(run.preparedAt-run.startedAt), run.copies)
 		group.run = nil
 	} else if group.passes >= 2 && group.loads != nil {
-		group.rule.pass(group.passTime/group.passes, rebal.MeanSkew(group.current, group.loads))
+		group.rule.pass(group.passTime/group.passes, rebal.MeanSkew(group.current, group.loads), now)
 		group.passes, group.passTime = 0, 0
 	}
 	if group.loads != nil {
--- a/internal/stage/stage.go
+++ b/internal/stage/stage.go
@@ -57,6 +57,9 @@
 	// maxRise is the largest measurement, in present means, that is used in full, so
 	// that single orders which are late or lost change the means little.
 	maxRise = 1.5
+	// comfortShare is the share of the pause limit that a pass may take without a new map.
+	// Popularity may double the time of a pass at any moment.
+	comfortShare = 0.5
 	// minRemaining is the share of the interval between shifts that a new map is
 	// expected to be in use at least, since shifts are not regular.
 	minRemaining = 0.25
@@ -70,8 +73,10 @@
 	// fill is the share of request slots in use; peak is its recent peak as of peakAt.
 	fill, peak float64
 	peakAt     clock.Millis
-	// evenPass is the time of a pass with an even load, in ms; 0 if unknown.
-	evenPass float64
+	// evenPass is the time of a pass with an even load, in ms; 0 if unknown. evenPeak is
+	// its recent peak as of evenPeakAt.
+	evenPass, evenPeak float64
+	evenPeakAt         clock.Millis
 	// fixed is the fixed time of a stage, copyTime the time of a copy, in ms.
 	fixed, copyTime float64
 	// shiftAt is the time of the last shift; interval is the mean time between shifts.
@@ -105,15 +110,28 @@
 }
 
 // WithPass returns the group after a measured pass during which no rank copied.
-func (group Group) WithPass(millis, skew float64) Group {
+func (group Group) WithPass(millis, skew float64, now clock.Millis) Group {
 	even := millis / group.factor(skew)
 	if group.evenPass == 0 {
 		group.evenPass = even
 	}
 	group.evenPass += weight * (even - group.evenPass)
+	group.evenPeak, group.evenPeakAt = max(group.evenPass, group.evenPeak*group.decay(group.evenPeakAt, now)), now
 	return group
 }
 
+// decay returns the share of a peak that is left of it.
+func (group Group) decay(peakAt, now clock.Millis) float64 {
+	return math.Exp(-float64(now-peakAt) / float64(peakTime))
+}
+
+// isComfortable reports whether passes with a skew leave callers room for a shift, at the
+// recent peak of demand. A better map then gains callers nothing for its copies.
+func (group Group) isComfortable(skew float64, now clock.Millis) bool {
+	even := group.evenPeak * group.decay(group.evenPeakAt, now)
+	return group.maxPause > 0 && even > 0 && even*group.factor(skew) <= comfortShare*float64(group.maxPause)
+}
+
 // WithStage returns the group after a stage that took some time in all, of which the
 // ranks prepared for a time, in which a rank copied at most some number of experts.
 func (group Group) WithStage(took, prepared clock.Millis, copies int) Group {
@@ -170,7 +188,7 @@
 // skew. It reports false when no stage may begin.
 func (group Group) Settings(skew float64, now clock.Millis) (rebal.Settings, bool) {
 	perRank := group.perRank(skew)
-	if perRank < 1 || group.engine.Layers < 1 {
+	if perRank < 1 || group.engine.Layers < 1 || group.isComfortable(skew, now) {
 		return rebal.Settings{}, false
 	}
 	perLayer := max(1, min(group.engine.Spare, perRank))
@@ -235,5 +253,5 @@
 
 // peakFill returns the share of request slots for which a map is made ready.
 func (group Group) peakFill(now clock.Millis) float64 {
-	return min(1, group.peak*math.Exp(-float64(now-group.peakAt)/float64(peakTime)))
+	return min(1, group.peak*group.decay(group.peakAt, now))
 }
--- a/internal/stage/stage_test.go
+++ b/internal/stage/stage_test.go
@@ -100,7 +100,7 @@
 	case event.InUse != nil:
 		return group.WithDemand(*event.InUse, script.Ranks, event.At)
 	case event.Pass > 0:
-		return group.WithPass(event.Pass, script.Skew)
+		return group.WithPass(event.Pass, script.Skew, event.At)
 	case event.Distance > 0:
 		group, _ = group.WithDistance(event.Distance, event.At)
 		return group
