conns, gate: requests of which no byte was sent did not run

A request whose connection was closed or reset before it was written was answered 502 like one that may have run, and on a reused connection took a second permit.

The bytes that the kernel accepted are counted. If none was, the error is marked as ErrNotSent, on a reused connection beside ErrStale. The connection is checked right before the write, because the kernel accepts bytes after a graceful close. Errors after an accepted byte are unchanged. The gateway sends such a request again on a new connection without a second permit, also on routes that are not repeatable, and does not count it as run.

--- a/internal/conns/conns.go
+++ b/internal/conns/conns.go
@@ -48,8 +48,11 @@
 	maxHeadBytes = 256 << 10
 )
 
-// ErrNotSent marks errors of requests that were not sent because no connection could
-// be established or because they were no longer allowed.
+// ErrNotSent marks errors of requests of which no byte was handed to the kernel: no
+// connection could be established, the request was no longer allowed, the endpoint had
+// closed the connection before the request was written, or the write failed before any
+// byte was accepted. Once a byte was accepted, no error proves that the request did not
+// arrive: a reset or a missing acknowledgment may follow a request that was read.
 var ErrNotSent = errors.New("no connection to the endpoint")
 
 // ErrExpired marks errors of requests that were not sent because their time had passed
@@ -62,6 +65,7 @@
 
 // ErrStale marks errors of requests that failed on a reused connection before any byte
 // of a response arrived; the endpoint may have closed the connection while it was idle.
+// They are also marked as ErrNotSent if no byte of the request was sent.
 var ErrStale = errors.New("reused connection failed")
 
 type idleConn struct {
@@ -74,6 +78,8 @@
 	reader  *bufio.Reader
 	limit   *limitedReader
 	address string
+	// accepted is the number of bytes of the current request that the kernel accepted.
+	accepted int
 	// reused is set once the connection was returned to the pool.
 	reused bool
 }
@@ -167,18 +173,43 @@
 
 // isIdle reports whether a connection is open and has received no unexpected bytes.
 func isIdle(conn *conn) bool {
+	size, err := peek(conn)
+	return err == nil && size == 0
+}
+
+// peek returns how many of the next received bytes there are, up to one. It returns an
+// error, which is io.EOF after a graceful close, if the endpoint has closed the
+// connection.
+func peek(conn *conn) (int, error) {
 	raw, err := conn.Conn.(*net.TCPConn).SyscallConn()
 	if err != nil {
-		return false
+		return 0, err
 	}
-	open := false
+	var size int
+	var failure error
 	err = raw.Read(func(fd uintptr) bool {
 		var peeked [1]byte
-		_, _, err := unix.Recvfrom(int(fd), peeked[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		open = errors.Is(err, unix.EAGAIN)
+		size, _, failure = unix.Recvfrom(int(fd), peeked[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
 		return true
 	})
-	return err == nil && open
+	switch {
+	case err != nil:
+		return 0, err
+	case errors.Is(failure, unix.EAGAIN):
+		return 0, nil
+	case failure != nil:
+		return 0, failure
+	case size == 0:
+		return 0, io.EOF
+	}
+	return size, nil
+}
+
+// send writes a request and records how many of its bytes were accepted.
+func (conn *conn) send(request Request) error {
+	size, err := conn.Write(append(request.Head, request.Body...))
+	conn.accepted = size
+	return err
 }
 
 func (pool *Pool) put(conn *conn, idleTimeout clock.Millis) {
@@ -299,7 +330,11 @@
 	if err := exchange.begin(request); err != nil {
 		exchange.stop()
 		abort(used)
+		// The bytes accepted are known only after the goroutine that writes them has ended.
 		exchange.writing.Wait()
+		if used.accepted == 0 {
+			err = errors.Mark(err, ErrNotSent)
+		}
 		return nil, err
 	}
 	return exchange, nil
@@ -307,16 +342,21 @@
 
 func (exchange *Exchange) begin(request Request) error {
 	conn := exchange.conn
+	conn.accepted = 0
+	// After a graceful close, the kernel would accept bytes, and the reset that follows
+	// does not prove that the endpoint ignored them.
+	if _, err := peek(conn); err != nil {
+		return exchange.noResponse(err)
+	}
 	if len(request.Body) <= maxInlineBody {
-		if _, err := conn.Write(append(request.Head, request.Body...)); err != nil {
+		if err := conn.send(request); err != nil {
 			return exchange.noResponse(err)
 		}
 		exchange.written.Store(true)
 	} else {
 		// The endpoint may respond before it has read the complete body.
 		exchange.writing.Go(func() {
-			_, err := conn.Write(append(request.Head, request.Body...))
-			exchange.written.Store(err == nil)
+			exchange.written.Store(conn.send(request) == nil)
 		})
 	}
 	conn.limit.remaining = maxHeadBytes
--- a/internal/conns/conns_test.go
+++ b/internal/conns/conns_test.go
@@ -1,6 +1,7 @@
 package conns_test
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"fmt"
@@ -222,3 +223,115 @@
 	}
 	Expect(pool.Dialed()).To(BeEquivalentTo(3))
 })
+
+// startClosing starts an endpoint that answers a number of requests on each connection
+// and then ends the connection when told so: with a reset, or else gracefully. It returns
+// the address and a function that ends the connections.
+func startClosing(answers int, reset bool) (string, func()) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	var serving conc.WaitGroup
+	ending, ended := make(chan struct{}), make(chan struct{})
+	DeferCleanup(func() { Expect(listener.Close()).To(Succeed()); serving.Wait() })
+	serving.Go(func() {
+		defer close(ended)
+		conn, err := listener.Accept()
+		Expect(err).NotTo(HaveOccurred())
+		reader := bufio.NewReader(conn)
+		for range answers {
+			request, err := http.ReadRequest(reader)
+			Expect(err).NotTo(HaveOccurred())
+			_, err = io.Copy(io.Discard, request.Body)
+			Expect(err).NotTo(HaveOccurred())
+			_, err = io.WriteString(conn, response)
+			Expect(err).NotTo(HaveOccurred())
+		}
+		<-ending
+		if reset {
+			Expect(conn.(*net.TCPConn).SetLinger(0)).To(Succeed())
+		}
+		Expect(conn.Close()).To(Succeed())
+	})
+	return listener.Addr().String(), func() {
+		close(ending)
+		<-ended
+		// Gives the FIN or RST time to arrive.
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
+// Guards against a 502 for a request of which nothing was sent: the endpoint ended the
+// connection before the request was written.
+var _ = DescribeTable("marks a request as not sent when the endpoint ended the connection before it was written",
+	func(reused, reset bool, size int) {
+		answers := 0
+		if reused {
+			answers = 1
+		}
+		pool := newPool()
+		address, end := startClosing(answers, reset)
+		for range answers {
+			_, err := post(pool, address, []byte("b"))
+			Expect(err).NotTo(HaveOccurred())
+		}
+		_, err := pool.Do(context.Background(), conns.Request{
+			Address: address, Method: http.MethodPost, Body: bytes.Repeat([]byte("x"), size),
+			Head:    fmt.Appendf(nil, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n", size),
+			Matches: func(http.Header) bool { return true },
+			Allowed: func() error { end(); return nil },
+		})
+		Expect(errors.Is(err, conns.ErrNotSent)).To(BeTrue(), "%v", err)
+		Expect(errors.Is(err, conns.ErrStale)).To(Equal(reused))
+		Expect(pool.Dialed()).To(BeEquivalentTo(1))
+	},
+	Entry("new connection, closed, small body", false, false, 1),
+	Entry("new connection, closed, large body", false, false, 1<<20),
+	Entry("new connection, reset, small body", false, true, 1),
+	Entry("new connection, reset, large body", false, true, 1<<20),
+	Entry("reused connection, closed, small body", true, false, 1),
+	Entry("reused connection, closed, large body", true, false, 1<<20),
+	Entry("reused connection, reset, small body", true, true, 1),
+	Entry("reused connection, reset, large body", true, true, 1<<20),
+)
+
+// Guards against a false promise: once the kernel accepted a byte, the endpoint may have
+// run the request, even if it reads none of it for a long time.
+var _ = DescribeTable("does not mark a request as not sent once a byte of it was written",
+	func(reused, reset bool, size int) {
+		answers := 0
+		if reused {
+			answers = 1
+		}
+		pool := newPool()
+		address, end := startClosing(answers, reset)
+		for range answers {
+			_, err := post(pool, address, []byte("b"))
+			Expect(err).NotTo(HaveOccurred())
+		}
+		var ending conc.WaitGroup
+		DeferCleanup(ending.Wait)
+		_, err := pool.Do(context.Background(), conns.Request{
+			Address: address, Method: http.MethodPost, Body: bytes.Repeat([]byte("x"), size),
+			Head:    fmt.Appendf(nil, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n", size),
+			Matches: func(http.Header) bool { return true },
+			Allowed: func() error {
+				ending.Go(func() {
+					time.Sleep(300 * time.Millisecond)
+					end()
+				})
+				return nil
+			},
+		})
+		Expect(err).To(HaveOccurred())
+		Expect(errors.Is(err, conns.ErrNotSent)).To(BeFalse(), "%v", err)
+		Expect(errors.Is(err, conns.ErrStale)).To(Equal(reused))
+	},
+	Entry("new connection, closed, small body", false, false, 1),
+	Entry("new connection, closed, large body", false, false, 32<<20),
+	Entry("new connection, reset, small body", false, true, 1),
+	Entry("new connection, reset, large body", false, true, 32<<20),
+	Entry("reused connection, closed, small body", true, false, 1),
+	Entry("reused connection, closed, large body", true, false, 32<<20),
+	Entry("reused connection, reset, small body", true, true, 1),
+	Entry("reused connection, reset, large body", true, true, 32<<20),
+)
--- a/internal/gate/attempt.go
+++ b/internal/gate/attempt.go
@@ -46,11 +46,9 @@
 	defer gateway.countUse(forwarder.call)()
 	sent := gateway.clock.Now()
 	exchange, err := forwarder.send(ctx, endpoint, forwarder.route.Kind == plan.NonIdempotent)
-	if errors.Is(err, conns.ErrStale) && forwarder.route.Repeatable() && ctx.Err() == nil {
-		// The endpoint may have run what was sent on the connection that broke.
-		forwarder.mayHaveRun, forwarder.brokeStale = true, true
-		if !errors.Is(err, conns.ErrNotSent) && !forwarder.permitAgain(ctx, endpoint) {
-			return notSent, errors.Wrap(err, "no permit to send the request again")
+	if errors.Is(err, conns.ErrStale) && (forwarder.route.Repeatable() || errors.Is(err, conns.ErrNotSent)) && ctx.Err() == nil {
+		if err := forwarder.permitResend(ctx, endpoint, err); err != nil {
+			return notSent, err
 		}
 		exchange, err = forwarder.send(ctx, endpoint, true)
 	}
@@ -82,6 +80,21 @@
 	return ended, err
 }
 
+// permitResend records that a reused connection failed, and returns an error if the
+// request may not be sent again on a new one. If no byte was sent on the first, the
+// request did not run and its permit is still unused.
+func (forwarder *forwarder) permitResend(ctx context.Context, endpoint roster.Record, failure error) error {
+	if errors.Is(failure, conns.ErrNotSent) {
+		return nil
+	}
+	// The endpoint may have run what was sent on the connection that broke.
+	forwarder.mayHaveRun, forwarder.brokeStale = true, true
+	if !forwarder.permitAgain(ctx, endpoint) {
+		return errors.Wrap(failure, "no permit to send the request again")
+	}
+	return nil
+}
+
 func (forwarder *forwarder) send(ctx context.Context, endpoint roster.Record, fresh bool) (*conns.Exchange, error) {
 	gateway := forwarder.gateway
 	send := task.Send{
