conns: write head and body without a copy

A request was joined into one slice before it was written, so that a gateway held each body twice while it was sent. Both parts are now written as net.Buffers. The count of accepted bytes includes both.

go test ./internal/conns: ok (35 specs).

--- a/internal/conns/conns.go
+++ b/internal/conns/conns.go
@@ -207,8 +207,10 @@
 
 // send writes a request and records how many of its bytes were accepted.
 func (conn *conn) send(request Request) error {
-	size, err := conn.Write(append(request.Head, request.Body...))
-	conn.accepted = size
+	// The body is not copied, so that a gateway holds it once.
+	parts := net.Buffers{request.Head, request.Body}
+	size, err := parts.WriteTo(conn.Conn)
+	conn.accepted = int(size)
 	return err
 }
 
