gate: a bound on the bytes of bodies and buffered responses

Each request could hold 4 MiB of its body and 1 MiB of its response, without a bound over all requests.

A request whose body does not fit gets 503 with Retry-After and the rest of it is not read (event 249). A response that does not fit is streamed after the part read; one with status 500 or higher ends like one that was broken off.

go test ./internal/gate: 79 specs pass. With the limit or the release taken out, the new specs of gate and holds fail. go test ./internal/holds ./internal/event ./internal/meter ./internal/conns: ok; -race for holds and conns: ok.

--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -44,6 +44,7 @@
 	RequestOverLimit   = Event{246, "request kept from endpoints that are at their limits"}
 	RequestsOverCold   = Event{247, "requests kept from cold endpoints"}
 	RequestPaused      = Event{248, "request kept from endpoints that ask for a pause"}
+	RequestTooMuch     = Event{249, "request refused because of the bytes held"}
 	EndpointJoined     = Event{301, "endpoint announced itself"}
 	EndpointExpired    = Event{302, "endpoint's announcement expired"}
 	EndpointLeaving    = Event{303, "endpoint is leaving"}
--- a/internal/gate/attempt.go
+++ b/internal/gate/attempt.go
@@ -161,8 +161,12 @@
 // bufferResponse buffers the complete response before any of it goes to the caller, so
 // that the request can be retried when the response is truncated.
 func (forwarder *forwarder) bufferResponse(response *http.Response, facts task.Answer) (result, bool, error) {
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxBufferedResponse))
+	body, err := forwarder.readHeld(forwarder.gateway, response.Body, maxBufferedResponse)
+	if errors.Is(err, errHeld) && response.StatusCode < http.StatusInternalServerError {
+		return forwarder.passThrough(response, body)
+	}
 	if err != nil {
+		forwarder.giveBack(forwarder.gateway, body)
 		return unknown, false, errors.Wrap(err, "read response body")
 	}
 	if len(body) == maxBufferedResponse {
@@ -171,6 +175,7 @@
 	buffered := &bufferedResponse{status: response.StatusCode, header: response.Header, body: body}
 	if response.StatusCode >= http.StatusInternalServerError {
 		if !facts.Sealed {
+			forwarder.giveBack(forwarder.gateway, body)
 			return unknown, true, errors.Newf("response with status %d lacks the endpoint's signature", response.StatusCode)
 		}
 		forwarder.endpointError = buffered
@@ -190,6 +195,7 @@
 	if _, err := forwarder.w.Write(prefix); err != nil {
 		return callerGone, false, err
 	}
+	forwarder.giveBack(forwarder.gateway, prefix)
 	if _, err := io.Copy(forwarder.w, response.Body); err != nil {
 		forwarder.gateway.log.Write(event.RequestEnded, "id", forwarder.task.ID, "outcome", "brokenOff", "error", err)
 		panic(http.ErrAbortHandler)
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -22,6 +22,7 @@
 	"github.com/hibiscuslug/hibiscuslug/internal/ctrl"
 	"github.com/hibiscuslug/hibiscuslug/internal/event"
 	"github.com/hibiscuslug/hibiscuslug/internal/feed"
+	"github.com/hibiscuslug/hibiscuslug/internal/holds"
 	"github.com/hibiscuslug/hibiscuslug/internal/link"
 	"github.com/hibiscuslug/hibiscuslug/internal/meter"
 	"github.com/hibiscuslug/hibiscuslug/internal/opts"
@@ -86,15 +87,17 @@
 	// pauseEnded counts the requests ended because all endpoints ask for a pause.
 	pauseEnded atomic.Int64
 	meter      *meter.Meter
-	answered   *meter.Counter
-	sends      *meter.Counter
-	denied     *meter.Counter
-	firstByte  *meter.Histogram
-	eventGap   *meter.Histogram
-	http       *http.Server
-	ready      *http.Server
-	listener   net.Listener
-	cancel     context.CancelFunc
+	// held counts the bytes of request bodies and buffered responses.
+	held      *holds.Budget
+	answered  *meter.Counter
+	sends     *meter.Counter
+	denied    *meter.Counter
+	firstByte *meter.Histogram
+	eventGap  *meter.Histogram
+	http      *http.Server
+	ready     *http.Server
+	listener  net.Listener
+	cancel    context.CancelFunc
 	// evacuated holds the zones that were evacuated when follow last looked.
 	evacuated map[string]bool
 	loops     conc.WaitGroup
@@ -142,6 +145,7 @@
 		windows: map[string]*retry.RatioBudget{}, stalls: map[string]stall{}, progress: map[string]progress{}, waits: map[string]wait.Estimate{},
 		evacuated: map[string]bool{}, coldLogged: map[quota.Endpoint]bool{}, coldDenied: map[string]int{},
 	}
+	gateway.held = holds.New(int64(settings.Gateway.MaxHeld))
 	gateway.share = quota.NewShare(gateway.random.Float64())
 	gateway.poller = poll.New(poll.Settings{
 		Node: settings.Node.Name, Zone: settings.Node.Zone, Sources: controlSources, Seeds: gateway.seeds, Report: gateway.report, Board: gateway.board,
@@ -175,6 +179,7 @@
 	gateway.meter.Gauge(meter.Stalled, func() any { return gateway.stalledGroups() })
 	gateway.meter.Gauge(meter.Noticed, func() any { return gateway.noticed() })
 	gateway.meter.Gauge(meter.PauseEnded, func() any { return gateway.pauseEnded.Load() })
+	gateway.meter.Gauge(meter.Held, func() any { return gateway.held.Held() })
 	return gateway.meter.Serve(gateway.settings.Node.MetricsListen)
 }
 
--- a/internal/gate/serve.go
+++ b/internal/gate/serve.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -59,6 +58,8 @@
 	deadline clock.Millis
 	// version is the version of the configuration that classified the request.
 	version uint64
+	// held is the number of bytes of bodies that this request holds.
+	held int64
 }
 
 // callerWait returns how long the caller waits for a response, counted from the
@@ -73,6 +74,7 @@
 // ServeHTTP serves a caller's request.
 func (gateway *Gateway) ServeHTTP(w http.ResponseWriter, request *http.Request) {
 	call := &call{arrived: gateway.clock.Now(), task: gateway.settings.Dialect.Task(request)}
+	defer call.release(gateway)
 	if gateway.stopping.Load() {
 		w.Header().Set("Connection", "close")
 	}
@@ -188,11 +190,18 @@
 	if config := gateway.plan.Load(); config != nil && config.Limits().Body > 0 {
 		limit = config.Limits().Body
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, request.Body, int64(limit)))
+	// One byte more is read, so that a body of the limit ends with io.EOF.
+	body, err := call.readHeld(gateway, http.MaxBytesReader(w, request.Body, int64(limit)), limit+1)
 	if err == nil {
 		call.task.Body = body
 		return nil
 	}
+	if errors.Is(err, errHeld) {
+		gateway.log.Write(event.RequestTooMuch, "id", call.task.ID, "held", gateway.held.Held(), "read", len(body), "size", request.ContentLength)
+		// The rest of the body is not read.
+		w.Header().Set("Connection", "close")
+		return &refusal{status: http.StatusServiceUnavailable, reason: "the gateway holds too many bytes", retryAfter: gateway.jitter(fullRetryAfter)}
+	}
 	var large *http.MaxBytesError
 	if errors.As(err, &large) {
 		return &refusal{status: http.StatusRequestEntityTooLarge, reason: "body is too large"}
--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -45,13 +45,14 @@
 	ColdEndpoints   = Metric{"coldEndpoints", "endpoints", "endpoints that get requests at the rate for cold ones (gateway)"}
 	ColdDenied      = Metric{"coldDenied", "requests", "requests kept from cold endpoints since the start, by what became of them: elsewhere or refused (gateway)"}
 	Noticed         = Metric{"noticed", "endpoints", "starts of endpoints by what was noticed of them: leaving, pausing (this gateway sends nothing), pausingElsewhere and slow (gateway)"}
+	Held            = Metric{"held", "bytes", "bytes of request bodies and buffered responses in memory, bounded by --max-held (gateway)"}
 	PauseEnded      = Metric{"pauseEnded", "requests", "requests ended since the start because all endpoints ask for a pause (gateway)"}
 	Members         = Metric{"members", "processes", "processes known by their announcements, by role (entry)"}
 	ControlBytesIn  = Metric{"controlBytesIn", "bytes", "bytes received since the start on connections for membership, configuration and commands (all)"}
 	ControlBytesOut = Metric{"controlBytesOut", "bytes", "bytes sent since the start on connections for membership, configuration and commands (all)"}
 )
 
-var allMetrics = []Metric{Requests, InFlight, Attempts, QueueLength, Running, Revision, RevisionAge, Evacuated, Answered, Sends, FirstByte, EventGap, Dialed, Version, Stalled, ColdEndpoints, ColdDenied, Noticed, PauseEnded, Members, ControlBytesIn, ControlBytesOut}
+var allMetrics = []Metric{Requests, InFlight, Attempts, QueueLength, Running, Revision, RevisionAge, Evacuated, Answered, Sends, FirstByte, EventGap, Dialed, Version, Stalled, ColdEndpoints, ColdDenied, Noticed, PauseEnded, Held, Members, ControlBytesIn, ControlBytesOut}
 
 // revisionTimeout limits the wait of one request to /debug/revision.
 const revisionTimeout = 30 * time.Second
