--- a/internal/gate/attempt.go
+++ b/internal/gate/attempt.go
@@ -46,11 +46,9 @@
 	defer gateway.countUse(forwarder.call)()
 	sent := gateway.clock.Now()
 	exchange, err := forwarder.send(ctx, endpoint, forwarder.route.Kind == plan.NonIdempotent)
-	if errors.Is(err, conns.ErrStale) && forwarder.route.Repeatable() && ctx.Err() == nil {
-		// The endpoint may have run what was sent on the connection that broke.
-		forwarder.mayHaveRun, forwarder.brokeStale = true, true
-		if !errors.Is(err, conns.ErrNotSent) && !forwarder.permitAgain(ctx, endpoint) {
-			return notSent, errors.Wrap(err, "no permit to send the request again")
+	if errors.Is(err, conns.ErrStale) && (forwarder.route.Repeatable() || errors.Is(err, conns.ErrNotSent)) && ctx.Err() == nil {
+		if err := forwarder.permitResend(ctx, endpoint, err); err != nil {
+			return notSent, err
 		}
 		exchange, err = forwarder.send(ctx, endpoint, true)
 	}
@@ -85,6 +83,21 @@
 	return ended, err
 }
 
+// permitResend records that a reused connection failed, and returns an error if the
+// request may not be sent again on a new one. If no byte was sent on the first, the
+// request did not run and its permit is still unused.
+func (forwarder *forwarder) permitResend(ctx context.Context, endpoint roster.Record, failure error) error {
+	if errors.Is(failure, conns.ErrNotSent) {
+		return nil
+	}
+	// The endpoint may have run what was sent on the connection that broke.
+	forwarder.mayHaveRun, forwarder.brokeStale = true, true
+	if !forwarder.permitAgain(ctx, endpoint) {
+		return errors.Wrap(failure, "no permit to send the request again")
+	}
+	return nil
+}
+
 func (forwarder *forwarder) send(ctx context.Context, endpoint roster.Record, fresh bool) (*conns.Exchange, error) {
 	gateway := forwarder.gateway
 	send := task.Send{
@@ -151,8 +164,12 @@
 // bufferResponse buffers the complete response before any of it goes to the caller, so
 // that the request can be retried when the response is truncated.
 func (forwarder *forwarder) bufferResponse(response *http.Response, facts task.Answer) (result, bool, error) {
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxBufferedResponse))
+	body, err := forwarder.readHeld(forwarder.gateway, response.Body, maxBufferedResponse)
+	if errors.Is(err, errHeld) && response.StatusCode < http.StatusInternalServerError {
+		return forwarder.passThrough(response, body)
+	}
 	if err != nil {
+		forwarder.giveBack(forwarder.gateway, body)
 		return unknown, false, errors.Wrap(err, "read response body")
 	}
 	if len(body) == maxBufferedResponse {
@@ -161,6 +178,7 @@
 	buffered := &bufferedResponse{status: response.StatusCode, header: response.Header, body: body}
 	if response.StatusCode >= http.StatusInternalServerError {
 		if !facts.Sealed {
+			forwarder.giveBack(forwarder.gateway, body)
 			return unknown, true, errors.Newf("response with status %d lacks the endpoint's signature", response.StatusCode)
 		}
 		forwarder.endpointError = buffered
@@ -181,6 +199,7 @@
 	if _, err := forwarder.w.Write(prefix); err != nil {
 		return callerGone, false, err
 	}
+	forwarder.giveBack(forwarder.gateway, prefix)
 	if _, err := io.Copy(forwarder.w, response.Body); err != nil {
 		forwarder.gateway.log.Write(event.RequestEnded, "id", forwarder.task.ID, "outcome", "brokenOff", "error", err)
 		panic(http.ErrAbortHandler)
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -22,6 +22,7 @@
 	"github.com/hibiscuslug/hibiscuslug/internal/ctrl"
 	"github.com/hibiscuslug/hibiscuslug/internal/event"
 	"github.com/hibiscuslug/hibiscuslug/internal/feed"
+	"github.com/hibiscuslug/hibiscuslug/internal/holds"
 	"github.com/hibiscuslug/hibiscuslug/internal/knee"
 	"github.com/hibiscuslug/hibiscuslug/internal/link"
 	"github.com/hibiscuslug/hibiscuslug/internal/meter"
@@ -87,15 +88,17 @@
 	// pauseEnded counts the requests ended because all endpoints ask for a pause.
 	pauseEnded atomic.Int64
 	meter      *meter.Meter
-	answered   *meter.Counter
-	sends      *meter.Counter
-	denied     *meter.Counter
-	firstByte  *meter.Histogram
-	eventGap   *meter.Histogram
-	http       *http.Server
-	ready      *http.Server
-	listener   net.Listener
-	cancel     context.CancelFunc
+	// held counts the bytes of request bodies and buffered responses.
+	held      *holds.Budget
+	answered  *meter.Counter
+	sends     *meter.Counter
+	denied    *meter.Counter
+	firstByte *meter.Histogram
+	eventGap  *meter.Histogram
+	http      *http.Server
+	ready     *http.Server
+	listener  net.Listener
+	cancel    context.CancelFunc
 	// evacuated holds the zones that were evacuated when follow last looked.
 	evacuated map[string]bool
 	// estimated holds the estimates that follow last logged.
@@ -150,6 +153,7 @@
 		evacuated: map[string]bool{}, coldLogged: map[quota.Endpoint]bool{}, coldDenied: map[string]int{},
 		responses: map[string][]response{}, knees: map[string]knee.Table{}, estimated: map[quota.Endpoint]knee.Estimate{},
 	}
+	gateway.held = holds.New(int64(settings.Gateway.MaxHeld))
 	gateway.share = quota.NewShare(gateway.random.Float64())
 	gateway.poller = poll.New(poll.Settings{
 		Node: settings.Node.Name, Zone: settings.Node.Zone, Sources: controlSources, Seeds: gateway.seeds, Report: gateway.report, Board: gateway.board,
@@ -184,6 +188,7 @@
 	gateway.meter.Gauge(meter.Noticed, func() any { return gateway.noticed() })
 	gateway.meter.Gauge(meter.SlowEndpoints, func() any { return gateway.slowEndpoints() })
 	gateway.meter.Gauge(meter.PauseEnded, func() any { return gateway.pauseEnded.Load() })
+	gateway.meter.Gauge(meter.Held, func() any { return gateway.held.Held() })
 	return gateway.meter.Serve(gateway.settings.Node.MetricsListen)
 }
 
