review: a request that crashes engines is let through beside a common lookup

Cause: crash.isCause blocks a request only if no other suspect was at all of its crashes, and does not look at suspects that answers have cleared. Equal lookups of one caller have one fingerprint, so a lookup that is in flight at every engine keeps the request from being blocked. Gateways do not isolate requests in quarantine, which would be the way out.

The stand-in engines can crash and start again.

Nothing is fixed.

--- a/review/stand/engine.go
+++ b/review/stand/engine.go
@@ -25,6 +25,9 @@
 // heartbeatInterval is heartbeatMs of the sites.
 const heartbeatInterval = 1200 * time.Millisecond
 
+// crashTime is the time after which an engine that crashed is back.
+const crashTime = 3 * time.Second
+
 // run is one request that an engine ran.
 type run struct {
 	id, engine, service string
@@ -34,6 +37,7 @@
 // engine is a stand-in for an engine of a service without model engines.
 type engine struct {
 	site     *site
+	name     string
 	id       string
 	service  string
 	zone     string
@@ -43,33 +47,56 @@
 	server   *http.Server
 	cancel   context.CancelFunc
 	beating  sync.WaitGroup
+	// work is how long a request takes.
+	work time.Duration
+	// crashes reports whether a request ends the engine as it begins to run; nil for none.
+	crashes func(request *http.Request) bool
 
 	mu       sync.Mutex
 	sequence int
 	state    string
 	runs     []run
+	// starts counts the starts; each has an id of its own.
+	starts int
+	down   bool
+}
+
+// newEngine returns an engine that has not started.
+func (site *site) newEngine(name, service, zone string, controls func() []string) *engine {
+	return &engine{
+		site: site, name: name, service: service, zone: zone, host: site.add(name, "engine", zone).host, controls: controls, state: "ready",
+	}
 }
 
-// newEngine starts an engine and its heartbeats.
-func (site *site) newEngine(id, service, zone string, controls func() []string) (*engine, error) {
-	made := &engine{
-		site: site, id: id, service: service, zone: zone, host: site.add(id, "engine", zone).host,
-		born: time.Now().UnixMilli(), controls: controls, state: "ready",
+// start starts the engine and its heartbeats.
+func (engine *engine) start() error {
+	if err := engine.listen(); err != nil {
+		return err
 	}
-	listener, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", site.address(made.host, enginePort))
+	ctx, cancel := context.WithCancel(context.Background())
+	engine.cancel = cancel
+	engine.beating.Add(1)
+	go engine.beat(ctx)
+	return nil
+}
+
+// listen begins a boot of the engine.
+func (engine *engine) listen() error {
+	listener, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", engine.site.address(engine.host, enginePort))
 	if err != nil {
-		return nil, err
+		return err
 	}
-	made.server = &http.Server{Handler: made, ReadHeaderTimeout: time.Minute}
+	engine.mu.Lock()
+	engine.starts++
+	engine.id, engine.born, engine.sequence, engine.down = fmt.Sprintf("%s-%d", engine.name, engine.starts), time.Now().UnixMilli(), 0, false
+	server := &http.Server{Handler: engine, ReadHeaderTimeout: time.Minute}
+	engine.server = server
+	engine.mu.Unlock()
 	go func() {
 		// Serve returns once the engine is closed.
-		_ = made.server.Serve(listener)
+		_ = server.Serve(listener)
 	}()
-	ctx, cancel := context.WithCancel(context.Background())
-	made.cancel = cancel
-	made.beating.Add(1)
-	go made.beat(ctx)
-	return made, nil
+	return nil
 }
 
 func (engine *engine) close() {
@@ -79,6 +106,28 @@
 	_ = engine.server.Close()
 }
 
+// crash ends the engine with all its connections and starts it again after a time.
+func (engine *engine) crash(request *http.Request, span time.Duration) {
+	engine.mu.Lock()
+	if engine.down {
+		engine.mu.Unlock()
+		return
+	}
+	engine.down = true
+	id, server := engine.id, engine.server
+	engine.mu.Unlock()
+	engine.site.record.note("%s begins to run %s and crashes", id, request.Header.Get(headerID))
+	// Close returns the error of the listener, which is of no interest any more.
+	_ = server.Close()
+	time.AfterFunc(span, func() {
+		if err := engine.listen(); err != nil {
+			engine.site.record.note("%s cannot start again: %v", engine.name, err)
+			return
+		}
+		engine.heartbeat(context.Background())
+	})
+}
+
 // beat sends heartbeats until the context ends, each to the first control address that
 // acknowledges it.
 func (engine *engine) beat(ctx context.Context) {
@@ -92,24 +141,28 @@
 	}
 }
 
-// heartbeat sends one heartbeat, and reports whether it was acknowledged.
-func (engine *engine) heartbeat(ctx context.Context) bool {
+// heartbeat sends one heartbeat, to the first control address that acknowledges it.
+func (engine *engine) heartbeat(ctx context.Context) {
 	engine.mu.Lock()
+	if engine.down {
+		engine.mu.Unlock()
+		return
+	}
 	engine.sequence++
+	id := engine.id
 	body, err := json.Marshal(map[string]any{
 		"service": engine.service, "address": engine.site.address(engine.host, enginePort), "zone": engine.zone, "version": "v1",
-		"slots": 8, "state": engine.state, "coldRemainingMs": 0, "sequence": engine.sequence, "born": engine.born,
+		"slots": 6, "state": engine.state, "coldRemainingMs": 0, "sequence": engine.sequence, "born": engine.born,
 	})
 	engine.mu.Unlock()
 	if err != nil {
-		return false
+		return
 	}
 	for _, control := range engine.controls() {
-		if call(ctx, http.MethodPost, "http://"+control+"/Instances.Heartbeat/"+engine.id, string(body)) == http.StatusOK {
-			return true
+		if call(ctx, http.MethodPost, "http://"+control+"/Instances.Heartbeat/"+id, string(body)) == http.StatusOK {
+			return
 		}
 	}
-	return false
 }
 
 // ServeHTTP runs a request.
@@ -118,19 +171,27 @@
 	if err != nil {
 		return
 	}
+	engine.mu.Lock()
+	instance := engine.id
+	engine.mu.Unlock()
 	id := request.Header.Get(headerID)
 	w.Header().Set(headerID, id)
-	if request.Header.Get(headerInstance) != engine.id {
+	if request.Header.Get(headerInstance) != instance {
 		w.Header().Set(headerNotRun, "1")
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
 	engine.mu.Lock()
-	engine.runs = append(engine.runs, run{id: id, engine: engine.id, service: engine.service, at: time.Now()})
+	engine.runs = append(engine.runs, run{id: id, engine: instance, service: engine.service, at: time.Now()})
 	engine.mu.Unlock()
+	if engine.crashes != nil && engine.crashes(request) {
+		engine.crash(request, crashTime)
+		return
+	}
+	time.Sleep(engine.work)
 	w.Header().Set(headerSeal, "seal."+id)
 	// The client may have gone.
-	_, _ = fmt.Fprintf(w, "%s ran %s with %d bytes\n", engine.id, id, len(body))
+	_, _ = fmt.Fprintf(w, "%s ran %s with %d bytes\n", instance, id, len(body))
 }
 
 // ran returns the runs so far.
--- a/review/stand/machine.go
+++ b/review/stand/machine.go
@@ -109,12 +109,12 @@
 }
 
 // control adds a machine with a disk that serves control.
-func (site *site) control(name, zone string, tolerance int) *machine {
+func (site *site) control(name, zone string) *machine {
 	added := site.add(name, "control", zone)
 	added.settings = []string{
 		"HIB_NAME=" + name, "HIB_ZONE=" + zone, "HIB_REGION=region",
 		"HIB_LISTEN=" + site.address(added.host, linkPort), "HIB_METRICS_LISTEN=" + site.address(added.host, metricsPort),
-		"HIB_API_LISTEN=" + site.address(added.host, controlPort), fmt.Sprint("HIB_TOLERANCE=", tolerance),
+		"HIB_API_LISTEN=" + site.address(added.host, controlPort), "HIB_TOLERANCE=1",
 		"HIB_DATA=" + filepath.Join(site.folder, name+"-disk"), "HIB_SNAPSHOT_BYTES=1000000", "HIB_KNOWN_ZONE=za,zb,zc",
 	}
 	return added
@@ -274,12 +274,12 @@
 	_ = source.Close()
 }
 
-// await waits until a condition holds.
-func await(what string, limit time.Duration, holds func() bool) error {
-	for deadline := time.Now().Add(limit); time.Now().Before(deadline); time.Sleep(50 * time.Millisecond) {
+// await waits until a condition holds, at most startLimit.
+func await(what string, holds func() bool) error {
+	for deadline := time.Now().Add(startLimit); time.Now().Before(deadline); time.Sleep(50 * time.Millisecond) {
 		if holds() {
 			return nil
 		}
 	}
-	return fmt.Errorf("not within %s: %s", limit, what)
+	return fmt.Errorf("not within %s: %s", startLimit, what)
 }
--- a/review/stand/starved.go
+++ b/review/stand/starved.go
@@ -95,7 +95,7 @@
 
 func (starved *starved) start(ctx context.Context) error {
 	for _, zone := range []string{"za", "zb", "zc"} {
-		starved.controls = append(starved.controls, starved.site.control("control-"+zone+"-1", zone, 1))
+		starved.controls = append(starved.controls, starved.site.control("control-"+zone+"-1", zone))
 	}
 	for _, name := range []string{"za-1", "zb-1", "zc-1", "zc-2"} {
 		starved.gateways = append(starved.gateways, starved.site.gateway("front-"+name, name[:2]))
@@ -108,22 +108,22 @@
 	}
 	for _, zone := range []string{"za", "zb", "zc"} {
 		for _, service := range []string{serviceOld, serviceNew} {
-			made, err := starved.site.newEngine("i-"+service+"-"+zone, service, zone, starved.addresses)
-			if err != nil {
+			made := starved.site.newEngine("i-"+service+"-"+zone, service, zone, starved.addresses)
+			if err := made.start(); err != nil {
 				return err
 			}
 			starved.engines = append(starved.engines, made)
 		}
 	}
-	if err := await("the first configuration is acknowledged", startLimit, func() bool { return starved.put(ctx, 1, serviceOld) }); err != nil {
+	if err := await("the first configuration is acknowledged", func() bool { return starved.put(ctx, 1, serviceOld) }); err != nil {
 		return err
 	}
 	for _, gateway := range starved.gateways {
-		probe := newClient(gateway, hostName, clientKey)
-		if err := await(gateway.name+" serves", startLimit, func() bool { return probe.send(ctx, pathKeyed) == http.StatusOK }); err != nil {
+		probe := newClient(gateway)
+		if err := await(gateway.name+" serves", func() bool { return probe.send(ctx, pathKeyed) == http.StatusOK }); err != nil {
 			return err
 		}
-		starved.clients = append(starved.clients, newClient(gateway, hostName, clientKey))
+		starved.clients = append(starved.clients, newClient(gateway))
 	}
 	return nil
 }
@@ -142,7 +142,7 @@
 		return err
 	}
 	time.Sleep(replacementDelay)
-	starved.controls[last] = starved.site.control(fmt.Sprint("control-zc-", number), "zc", 1)
+	starved.controls[last] = starved.site.control(fmt.Sprint("control-zc-", number), "zc")
 	if err := starved.controls[last].start(false); err != nil {
 		return err
 	}
