--- a/review/stand/poison.go
+++ b/review/stand/poison.go
@@ -22,7 +22,7 @@
 	lookupWork = 220 * time.Millisecond
 	// lookupClients send the same lookup, each again after a random pause of at most
 	// lookupPause.
-	lookupClients  = 15
+	lookupClients  = 18
 	lookupPause    = 40 * time.Millisecond
 	pathLookup     = "/keyed/stock/17"
 	pathPoison     = "/keyed/stock/99"
