--- a/review/stand/engine.go
+++ b/review/stand/engine.go
@@ -159,7 +159,7 @@
 		return
 	}
 	for _, control := range engine.controls() {
-		if call(ctx, http.MethodPost, "http://"+control+"/Instances.Heartbeat/"+id, string(body)) == http.StatusOK {
+		if post(ctx, "http://"+control+"/Instances.Heartbeat/"+id, string(body)) == http.StatusOK {
 			return
 		}
 	}
@@ -206,10 +206,10 @@
 
 var caller = &http.Client{Timeout: callTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
 
-// call makes one call of the control interface and returns its status, or 0 without an
+// post makes one call of the control interface and returns its status, or 0 without an
 // answer.
-func call(ctx context.Context, method, url, body string) int {
-	request, err := http.NewRequestWithContext(ctx, method, url, strings.NewReader(body))
+func post(ctx context.Context, url, body string) int {
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, url, strings.NewReader(body))
 	if err != nil {
 		return 0
 	}
--- a/review/stand/poison.go
+++ b/review/stand/poison.go
@@ -68,7 +68,7 @@
 		}
 	}
 	if err := await("the configuration is acknowledged", func() bool {
-		return call(ctx, http.MethodPost, "http://"+poison.controls[0]+"/Config.Put", routes(1, serviceOld)) == http.StatusOK
+		return post(ctx, "http://"+poison.controls[0]+"/Config.Put", routes(1, serviceOld)) == http.StatusOK
 	}); err != nil {
 		return err
 	}
--- a/review/stand/starved.go
+++ b/review/stand/starved.go
@@ -84,7 +84,7 @@
 
 func (starved *starved) put(ctx context.Context, version int, service string) bool {
 	for _, address := range starved.addresses() {
-		status := call(ctx, http.MethodPost, "http://"+address+"/Config.Put", routes(version, service))
+		status := post(ctx, "http://"+address+"/Config.Put", routes(version, service))
 		starved.record.note("operator sends version %d to %s: %d", version, address, status)
 		if status == http.StatusOK {
 			return true
