poll: tell in line 403 which control VMs are tried without a reply

Attempts 1, 2, 4, 8 and so on of a loop without a reply are logged as well, with the number of attempts, the failures of the address and the control VMs that are known.

--- a/internal/poll/poll.go
+++ b/internal/poll/poll.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"math/bits"
 	"slices"
 	"strings"
 	"sync"
@@ -136,19 +137,27 @@
 func (poller *Poller) run(ctx context.Context, primary bool) {
 	lastFailed := ""
 	failures := map[string]int{}
+	attempts := 0
 	for ctx.Err() == nil {
 		address := poller.pickSource(lastFailed)
 		if address != "" {
-			err := poller.follow(ctx, address, primary, failures)
+			replied, err := poller.follow(ctx, address, primary, failures)
 			poller.release(address)
 			if ctx.Err() != nil {
 				return
 			}
 			poller.pool.Discard(address)
 			lastFailed = address
-			// Only the first of consecutive failures is logged.
-			if failures[address]++; failures[address] == 1 {
-				poller.log.Write(event.FeedLost, "source", address, "revision", poller.view.State().Revision(), "age", poller.view.AgeText(), "error", err)
+			if replied {
+				attempts = 0
+			}
+			attempts++
+			failures[address]++
+			// Attempts 1, 2, 4, 8 and so on without a reply are logged besides the first
+			// failure of an address, so that the volume stays bounded.
+			if failures[address] == 1 || bits.OnesCount(uint(attempts)) == 1 {
+				poller.log.Write(event.FeedLost, "source", address, "failures", failures[address], "attempts", attempts, "known", poller.known(),
+					"revision", poller.view.State().Revision(), "age", poller.view.AgeText(), "error", err)
 			}
 		}
 		if poller.clock.Sleep(ctx, retryDelay) != nil {
@@ -191,35 +200,46 @@
 	return best
 }
 
+// known lists the control VMs that could be polled, with their zones.
+func (poller *Poller) known() string {
+	poller.mu.Lock()
+	defer poller.mu.Unlock()
+	texts := make([]string, 0, len(poller.members))
+	for address, zone := range poller.members {
+		texts = append(texts, zone+"/"+address)
+	}
+	slices.Sort(texts)
+	return strings.Join(texts, ",")
+}
+
 func (poller *Poller) release(address string) {
 	poller.mu.Lock()
 	defer poller.mu.Unlock()
 	delete(poller.inUse, address)
 }
 
-// follow polls one control VM until it fails.
-func (poller *Poller) follow(ctx context.Context, address string, primary bool, failures map[string]int) error {
+// follow polls one control VM until it fails, and reports whether it replied before.
+func (poller *Poller) follow(ctx context.Context, address string, primary bool, failures map[string]int) (replied bool, _ error) {
 	from := cursor{}
-	first := true
 	for {
 		began := poller.clock.Now()
 		wait := longPollTimeout
-		if first {
+		if !replied {
 			wait = 0
 		}
 		reply, next, err := poller.poll(ctx, address, from, wait, poller.sharesLoads(primary))
 		if err != nil {
-			return err
+			return replied, err
 		}
-		if first {
+		if !replied {
 			poller.log.Write(event.FeedRegained, "source", address, "revision", reply.GetConfig().GetRevision(), "failures", failures[address])
 			delete(failures, address)
-			first = false
+			replied = true
 		}
 		from = next
 		if remaining := minPollInterval - (poller.clock.Now() - began); remaining > 0 {
 			if err := poller.clock.Sleep(ctx, remaining); err != nil {
-				return err
+				return replied, err
 			}
 		}
 	}
