poll: a control VM that is gone no longer keeps sound ones out

Cause: a process forgot no address that ever served control, and the choice of the next one had no memory but the address that failed last. With two gone addresses in its own zone a loop tried them in turn for ever; with three, all three loops of a gateway did. That the sound ones were behind, or reached but silent, is ruled out: they were not tried.

Package source decides now, without network or clock. Control VMs that are alive come first, those of the own zone before others; the rest is tried in the order of pauses that double, so that none keeps the others out. Replies carry how long each control VM has been silent, so that an address that nobody has heard from for 30 s is forgotten and processes do not remind each other of it.

--- a/internal/ctrl/fleet.go
+++ b/internal/ctrl/fleet.go
@@ -233,24 +233,28 @@
 	sum.Streams += use.GetStreams()
 }
 
-// controlMembers lists the control VMs by address. Each is named ZONE/ADDRESS;
-// the zone is empty if it is not known.
+// controlMembers lists the control VMs by address. Each is named ZONE/ADDRESS; the zone
+// is empty and the silence absent if they are not known.
 func (control *Control) controlMembers() []*wire.ControlMember {
-	zones := control.poller.Members()
-	zones[control.advertised()] = control.settings.Node.Zone
+	now := control.clock.Now()
+	byAddress := map[string]*wire.ControlMember{}
 	for _, member := range control.status.Load().Members {
-		if _, ok := zones[member.GetAddress()]; !ok && member.GetAddress() != "" {
-			zones[member.GetAddress()] = ""
+		if address := member.GetAddress(); address != "" {
+			byAddress[address] = &wire.ControlMember{Name: "/" + address, Address: address}
 		}
 	}
-	list := make([]*wire.ControlMember, 0, len(zones))
-	for address, zone := range zones {
-		list = append(list, &wire.ControlMember{Name: zone + "/" + address, Address: address})
+	for _, known := range control.poller.Controls() {
+		byAddress[known.Address] = controlMember(known.Address, known.Zone, now-known.HeardAt)
 	}
-	slices.SortFunc(list, func(first, second *wire.ControlMember) int {
+	own := control.advertised()
+	byAddress[own] = controlMember(own, control.settings.Node.Zone, 0)
+	return slices.SortedFunc(maps.Values(byAddress), func(first, second *wire.ControlMember) int {
 		return cmp.Compare(first.GetAddress(), second.GetAddress())
 	})
-	return list
+}
+
+func controlMember(address, zone string, silence clock.Millis) *wire.ControlMember {
+	return &wire.ControlMember{Name: zone + "/" + address, Address: address, Silence: new(int64(silence))}
 }
 
 // leaderAddress returns the leader's address, or "" if no leader is known.
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -77,6 +77,7 @@
 	DeploymentRefused  = Event{416, "configuration of request forwarding not accepted"}
 	DeploymentInForce  = Event{417, "configuration of request forwarding in force"}
 	SettingWithdrawn   = Event{418, "value of the settings file replaced by the default"}
+	ControlForgotten   = Event{419, "control VMs forgotten that no process hears from"}
 	EvacuationAccepted = Event{420, "evacuation of a zone accepted"}
 	EvacuationFailed   = Event{421, "evacuation of a zone not accepted"}
 	EvacuationHeld     = Event{422, "all gateways know of the evacuation of a zone"}
--- a/internal/gate/gate_test.go
+++ b/internal/gate/gate_test.go
@@ -99,14 +99,20 @@
 
 // newControl starts a control VM and deploys a configuration.
 func newControl(address string) *ctrl.Control {
-	node := opts.Node{Name: "control1", Zone: "z1", Listen: address, ShutdownLimit: clock.Second}
+	return startControl(address, "z1", GinkgoT().TempDir(), 1, `"k1"`)
+}
+
+// startControl starts a control VM with a data folder and deploys a configuration with
+// keys.
+func startControl(address, zone, folder string, version int, keys string) *ctrl.Control {
+	node := opts.Node{Name: "control1", Zone: zone, Listen: address, ShutdownLimit: clock.Second}
 	control, err := ctrl.New(ctrl.Settings{Node: node, Control: opts.Control{
-		Data: GinkgoT().TempDir(), Seed: []string{address}, Bootstrap: true, ElectionTimeout: 200, CommitLimit: 2 * clock.Second, SnapshotBytes: 1 << 20,
+		Data: folder, Seed: []string{address}, Bootstrap: true, ElectionTimeout: 200, CommitLimit: 2 * clock.Second, SnapshotBytes: 1 << 20,
 	}}, clock.NewSystem(), event.Discard())
 	Expect(err).NotTo(HaveOccurred())
 	// The test may have closed it already, so an error is ignored.
 	DeferCleanup(func() { _ = control.Close() })
-	Eventually(func() error { return control.Deploy(context.Background(), 1, document(1, `"k1"`)) }).WithTimeout(limit).Should(Succeed())
+	Eventually(func() error { return control.Deploy(context.Background(), uint64(version), document(version, keys)) }).WithTimeout(limit).Should(Succeed())
 	return control
 }
 
--- a/internal/poll/poll.go
+++ b/internal/poll/poll.go
@@ -7,7 +7,6 @@
 import (
 	"context"
 	"math/bits"
-	"slices"
 	"strings"
 	"sync"
 
@@ -21,6 +20,7 @@
 	"github.com/hibiscuslug/hibiscuslug/internal/link"
 	"github.com/hibiscuslug/hibiscuslug/internal/roster"
 	"github.com/hibiscuslug/hibiscuslug/internal/shed"
+	"github.com/hibiscuslug/hibiscuslug/internal/source"
 	"github.com/hibiscuslug/hibiscuslug/pkg/clock"
 	"github.com/hibiscuslug/hibiscuslug/pkg/wire"
 )
@@ -90,12 +90,10 @@
 	table *roster.Table
 	// changed is closed and replaced when the set of usable endpoints may have changed.
 	changed chan struct{}
-	// members holds the zones of the control VMs by address.
-	members map[string]string
+	// sources holds the control VMs that are known and those that are polled.
+	sources source.Table
 	leader  string
-	// inUse holds the addresses of the control VMs being polled.
-	inUse map[string]bool
-	loads map[string]choose.Load
+	loads   map[string]choose.Load
 	// totals holds the recent responses to all other gateways, by endpoint ID.
 	totals map[string]knee.Total
 	// uses holds the streams in flight from other gateways, by service.
@@ -111,7 +109,7 @@
 func New(settings Settings, view *feed.View, pool *link.Pool, ticker *clock.Clock, log *event.Log) *Poller {
 	return &Poller{
 		settings: settings, view: view, pool: pool, clock: ticker, log: log, table: roster.New(),
-		changed: make(chan struct{}), members: map[string]string{}, inUse: map[string]bool{},
+		changed: make(chan struct{}), sources: source.New(settings.Zone, settings.Self),
 	}
 }
 
@@ -135,30 +133,20 @@
 // run polls one control VM until it fails, then another. The control VM that the first
 // loop polls is the primary one.
 func (poller *Poller) run(ctx context.Context, primary bool) {
-	lastFailed := ""
-	failures := map[string]int{}
 	attempts := 0
 	for ctx.Err() == nil {
-		address := poller.pickSource(lastFailed)
+		address := poller.pickSource()
 		if address != "" {
-			replied, err := poller.follow(ctx, address, primary, failures)
-			poller.release(address)
+			replied, err := poller.follow(ctx, address, primary)
 			if ctx.Err() != nil {
 				return
 			}
 			poller.pool.Discard(address)
-			lastFailed = address
 			if replied {
 				attempts = 0
 			}
 			attempts++
-			failures[address]++
-			// Attempts 1, 2, 4, 8 and so on without a reply are logged besides the first
-			// failure of an address, so that the volume stays bounded.
-			if failures[address] == 1 || bits.OnesCount(uint(attempts)) == 1 {
-				poller.log.Write(event.FeedLost, "source", address, "failures", failures[address], "attempts", attempts, "known", poller.known(),
-					"revision", poller.view.State().Revision(), "age", poller.view.AgeText(), "error", err)
-			}
+			poller.fail(address, attempts, err)
 		}
 		if poller.clock.Sleep(ctx, retryDelay) != nil {
 			return
@@ -166,74 +154,55 @@
 	}
 }
 
-// pickSource picks a control VM that no other loop polls. It prefers those in the own
-// zone and avoids the one that just failed unless it is the only one.
-func (poller *Poller) pickSource(lastFailed string) string {
+// pickSource picks a control VM that no other loop polls, or "" if there is none.
+func (poller *Poller) pickSource() string {
 	seeds := poller.settings.Seeds()
 	poller.mu.Lock()
 	defer poller.mu.Unlock()
-	list := slices.Clone(seeds)
-	for address := range poller.members {
-		if !slices.Contains(list, address) {
-			list = append(list, address)
-		}
-	}
-	best, bestRank := "", 0
-	for _, address := range list {
-		if address == poller.settings.Self || poller.inUse[address] {
-			continue
-		}
-		rank := 1
-		if poller.members[address] == poller.settings.Zone {
-			rank = 2
-		}
-		if address == lastFailed {
-			rank = 0
-		}
-		if best == "" || rank > bestRank {
-			best, bestRank = address, rank
-		}
-	}
-	if best != "" {
-		poller.inUse[best] = true
-	}
-	return best
+	var address string
+	poller.sources, address = poller.sources.WithPicked(seeds, poller.clock.Now())
+	return address
 }
 
-// known lists the control VMs that could be polled, with their zones.
-func (poller *Poller) known() string {
+// fail records that polling a control VM failed. attempts counts the loop's attempts since
+// a reply.
+func (poller *Poller) fail(address string, attempts int, err error) {
 	poller.mu.Lock()
-	defer poller.mu.Unlock()
-	texts := make([]string, 0, len(poller.members))
-	for address, zone := range poller.members {
-		texts = append(texts, zone+"/"+address)
+	poller.sources = poller.sources.WithFailure(address, poller.clock.Now())
+	failures, known := poller.sources.Failures(address), describe(poller.sources.Controls())
+	poller.mu.Unlock()
+	// Attempts 1, 2, 4, 8 and so on without a reply are logged besides the first failure
+	// of an address, so that the volume stays bounded.
+	if failures == 1 || bits.OnesCount(uint(attempts)) == 1 {
+		poller.log.Write(event.FeedLost, "source", address, "failures", failures, "attempts", attempts, "known", known,
+			"revision", poller.view.State().Revision(), "age", poller.view.AgeText(), "error", err)
 	}
-	slices.Sort(texts)
-	return strings.Join(texts, ",")
 }
 
-func (poller *Poller) release(address string) {
-	poller.mu.Lock()
-	defer poller.mu.Unlock()
-	delete(poller.inUse, address)
+// describe formats control VMs for the log.
+func describe(controls []source.Control) string {
+	texts := make([]string, len(controls))
+	for at, control := range controls {
+		texts[at] = control.Zone + "/" + control.Address
+	}
+	return strings.Join(texts, ",")
 }
 
 // follow polls one control VM until it fails, and reports whether it replied before.
-func (poller *Poller) follow(ctx context.Context, address string, primary bool, failures map[string]int) (replied bool, _ error) {
+func (poller *Poller) follow(ctx context.Context, address string, primary bool) (replied bool, _ error) {
 	from := cursor{}
 	for {
 		began := poller.clock.Now()
-		wait := longPollTimeout
+		wait, failures := longPollTimeout, 0
 		if !replied {
-			wait = 0
+			wait, failures = 0, poller.failuresOf(address)
 		}
 		reply, next, err := poller.poll(ctx, address, from, wait, poller.sharesLoads(primary))
 		if err != nil {
 			return replied, err
 		}
 		if !replied {
-			poller.log.Write(event.FeedRegained, "source", address, "revision", reply.GetConfig().GetRevision(), "failures", failures[address])
-			delete(failures, address)
+			poller.log.Write(event.FeedRegained, "source", address, "revision", reply.GetConfig().GetRevision(), "failures", failures)
 			replied = true
 		}
 		from = next
@@ -245,6 +214,12 @@
 	}
 }
 
+func (poller *Poller) failuresOf(address string) int {
+	poller.mu.Lock()
+	defer poller.mu.Unlock()
+	return poller.sources.Failures(address)
+}
+
 // PollOnce polls one control VM, which replies at once.
 func (poller *Poller) PollOnce(ctx context.Context, address string) error {
 	_, _, err := poller.poll(ctx, address, cursor{}, 0, false)
@@ -259,7 +234,7 @@
 func (poller *Poller) sharesLoads(primary bool) bool {
 	poller.mu.Lock()
 	defer poller.mu.Unlock()
-	forwarded := len(poller.members) > maxDirectControls
+	forwarded := len(poller.sources.Controls()) > maxDirectControls
 	if poller.settings.Control {
 		return forwarded
 	}
@@ -297,7 +272,7 @@
 		poller.log.Write(event.RevisionRefused, "source", address, "error", err)
 		return nil, from, err
 	}
-	poller.merge(reply, sent, withLoads && !poller.settings.Control)
+	poller.merge(address, reply, sent, withLoads && !poller.settings.Control)
 	poller.settings.Board.Record(poller.view.State().CrashBlocks())
 	poller.settings.Board.Merge(reply.GetEvidence())
 	return reply, from.next(request, reply), nil
@@ -319,15 +294,13 @@
 	return next
 }
 
-func (poller *Poller) merge(reply *wire.PollReply, sent clock.Millis, withLoads bool) {
+func (poller *Poller) merge(address string, reply *wire.PollReply, sent clock.Millis, withLoads bool) {
 	poller.mu.Lock()
 	defer poller.mu.Unlock()
 	for _, message := range reply.GetEndpoints() {
 		poller.put(roster.FromMessage(message, sent))
 	}
-	for _, member := range reply.GetMembers() {
-		poller.members[member.GetAddress()] = zoneOf(member)
-	}
+	poller.mergeControls(address, reply.GetMembers(), sent)
 	if reply.GetLeader() != "" {
 		poller.leader = reply.GetLeader()
 	}
@@ -337,10 +310,33 @@
 	if now := poller.clock.Now(); now-poller.expiredAt > expireInterval {
 		poller.expiredAt = now
 		poller.table.Expire(now)
+		poller.forgetGone()
 		poller.settings.Board.Expire()
 	}
 }
 
+// mergeControls stores the control VMs that one of them named. The caller holds mu.
+func (poller *Poller) mergeControls(address string, members []*wire.ControlMember, sent clock.Millis) {
+	heard := make([]source.Control, len(members))
+	for at, member := range members {
+		silence := source.SilenceLimit
+		if member.Silence != nil {
+			silence = max(clock.Millis(member.GetSilence()), 0)
+		}
+		heard[at] = source.Control{Address: member.GetAddress(), Zone: zoneOf(member), HeardAt: sent - silence}
+	}
+	poller.sources = poller.sources.WithReply(address, sent).WithHeard(poller.clock.Now(), heard...)
+}
+
+// forgetGone forgets the control VMs that no process has heard from for a while. The caller
+// holds mu.
+func (poller *Poller) forgetGone() {
+	var gone []string
+	if poller.sources, gone = poller.sources.WithoutGone(poller.settings.Seeds()); len(gone) > 0 {
+		poller.log.Write(event.ControlForgotten, "addresses", strings.Join(gone, ","), "known", describe(poller.sources.Controls()))
+	}
+}
+
 // mergeLoads stores the number of gateways and the loads of all other gateways.
 func (poller *Poller) mergeLoads(reply *wire.PollReply) {
 	if now := poller.clock.Now(); int(reply.GetGateways()) >= poller.gateways || now-poller.countedAt > gatewayCountLifetime {
@@ -389,7 +385,8 @@
 func (poller *Poller) AddMember(address, zone string) {
 	poller.mu.Lock()
 	defer poller.mu.Unlock()
-	poller.members[address] = zone
+	now := poller.clock.Now()
+	poller.sources = poller.sources.WithHeard(now, source.Control{Address: address, Zone: zone, HeardAt: now})
 }
 
 // Endpoints returns the endpoints of a service that accept new work.
@@ -468,13 +465,9 @@
 	return poller.leader
 }
 
-// Members returns the zones of the control VMs by address.
-func (poller *Poller) Members() map[string]string {
+// Controls lists the known control VMs.
+func (poller *Poller) Controls() []source.Control {
 	poller.mu.Lock()
 	defer poller.mu.Unlock()
-	copied := make(map[string]string, len(poller.members))
-	for address, zone := range poller.members {
-		copied[address] = zone
-	}
-	return copied
+	return poller.sources.Controls()
 }
