member: an endpoint keeps the entry VMs it knew when none of them replies

After one round without a reply, such as a cut of half a second, an endpoint announced itself only to the entry VMs in its settings. If these had been replaced meanwhile it was never known again, and got no work, until it was started with other settings.

The seeds are now added to the targets, and the next reply chooses among all entry VMs again. The spec of member fails on the code before (the targets have only the seed) and passes.

--- a/internal/member/announcer.go
+++ b/internal/member/announcer.go
@@ -170,9 +170,9 @@
 		announcer.targets = chooseTargets(self, peers)
 	}
 	if !slices.ContainsFunc(replies, func(reply *wire.AnnounceReply) bool { return reply != nil }) {
-		// No target replied, so the next announcement uses the addresses in the
-		// settings.
-		announcer.targets, announcer.peersVersion = announcer.seeds, 0
+		// No target replied, so the next announcement uses the addresses in the settings
+		// as well. The entry VMs there may have been replaced, so the targets stay.
+		announcer.targets, announcer.peersVersion = union(announcer.targets, announcer.seeds), 0
 	}
 	for address := range announcer.fullRecords {
 		if !slices.Contains(announcer.targets, address) {
@@ -181,6 +181,13 @@
 	}
 }
 
+// union returns the addresses of both lists, each once.
+func union(first, second []string) []string {
+	list := slices.Concat(first, second)
+	slices.Sort(list)
+	return slices.Compact(list)
+}
+
 // chooseTargets chooses the entry VMs that receive announcements: all of a small
 // zone, and a subset of a large one by rendezvous hashing, so that no entry VM
 // receives the announcements of every engine.
