ctrl: a control VM without a group asks all that it knows to join

A control VM that started with seeds that were all gone never became a member, also after its settings named others: the group went on with one voter less, so that the next loss took its majority.

Cause, the same class: the addresses to ask were those of the start. The poller read the new settings, the core did not.

The core is told the seeds of the current settings and the control VMs that are known, while the member has no group. The script of ctrl fails without it (not among the voters after 60 s) and passes in 10.9 s.

--- a/internal/ctrl/control.go
+++ b/internal/ctrl/control.go
@@ -231,6 +231,7 @@
 	control.server.Start()
 	if len(control.settings.Control.Seed) > 0 {
 		control.poller.Start()
+		control.loops.Go(func() { control.nameKnown(ctx) })
 	}
 	control.log.Write(event.Started, "role", "control", "address", control.server.Address())
 }
--- a/internal/ctrl/loop.go
+++ b/internal/ctrl/loop.go
@@ -63,6 +63,24 @@
 	}
 }
 
+// nameKnown tells the core which control VMs are known while it has no group. The settings
+// may name other seeds by then than at the start.
+func (control *Control) nameKnown(ctx context.Context) {
+	for control.clock.Sleep(ctx, control.settings.Control.ElectionTimeout) == nil {
+		if len(control.status.Load().Members) > 0 {
+			return
+		}
+		addresses := control.seeds()
+		for _, known := range control.poller.Controls() {
+			addresses = append(addresses, known.Address)
+		}
+		select {
+		case control.inbox <- input{event: quorum.Known{Members: membersByAddress(addresses)}}:
+		case <-ctx.Done():
+		}
+	}
+}
+
 func (control *Control) run(ctx context.Context) {
 	for {
 		select {
--- a/internal/ctrl/seeds_test.go
+++ b/internal/ctrl/seeds_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"os"
+	"sync/atomic"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -46,7 +47,10 @@
 type seeded struct {
 	script seedScript
 	port   int
-	seeds  []string
+	// seeds are those in the settings of VMs that start, current those that running VMs
+	// read again.
+	seeds   []string
+	current atomic.Pointer[[]string]
 	// zones is the setting of the known zones of VMs that start.
 	zones   []string
 	running map[int]*ctrl.Control
@@ -66,6 +70,7 @@
 		// The port of a seed belongs to another service of the VM; it is replaced.
 		group.seeds = append(group.seeds, fmt.Sprintf("127.0.0.%d:1", 10+number))
 	}
+	group.current.Store(&group.seeds)
 	DeferCleanup(func() {
 		for number := range group.running {
 			group.stop(number)
@@ -83,7 +88,7 @@
 	}
 	group.disks[number] = fake.NewDisk()
 	control, err := ctrl.New(ctrl.Settings{
-		Disk: group.disks[number],
+		Disk: group.disks[number], Seeds: func() []string { return *group.current.Load() },
 		Node: opts.Node{Name: fmt.Sprintf("control%d", number), Zone: "z", Listen: group.address(number), ShutdownLimit: clock.Second},
 		Control: opts.Control{
 			Data: group.folders[number], Seed: group.seeds, Bootstrap: bootstrap, Tolerance: bounds.Count(group.script.Tolerance),
@@ -151,10 +156,6 @@
 				return string(document), err
 			}).WithTimeout(seedLimit).Should(Equal(fmt.Sprintf("document %d", step.Version)), "VM %d", number)
 		}
-	case "voters":
-		for _, number := range step.On {
-			Eventually(func() []string { return group.voters(number) }).WithTimeout(seedLimit).Should(HaveLen(int(step.Version)), "as VM %d sees it", number)
-		}
 	case "report":
 		for _, number := range step.On {
 			group.poll(number, fmt.Sprintf("gateway%d", number), uint32(step.Version))
@@ -175,11 +176,34 @@
 		for _, number := range step.On {
 			Eventually(func() int { return len(group.running[number].Endpoints("s")) }).WithTimeout(seedLimit).Should(BeNumerically(">", 0), "VM %d", number)
 		}
+	case "seeds", "voters", "member":
+		group.doMembers(step)
 	default:
 		group.doZone(step)
 	}
 }
 
+// doMembers runs a step about the members of the group.
+func (group *seeded) doMembers(step seedStep) {
+	switch step.Do {
+	case "seeds":
+		var seeds []string
+		for _, number := range step.On {
+			seeds = append(seeds, group.address(number))
+		}
+		group.current.Store(&seeds)
+	case "voters":
+		for _, number := range step.On {
+			Eventually(func() []string { return group.voters(number) }).WithTimeout(seedLimit).Should(HaveLen(int(step.Version)), "as VM %d sees it", number)
+		}
+	case "member":
+		for _, number := range step.On {
+			Eventually(func() []string { return group.voters(number) }).WithTimeout(seedLimit).
+				Should(ContainElement(group.address(int(step.Version))), "as VM %d sees it", number)
+		}
+	}
+}
+
 // doZone runs a step about a zone.
 func (group *seeded) doZone(step seedStep) {
 	switch step.Do {
--- a/internal/quorum/core.go
+++ b/internal/quorum/core.go
@@ -91,9 +91,10 @@
 
 	partial partialImage
 
-	// discovered, peerLists and replacedDisks are used before the member belongs
-	// to a group: the other members by name, the members that each of them has
+	// known, discovered, peerLists and replacedDisks are used before the member belongs
+	// to a group: the processes to ask besides the initial members, the others by name, the members that each of them has
 	// discovered, and disks that a newer one of the same name has replaced.
+	known         []*wire.ControlMember
 	discovered    map[string]*wire.ControlMember
 	peerLists     map[string][]*wire.ControlMember
 	replacedDisks map[Peer]bool
@@ -186,6 +187,8 @@
 		core.compact(event)
 	case Resign:
 		core.resign()
+	case Known:
+		core.known = event.Members
 	}
 	return core.actions
 }
--- a/internal/quorum/join.go
+++ b/internal/quorum/join.go
@@ -8,8 +8,8 @@
 	"github.com/hibiscuslug/hibiscuslug/pkg/wire"
 )
 
-// tickJoin sends join messages to the initial members while the member has no
-// group.
+// tickJoin sends join messages to the initial members and the known processes while
+// the member has no group.
 func (core *Core) tickJoin() {
 	if core.now < core.heartbeatDue {
 		return
@@ -22,8 +22,10 @@
 	if core.inGroup() {
 		return
 	}
-	for _, other := range core.settings.InitialMembers {
-		if other.GetName() != core.self.Name {
+	asked := map[string]bool{core.self.Name: true}
+	for _, other := range slices.Concat(core.settings.InitialMembers, core.known) {
+		if name := other.GetName(); !asked[name] {
+			asked[name] = true
 			core.send(Peer{Name: other.GetName()}, other.GetAddress(), &wire.PeerMessage{
 				Type: wire.PeerMessage_TYPE_JOIN, Members: &wire.MemberSet{Members: core.discoveredMembers()},
 			}, true)
--- a/internal/quorum/quorum.go
+++ b/internal/quorum/quorum.go
@@ -130,6 +130,11 @@
 // Resign transfers leadership to the most up-to-date voter.
 type Resign struct{}
 
+// Known names the processes that a member without a group asks to join, besides the
+// initial members, which may all be gone.
+type Known struct{ Members []*wire.ControlMember }
+
+func (Known) event()        {}
 func (Tick) event()         {}
 func (Received) event()     {}
 func (Propose) event()      {}
