front: a deeply nested body no longer ends the process

Bodies that nest deeper than the standard parser allows are refused with 400 before the fast parser sees them.

--- a/internal/front/request.go
+++ b/internal/front/request.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
 	"math"
@@ -23,6 +24,9 @@
 // maxKeyBytes is the maximum length of an idempotency key, which is stored for a day.
 const maxKeyBytes = 255
 
+// maxNesting is the depth of JSON values to which the standard parser descends.
+const maxNesting = 10_000
+
 func badRequest(text string, values ...any) *fiber.Error {
 	return fiber.NewError(fiber.StatusBadRequest, fmt.Sprintf(text, values...))
 }
@@ -108,7 +112,7 @@
 // readModel reads the required fields of a model call's body. It runs for every
 // request and therefore avoids reflection.
 func readModel(input *class.Input) *fiber.Error {
-	if !gjson.ValidBytes(input.Body) {
+	if nestsDeeply(input.Body) || !gjson.ValidBytes(input.Body) {
 		var discarded any
 		// The standard parser is slower, but its error says what is wrong with the JSON.
 		return badRequest("body is not valid JSON: %v", json.Unmarshal(input.Body, &discarded))
@@ -128,6 +132,31 @@
 	return refusal
 }
 
+// nestsDeeply reports whether a text may nest deeper than maxNesting. The fast parser
+// descends once for each level, and a stack of a gigabyte ends the process.
+func nestsDeeply(text []byte) bool {
+	if bytes.Count(text, []byte("["))+bytes.Count(text, []byte("{")) <= maxNesting {
+		return false
+	}
+	depth, inString := 0, false
+	for at := 0; at < len(text); at++ {
+		switch char := text[at]; {
+		case inString && char == '\\':
+			at++
+		case char == '"':
+			inString = !inString
+		case inString:
+		case char == '[' || char == '{':
+			if depth++; depth > maxNesting {
+				return true
+			}
+		case char == ']' || char == '}':
+			depth--
+		}
+	}
+	return false
+}
+
 func readField(input *class.Input, name string, value gjson.Result) *fiber.Error {
 	switch name {
 	case "model":
