gate: an earlier refusal that is written again is no answer

A caller of a stream that cannot be resumed was told 503, not run, while an endpoint ran the request, or the request ran at a second endpoint. A refusal with the id of another request was skipped already, and requests that run at most once use new connections. Two ways were left on connections that are kept:

- a refusal that names no request was taken for the response;
- a request that is sent to the same endpoint again, once its group works again, used the connection of its refusal, whose repeat has its id.

A response that names no request counts for nothing on a reused connection: the attempt ends as one that may have run. An endpoint that refused a request gets it on a new connection.

--- a/internal/conns/conns.go
+++ b/internal/conns/conns.go
@@ -270,6 +270,20 @@
 	return errors.CombineErrors(err, failure)
 }
 
+// Owner tells to which request a response belongs.
+type Owner int
+
+// Owners of a response.
+const (
+	// Own is the request that was sent.
+	Own Owner = iota
+	// Other is another request.
+	Other
+	// Unnamed responses name no request. On a reused connection they may be late ones to
+	// earlier requests, and say nothing about the request that was sent.
+	Unnamed
+)
+
 // Request is an HTTP request to an endpoint.
 type Request struct {
 	Address string
@@ -282,9 +296,8 @@
 	Fresh bool
 	// ExpiresAt is the time from which on the request must not be sent; zero for none.
 	ExpiresAt clock.Millis
-	// Matches reports whether a response header belongs to this request; other
-	// responses are skipped.
-	Matches func(http.Header) bool
+	// Owner tells whose response a header begins. Responses to other requests are skipped.
+	Owner func(http.Header) Owner
 	// Allowed is called once there is a connection, right before the request is written.
 	// The request is not sent if it returns an error; nil allows all.
 	Allowed func() error
@@ -373,7 +386,12 @@
 		if response.StatusCode < http.StatusOK {
 			continue
 		}
-		if request.Matches(response.Header) {
+		owner := request.Owner(response.Header)
+		if owner == Unnamed && conn.reused {
+			// The body is not read: it may go on without end, and the connection is closed.
+			return errors.Newf("response of %s on a reused connection names no request", conn.address)
+		}
+		if owner != Other {
 			conn.limit.remaining = math.MaxInt64
 			exchange.Response = response
 			return nil
--- a/internal/conns/conns_test.go
+++ b/internal/conns/conns_test.go
@@ -41,8 +41,8 @@
 func post(pool *conns.Pool, address string, body []byte) (string, error) {
 	exchange, err := pool.Do(context.Background(), conns.Request{
 		Address: address, Method: http.MethodPost, Body: body,
-		Head:    fmt.Appendf(nil, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n", len(body)),
-		Matches: func(http.Header) bool { return true },
+		Head:  fmt.Appendf(nil, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n", len(body)),
+		Owner: func(http.Header) conns.Owner { return conns.Own },
 	})
 	if err != nil {
 		return "", err
@@ -105,7 +105,7 @@
 		DeferCleanup(cancel)
 		_, err = newPool().Do(ctx, conns.Request{
 			Address: listener.Addr().String(), Method: http.MethodGet, Head: []byte("GET / HTTP/1.1\r\nHost: h\r\n\r\n"),
-			Matches: func(http.Header) bool { return false },
+			Owner: func(http.Header) conns.Owner { return conns.Other },
 		})
 		Expect(errors.Is(err, conns.ErrTooLong)).To(BeTrue(), "%v", err)
 		Expect(ctx.Err()).NotTo(HaveOccurred())
@@ -174,7 +174,7 @@
 	DeferCleanup(cancel)
 	_, err = newPool().Do(ctx, conns.Request{
 		Address: backend.Addresses()[0], Method: http.MethodGet, Head: []byte("GET / HTTP/1.1\r\nHost: h\r\n\r\n"),
-		Matches: func(http.Header) bool { return true },
+		Owner: func(http.Header) conns.Owner { return conns.Own },
 	})
 	Expect(err).To(HaveOccurred())
 	Eventually(backend.Requests()[0].Disconnected).WithTimeout(limit).Should(BeClosed())
@@ -191,7 +191,7 @@
 	DeferCleanup(backend.Close)
 	request := conns.Request{
 		Address: backend.Addresses()[0], Method: http.MethodGet, Head: []byte("GET / HTTP/1.1\r\nHost: h\r\n\r\n"),
-		ExpiresAt: ticker.Now() - 1, Matches: func(http.Header) bool { return true },
+		ExpiresAt: ticker.Now() - 1, Owner: func(http.Header) conns.Owner { return conns.Own },
 	}
 	_, err = pool.Do(context.Background(), request) //nolint:bodyclose // There is no response.
 	Expect(errors.Is(err, conns.ErrExpired)).To(BeTrue())
@@ -277,7 +277,7 @@
 		_, err := pool.Do(context.Background(), conns.Request{
 			Address: address, Method: http.MethodPost, Body: bytes.Repeat([]byte("x"), size),
 			Head:    fmt.Appendf(nil, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n", size),
-			Matches: func(http.Header) bool { return true },
+			Owner:   func(http.Header) conns.Owner { return conns.Own },
 			Allowed: func() error { end(); return nil },
 		})
 		Expect(errors.Is(err, conns.ErrNotSent)).To(BeTrue(), "%v", err)
@@ -312,8 +312,8 @@
 		DeferCleanup(ending.Wait)
 		_, err := pool.Do(context.Background(), conns.Request{
 			Address: address, Method: http.MethodPost, Body: bytes.Repeat([]byte("x"), size),
-			Head:    fmt.Appendf(nil, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n", size),
-			Matches: func(http.Header) bool { return true },
+			Head:  fmt.Appendf(nil, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n", size),
+			Owner: func(http.Header) conns.Owner { return conns.Own },
 			Allowed: func() error {
 				ending.Go(func() {
 					time.Sleep(300 * time.Millisecond)
--- a/internal/conns/send_test.go
+++ b/internal/conns/send_test.go
@@ -30,7 +30,7 @@
 		opened.accepted = 1
 		_, err = pool.Do(context.Background(), Request{ //nolint:bodyclose // There is no response.
 			Address: listener.Addr().String(), Method: http.MethodPost, Head: []byte("POST / HTTP/1.1\r\n\r\n"), Body: make([]byte, size),
-			Matches: func(http.Header) bool { return true },
+			Owner: func(http.Header) Owner { return Own },
 		})
 		Expect(errors.Is(err, ErrNotSent)).To(BeTrue(), "%v", err)
 		Expect(errors.Is(err, ErrStale)).To(Equal(reused))
--- a/internal/fake/backend.go
+++ b/internal/fake/backend.go
@@ -35,6 +35,8 @@
 // by the request's id.
 type Step struct {
 	Text string `json:"text"`
+	// Kept is written before Text on a connection that has served a request before.
+	Kept string `json:"kept"`
 	// Then is close, reset or hang; any other value keeps the connection open.
 	Then string `json:"then"`
 }
@@ -123,7 +125,7 @@
 		_ = conn.Close()
 	}()
 	reader := bufio.NewReader(conn)
-	for {
+	for served := 0; ; served++ {
 		request, err := http.ReadRequest(reader)
 		if err != nil {
 			return
@@ -133,7 +135,11 @@
 			return
 		}
 		step, disconnected := backend.record(request, body)
-		text := strings.ReplaceAll(step.Text, "{id}", request.Header.Get(idHeader))
+		text := step.Text
+		if served > 0 {
+			text = step.Kept + text
+		}
+		text = strings.ReplaceAll(text, "{id}", request.Header.Get(idHeader))
 		if _, err := fmt.Fprint(conn, text); err != nil {
 			return
 		}
--- a/internal/gate/attempt.go
+++ b/internal/gate/attempt.go
@@ -45,7 +45,10 @@
 	defer forwarder.finish(endpoint.ID)
 	defer gateway.countUse(forwarder.call)()
 	sent := gateway.clock.Now()
-	exchange, err := forwarder.send(ctx, endpoint, forwarder.route.Kind == plan.NonIdempotent)
+	// A faulty endpoint may write an earlier refusal once more. On the connection of that
+	// refusal it would be taken for the response to the same request, sent again.
+	fresh := forwarder.route.Kind == plan.NonIdempotent || forwarder.refusedBy[endpoint.ID]
+	exchange, err := forwarder.send(ctx, endpoint, fresh)
 	if errors.Is(err, conns.ErrStale) && (forwarder.route.Repeatable() || errors.Is(err, conns.ErrNotSent)) && ctx.Err() == nil {
 		if err := forwarder.permitResend(ctx, endpoint, err); err != nil {
 			return notSent, err
@@ -73,6 +76,9 @@
 	gateway.recordCold(endpoint, facts.Cold, sent)
 	gateway.observe(endpoint, exchange.Response.StatusCode, facts)
 	ended, complete, err := forwarder.readResponse(ctx, endpoint, exchange.Response)
+	if ended == notRun {
+		forwarder.refusedBy[endpoint.ID] = true
+	}
 	if forwarder.readAt > 0 {
 		gateway.recordResponse(forwarder.service, endpoint, forwarder.readAt-sent)
 	}
@@ -110,14 +116,24 @@
 	return gateway.conns.Do(ctx, conns.Request{
 		Address: endpoint.Address, Method: forwarder.task.Method, Head: gateway.settings.Dialect.Request(forwarder.task, send), Body: forwarder.task.Body,
 		Fresh: fresh, ExpiresAt: forwarder.coldUntil,
-		Matches: func(header http.Header) bool {
-			id := gateway.settings.Dialect.Answer(header).ID
-			return id == "" || id == forwarder.task.ID
+		Owner: func(header http.Header) conns.Owner {
+			return ownerOf(gateway.settings.Dialect.Answer(header).ID, forwarder.task.ID)
 		},
 		Allowed: func() error { return gateway.mayGet(endpoint) },
 	})
 }
 
+// ownerOf tells whose response it is that names an id, of a request with the id own.
+func ownerOf(id, own string) conns.Owner {
+	switch id {
+	case own:
+		return conns.Own
+	case "":
+		return conns.Unnamed
+	}
+	return conns.Other
+}
+
 // remaining returns the time until the request's deadline, at least 1 ms.
 func (forwarder *forwarder) remaining() clock.Millis {
 	return max(forwarder.deadline-forwarder.gateway.clock.Now(), 1)
--- a/internal/gate/forward.go
+++ b/internal/gate/forward.go
@@ -63,6 +63,8 @@
 	w       http.ResponseWriter
 	// tried holds the IDs of the endpoints already tried.
 	tried map[string]bool
+	// refusedBy holds the IDs of the endpoints that refused the request.
+	refusedBy map[string]bool
 	// overLimit holds the IDs of the endpoints that take no more within their limits.
 	overLimit map[string]bool
 	// usable holds the endpoints that the last choice was made from.
@@ -107,7 +109,7 @@
 
 func newForwarder(gateway *Gateway, w http.ResponseWriter, call *call) *forwarder {
 	return &forwarder{
-		call: call, gateway: gateway, w: w, tried: map[string]bool{}, overLimit: map[string]bool{},
+		call: call, gateway: gateway, w: w, tried: map[string]bool{}, refusedBy: map[string]bool{}, overLimit: map[string]bool{},
 		late: call.route.Kind == plan.Streaming && call.used > call.route.Objective,
 	}
 }
--- a/internal/gate/gate_test.go
+++ b/internal/gate/gate_test.go
@@ -73,7 +73,9 @@
 		{"name":"look","host":"h.example","pathPrefix":"/look/","kind":"idempotent","timeoutMs":5000,"service":"desk","attempts":2},
 		{"name":"book","host":"h.example","pathPrefix":"/book/","kind":"non_idempotent","timeoutMs":5000,"service":"desk","attempts":1},
 		{"name":"long","host":"h.example","pathPrefix":"/long/","kind":"streaming","timeoutMs":400000,"targetLatencyMs":20000,"service":"desk","attempts":2,"streamResume":true},
-		{"name":"draft","host":"h.example","pathPrefix":"/draft/","kind":"streaming","timeoutMs":5000,"service":"desk","attempts":2,"streamResume":true}],
+		{"name":"draft","host":"h.example","pathPrefix":"/draft/","kind":"streaming","timeoutMs":5000,"service":"desk","attempts":2,"streamResume":true},
+		{"name":"once","host":"h.example","pathPrefix":"/once/","kind":"streaming","timeoutMs":5000,"service":"desk","attempts":2},
+		{"name":"wait","host":"h.example","pathPrefix":"/wait/","kind":"streaming","timeoutMs":400000,"targetLatencyMs":20000,"service":"desk","attempts":2}],
 		"services":[{"name":"desk"}],"limits":{"maxBodyBytes":32},"tenants":[{"name":"clinic","apiKeys":[%s]}]}`, version, keys)
 }
 
