quorum: control VMs no longer wait for the same random times

Cause: every member drew the same random waits. A control process gives its disk's id as the seed, and the core combined the seed with the same id by exclusive or, which gives 0 for all. Two members that once stood at the same instant did so in every round.

Seed and disk's id are now the two halves of the generator's seed.

--- a/internal/quorum/core.go
+++ b/internal/quorum/core.go
@@ -130,9 +130,8 @@
 
 // New returns a member that starts from the contents of its disk.
 func New(settings Settings, stored Stored, now clock.Millis) *Core {
-	seed := settings.Seed ^ settings.Self.DiskID
 	core := &Core{
-		settings: settings, self: settings.Self, random: rand.New(rand.NewPCG(seed, seed)), now: now,
+		settings: settings, self: settings.Self, random: rand.New(rand.NewPCG(settings.Seed, settings.Self.DiskID)), now: now,
 		hard: stored.Hard, role: Follower, leaderContact: now,
 		discovered: map[string]*wire.ControlMember{}, peerLists: map[string][]*wire.ControlMember{}, replacedDisks: map[Peer]bool{},
 	}
--- /dev/null
+++ b/internal/quorum/elections_test.go
@@ -0,0 +1,280 @@
+package quorum_test
+
+import (
+	"container/heap"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"slices"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/hibiscuslug/hibiscuslug/internal/quorum"
+	"github.com/hibiscuslug/hibiscuslug/pkg/clock"
+	"github.com/hibiscuslug/hibiscuslug/pkg/wire"
+)
+
+const (
+	// lossTimeout is the election timeout of the settings' default, lossTick the time
+	// between ticks that a control VM gives its core with it.
+	lossTimeout = 600 * clock.Millis(1)
+	lossTick    = 15 * clock.Millis(1)
+	// calmTime is the time before the leader is lost, lossLimit the limit for another one.
+	calmTime  = 5 * clock.Second
+	lossLimit = clock.Minute
+)
+
+// lossScript is a series of elections after the loss of the leader, one a seed.
+type lossScript struct {
+	Name   string `json:"name"`
+	Voters int    `json:"voters"`
+	// Gone is the number of voters that are lost with the leader.
+	Gone int `json:"gone"`
+	// Deaf is set when the first of the voters that are left receives nothing any more.
+	Deaf  bool   `json:"deaf"`
+	Seeds uint64 `json:"seeds"`
+	// Disk and Link bound the time of a sync and of a message, in milliseconds.
+	Disk [2]int64 `json:"disk"`
+	Link [2]int64 `json:"link"`
+	// Within is the time until a leader is confirmed again, for Share of the elections.
+	Within clock.Millis `json:"within"`
+	Share  float64      `json:"share"`
+}
+
+// happening is something that is due at a time.
+type happening struct {
+	at    clock.Millis
+	order int
+	do    func()
+}
+
+// agenda is a heap of happenings.
+type agenda []happening
+
+func (list agenda) Len() int { return len(list) }
+func (list agenda) Less(first, second int) bool {
+	if list[first].at != list[second].at {
+		return list[first].at < list[second].at
+	}
+	return list[first].order < list[second].order
+}
+func (list agenda) Swap(first, second int) { list[first], list[second] = list[second], list[first] }
+func (list *agenda) Push(value any)        { *list = append(*list, value.(happening)) }
+func (list *agenda) Pop() any {
+	last := len(*list) - 1
+	value := (*list)[last]
+	*list = (*list)[:last]
+	return value
+}
+
+// voter is a control VM with a disk that syncs what was written in the order of writes.
+type voter struct {
+	name  string
+	disk  uint64
+	core  *quorum.Core
+	queue []quorum.Action
+	// isSyncing is set while the disk syncs, isGone once the control VM is lost.
+	isSyncing, isGone bool
+	// isDeaf is set when it sends but does not receive.
+	isDeaf      bool
+	role        quorum.Role
+	confirmedAt clock.Millis
+}
+
+// group runs voters in virtual time.
+type group struct {
+	script lossScript
+	random *rand.Rand
+	now    clock.Millis
+	agenda agenda
+	order  int
+	voters []*voter
+}
+
+func newGroup(script lossScript, seed uint64) *group {
+	made := &group{script: script, random: rand.New(rand.NewPCG(seed, 11)), now: clock.Minute}
+	var members []*wire.ControlMember
+	for at := range script.Voters {
+		made.voters = append(made.voters, &voter{name: fmt.Sprintf("control%d", at+1), disk: made.random.Uint64()})
+		members = append(members, &wire.ControlMember{Name: made.voters[at].name, Address: made.voters[at].name})
+	}
+	for _, each := range made.voters {
+		each.core = quorum.New(quorum.Settings{
+			// The seed is the disk's id, as in a control process.
+			Self: quorum.Peer{Name: each.name, DiskID: each.disk}, Address: each.name, InitialMembers: members,
+			ElectionTimeout: lossTimeout, Seed: each.disk, CatchUpEntries: 100, ImageChunkBytes: 1 << 10,
+		}, quorum.Stored{}, made.now)
+		made.tick(each)
+	}
+	return made
+}
+
+func (group *group) after(delay clock.Millis, do func()) {
+	group.order++
+	heap.Push(&group.agenda, happening{at: group.now + delay, order: group.order, do: do})
+}
+
+func (group *group) between(bounds [2]int64) clock.Millis {
+	return clock.Millis(bounds[0] + group.random.Int64N(bounds[1]-bounds[0]+1))
+}
+
+func (group *group) tick(each *voter) {
+	group.after(clock.Millis(group.random.Int64N(int64(lossTick)))+1, func() {
+		if !each.isGone {
+			group.feed(each, quorum.Tick{})
+			group.tick(each)
+		}
+	})
+}
+
+func (group *group) feed(each *voter, event quorum.Event) {
+	for _, action := range each.core.Step(group.now, event) {
+		switch action := action.(type) {
+		case quorum.Save:
+			each.queue = append(each.queue, action)
+		case quorum.Send:
+			if action.Durable {
+				each.queue = append(each.queue, action)
+			} else {
+				group.send(each, action.Message)
+			}
+		case quorum.RoleChanged:
+			each.role = action.Role
+		case quorum.LeaseConfirmed:
+			each.confirmedAt = group.now - action.Age
+		}
+	}
+	group.sync(each)
+}
+
+// sync starts to write what is queued, if the disk is free. Messages without a write before
+// them leave at once.
+func (group *group) sync(each *voter) {
+	if each.isSyncing || each.isGone {
+		return
+	}
+	for len(each.queue) > 0 {
+		send, ok := each.queue[0].(quorum.Send)
+		if !ok {
+			break
+		}
+		group.send(each, send.Message)
+		each.queue = each.queue[1:]
+	}
+	if len(each.queue) == 0 {
+		return
+	}
+	batch := each.queue
+	each.queue, each.isSyncing = nil, true
+	group.after(group.between(group.script.Disk), func() {
+		each.isSyncing = false
+		if each.isGone {
+			return
+		}
+		for _, action := range batch {
+			switch action := action.(type) {
+			case quorum.Save:
+				group.feed(each, quorum.Synced{Sequence: action.Sequence})
+			case quorum.Send:
+				group.send(each, action.Message)
+			}
+		}
+		group.sync(each)
+	})
+}
+
+func (group *group) send(from *voter, message *wire.PeerMessage) {
+	// A receiver must not share memory with the sender.
+	encoded, err := message.MarshalVT()
+	Expect(err).NotTo(HaveOccurred())
+	received := &wire.PeerMessage{}
+	Expect(received.UnmarshalVT(encoded)).To(Succeed())
+	if received.GetFrom() == "" {
+		received.From = from.name
+	}
+	group.after(group.between(group.script.Link), func() {
+		for _, to := range group.voters {
+			if to.name == received.GetTo() && !to.isGone && !to.isDeaf && !from.isGone {
+				group.feed(to, quorum.Received{Message: received})
+			}
+		}
+	})
+}
+
+// runUntil runs until a condition holds, and reports whether it did within a limit.
+func (group *group) runUntil(limit clock.Millis, isDone func() bool) bool {
+	end := group.now + limit
+	for len(group.agenda) > 0 && group.agenda[0].at <= end {
+		next := heap.Pop(&group.agenda).(happening)
+		group.now = next.at
+		next.do()
+		if isDone() {
+			return true
+		}
+	}
+	return false
+}
+
+func (group *group) leader() *voter {
+	for _, each := range group.voters {
+		if !each.isGone && each.role == quorum.Leader {
+			return each
+		}
+	}
+	return nil
+}
+
+// lose removes the leader, and others with it, and returns the time until another leader
+// confirms what it did not know at the loss.
+func (group *group) lose() (clock.Millis, error) {
+	if !group.runUntil(lossLimit, func() bool { return group.leader() != nil && group.leader().confirmedAt > 0 }) {
+		return 0, fmt.Errorf("no first leader within %s", lossLimit)
+	}
+	group.runUntil(calmTime+group.between([2]int64{0, int64(lossTimeout)}), func() bool { return false })
+	lost := group.leader()
+	if lost == nil {
+		return 0, fmt.Errorf("no leader after %s without a fault", calmTime)
+	}
+	lost.isGone = true
+	for gone := 1; gone < group.script.Gone; gone++ {
+		others := slices.DeleteFunc(slices.Clone(group.voters), func(each *voter) bool { return each.isGone })
+		others[group.random.IntN(len(others))].isGone = true
+	}
+	if group.script.Deaf {
+		group.voters[slices.IndexFunc(group.voters, func(each *voter) bool { return !each.isGone })].isDeaf = true
+	}
+	began := group.now
+	if !group.runUntil(lossLimit, func() bool { return group.leader() != nil && group.leader().confirmedAt > began }) {
+		return 0, fmt.Errorf("no other leader within %s", lossLimit)
+	}
+	return group.now - began, nil
+}
+
+// Guards against elections that tie again and again: the voters that are left stand for
+// election at the same instants, and no gateway has a confirmed configuration meanwhile.
+var _ = Describe("the loss of a leader", func() {
+	text, err := os.ReadFile("testdata/elections.json")
+	if err != nil {
+		panic(err)
+	}
+	var scripts []lossScript
+	if err := json.Unmarshal(text, &scripts); err != nil {
+		panic(err)
+	}
+	for _, script := range scripts {
+		It("is over soon: "+script.Name, func() {
+			var times []clock.Millis
+			for seed := range script.Seeds {
+				took, err := newGroup(script, seed).lose()
+				Expect(err).NotTo(HaveOccurred(), "seed %d", seed)
+				times = append(times, took)
+			}
+			slices.Sort(times)
+			at := func(share float64) clock.Millis { return times[int(share*float64(len(times)-1))] }
+			AddReportEntry(fmt.Sprintf("p50 %s, p90 %s, p99 %s, longest %s", at(0.5), at(0.9), at(0.99), at(1)))
+			Expect(at(script.Share)).To(BeNumerically("<=", script.Within))
+		})
+	}
+})
