fault: listen again although a starting process holds the port

Cause: processes are started side by side. A process that is being started has copies of all listeners until it runs its program, so a listener that the proxy closes meanwhile still holds its port. Retarget listened once.

It tries again for 10 s.

--- a/internal/fault/proxy.go
+++ b/internal/fault/proxy.go
@@ -15,7 +15,13 @@
 	"github.com/hibiscuslug/hibiscuslug/internal/ports"
 )
 
-const dialLimit = 500 * time.Millisecond
+const (
+	dialLimit = 500 * time.Millisecond
+	// listenLimit bounds the wait for the own port, and listenPause is the time between
+	// attempts to listen on it.
+	listenLimit = 10 * time.Second
+	listenPause = 2 * time.Millisecond
+)
 
 // Direction is a set of directions of traffic through a proxy.
 type Direction int
@@ -94,8 +100,7 @@
 	if proxy.listener != nil {
 		return nil
 	}
-	var config net.ListenConfig
-	listener, err := config.Listen(context.Background(), "tcp", proxy.address)
+	listener, err := listenAgain(proxy.address)
 	if err != nil {
 		return errors.Wrap(err, "listen for the fault proxy again")
 	}
@@ -104,6 +109,19 @@
 	return nil
 }
 
+// listenAgain listens on an address whose listener was closed. A process that is being
+// started holds copies of all listeners until it runs its program, and the port is in use
+// until then.
+func listenAgain(address string) (net.Listener, error) {
+	var config net.ListenConfig
+	for began := time.Now(); ; time.Sleep(listenPause) {
+		listener, err := config.Listen(context.Background(), "tcp", address)
+		if err == nil || !errors.Is(err, syscall.EADDRINUSE) || time.Since(began) > listenLimit {
+			return listener, err
+		}
+	}
+}
+
 // refuse closes the listener after the target of a generation has refused a
 // connection.
 func (proxy *Proxy) refuse(generation uint64) {
