plan: validate a configuration in a time that grows with its routes

Cause: each route was compared with all others of its host, and each request looked through them all. The routes of a host are now found by prefix, through the lengths of prefixes that occur.

--- a/internal/plan/plan.go
+++ b/internal/plan/plan.go
@@ -125,11 +125,19 @@
 	Idle   clock.Millis
 }
 
+// hostRoutes holds the routes of a host by prefix. A configuration may have many thousands
+// of them, and each version is validated before it is acknowledged and put in force.
+type hostRoutes struct {
+	byPrefix map[string]Route
+	// lengths lists the lengths of the prefixes, the longest first.
+	lengths []int
+}
+
 // Plan is one version of the configuration. Its contents must not be modified.
 type Plan struct {
 	version   uint64
 	limits    Limits
-	byHost    map[string][]Route
+	byHost    map[string]*hostRoutes
 	services  map[string]Service
 	keys      map[string]Customer
 	customers int
@@ -138,7 +146,7 @@
 // New validates the parts of a configuration and returns it.
 func New(version uint64, routes []Route, services []Service, customers []Customer, limits Limits) (*Plan, error) {
 	built := &Plan{
-		version: version, limits: limits, byHost: map[string][]Route{}, services: map[string]Service{},
+		version: version, limits: limits, byHost: map[string]*hostRoutes{}, services: map[string]Service{},
 		keys: map[string]Customer{}, customers: len(customers),
 	}
 	for _, service := range services {
@@ -149,8 +157,12 @@
 			return nil, err
 		}
 	}
-	for _, list := range built.byHost {
-		slices.SortStableFunc(list, func(first, second Route) int { return len(second.Prefix) - len(first.Prefix) })
+	for _, routes := range built.byHost {
+		for prefix := range routes.byPrefix {
+			routes.lengths = append(routes.lengths, len(prefix))
+		}
+		slices.SortFunc(routes.lengths, func(first, second int) int { return second - first })
+		routes.lengths = slices.Compact(routes.lengths)
 	}
 	for _, customer := range customers {
 		for _, key := range customer.Keys {
@@ -182,12 +194,15 @@
 		return errors.Newf("route %q: the weights of its services add up to 0", route.Name)
 	}
 	host := strings.ToLower(route.Host)
-	for _, other := range plan.byHost[host] {
-		if other.Prefix == route.Prefix {
-			return errors.Newf("routes %q and %q have the same host and prefix", other.Name, route.Name)
-		}
+	routes := plan.byHost[host]
+	if routes == nil {
+		routes = &hostRoutes{byPrefix: map[string]Route{}}
+		plan.byHost[host] = routes
 	}
-	plan.byHost[host] = append(plan.byHost[host], route)
+	if other, ok := routes.byPrefix[route.Prefix]; ok {
+		return errors.Newf("routes %q and %q have the same host and prefix", other.Name, route.Name)
+	}
+	routes.byPrefix[route.Prefix] = route
 	return nil
 }
 
@@ -199,8 +214,15 @@
 
 // Route returns the route of the host with the longest prefix of a path.
 func (plan *Plan) Route(host, path string) (Route, bool) {
-	for _, route := range plan.byHost[strings.ToLower(host)] {
-		if strings.HasPrefix(path, route.Prefix) {
+	routes := plan.byHost[strings.ToLower(host)]
+	if routes == nil {
+		return Route{}, false
+	}
+	for _, length := range routes.lengths {
+		if length > len(path) {
+			continue
+		}
+		if route, ok := routes.byPrefix[path[:length]]; ok {
 			return route, true
 		}
 	}
@@ -217,8 +239,8 @@
 // streams that a service serves; 0 for none.
 func (plan *Plan) MaxPause(service string) clock.Millis {
 	strictest := clock.Millis(0)
-	for _, list := range plan.byHost {
-		for _, route := range list {
+	for _, routes := range plan.byHost {
+		for _, route := range routes.byPrefix {
 			serves := slices.ContainsFunc(route.Shares, func(share Share) bool { return share.Service == service && share.Weight > 0 })
 			if serves && route.Kind == Streaming && route.MaxPause > 0 && (strictest == 0 || route.MaxPause < strictest) {
 				strictest = route.MaxPause
