crash: a request that was cleared does not excuse another one

Cause: a request is blocked only if no other one was at all of its crashes. A lookup that is answered between the crashes is cleared of those before, but still counted as one that was at all of them, so neither was ever blocked.

A request that was cleared of one of the crashes cannot have caused them all, and is left out.

--- a/internal/crash/core.go
+++ b/internal/crash/core.go
@@ -164,7 +164,7 @@
 	switch {
 	case len(counted) == 0:
 		return Decision{}
-	case repeats(fingerprint, counted) >= blockingCrashes && isCause(fingerprint, counted):
+	case repeats(fingerprint, counted) >= blockingCrashes && core.isCause(fingerprint, counted):
 		last := latest(counted)
 		return Decision{Treatment: Wait, Crashes: len(counted), Latest: last, Until: last + reportTime}
 	}
@@ -320,7 +320,7 @@
 		for _, suspect := range crash.Suspects {
 			counted := core.crashesAgainst(suspect.Fingerprint, now)
 			_, blocked := core.blocks[suspect.Fingerprint]
-			if blocked || repeats(suspect.Fingerprint, counted) < blockingCrashes || !isCause(suspect.Fingerprint, counted) || !reportsComplete(counted, now) {
+			if blocked || repeats(suspect.Fingerprint, counted) < blockingCrashes || !core.isCause(suspect.Fingerprint, counted) || !reportsComplete(counted, now) {
 				continue
 			}
 			added := block{until: now + suspicionTime, crashes: len(counted), latest: latest(counted), requestID: suspect.RequestID}
@@ -378,13 +378,16 @@
 }
 
 // isCause reports whether a request ran alone in one of its crashes or is the
-// only suspect that they have in common.
-func isCause(fingerprint uint64, crashes []Crash) bool {
+// only suspect that they have in common. A suspect that was cleared of one of them cannot
+// have caused them all.
+func (core Core) isCause(fingerprint uint64, crashes []Crash) bool {
 	if slices.ContainsFunc(crashes, func(crash Crash) bool { return crash.QuarantinedFingerprint == fingerprint }) {
 		return true
 	}
 	for _, suspect := range crashes[0].Suspects {
-		common := !slices.ContainsFunc(crashes, func(crash Crash) bool { return !crash.has(suspect.Fingerprint) })
+		common := !slices.ContainsFunc(crashes, func(crash Crash) bool {
+			return !crash.has(suspect.Fingerprint) || crash.At <= core.cleared[suspect.Fingerprint]
+		})
 		if common && suspect.Fingerprint != fingerprint {
 			return false
 		}
