--- a/test/history/check_test.go
+++ b/test/history/check_test.go
@@ -67,6 +67,14 @@
 		}
 		operations = append(operations, porcupine.Operation{ClientId: at, Input: command, Call: command.Call, Output: command, Return: returned})
 	}
+	for at, made := range history.Own {
+		if !strings.HasPrefix(made.ID, "block") {
+			return []string{fmt.Sprintf("nobody is known to have made revision %d: %s (%s)", made.Revision, made.Text, made.ID)}
+		}
+		// The time at which it was made is not recorded; the revision orders it.
+		own := change{ID: made.ID, Revision: made.Revision, Outcome: "accepted"}
+		operations = append(operations, porcupine.Operation{ClientId: len(history.Changes) + at, Input: own, Output: own, Return: end + 1})
+	}
 	switch porcupine.CheckOperationsTimeout(configurationModel(history.Start), operations, checkLimit) {
 	case porcupine.Illegal:
 		return []string{"the changes are not linearizable"}
--- a/test/history/clients_test.go
+++ b/test/history/clients_test.go
@@ -63,6 +63,8 @@
 	Start   uint64   `json:"start"`
 	Faults  []string `json:"faults"`
 	Changes []change `json:"changes"`
+	// Own holds the changes that no client asked for.
+	Own []change `json:"own"`
 	// Resent holds the results of all commands when resent at the end.
 	Resent       []change      `json:"again"`
 	Bookings     []answer      `json:"bookings"`
--- a/test/history/history_test.go
+++ b/test/history/history_test.go
@@ -17,6 +17,8 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 	"github.com/sourcegraph/conc"
+
+	"github.com/hibiscuslug/hibiscuslug/pkg/wire"
 )
 
 func TestHistory(t *testing.T) {
@@ -63,13 +65,14 @@
 // notRun outcomes, and answers that are incomplete or belong to another caller.
 var _ = It("finds no violation in recorded histories and detects every planted one", func() {
 	settings := loadSettings()
-	operations, violations := 0, 0
+	operations, violations, own := 0, 0, 0
 	var last *history
 	for seed := uint64(1); seed <= seeds(); seed++ {
 		recorded := record(settings, seed)
 		found := recorded.violations()
 		operations += recorded.operations()
 		violations += len(found)
+		own += len(recorded.Own)
 		if len(found) > 0 {
 			recorded.save()
 			AddReportEntry(fmt.Sprintf("seed %d", seed), strings.Join(found, "\n"))
@@ -79,6 +82,7 @@
 	}
 	fmt.Printf("figure history.operations %d operations\n", operations)
 	fmt.Printf("figure history.violations %d violations\n", violations)
+	AddReportEntry(fmt.Sprintf("%d changes by the system itself", own))
 	Expect(violations).To(BeZero(), "histories are in %s", outFolder)
 	caught := 0
 	for _, name := range settings.Planted {
@@ -144,10 +148,42 @@
 	}
 }
 
+// readOwn reads the changes that the system made itself: blocks of requests that crash
+// endpoints, which entry VMs propose. A change that nobody is known to have made is a
+// violation.
+func (clients *clients) readOwn(random *rand.Rand) {
+	known := map[string]bool{}
+	for _, command := range clients.history.Changes {
+		known[command.ID] = true
+	}
+	var rows []*wire.Row
+	Eventually(func() string {
+		control := clients.deployment.controls[random.IntN(controls)]
+		ctx, cancel := context.WithTimeout(context.Background(), commandLimit)
+		defer cancel()
+		reply, err := wire.NewDRPCOperateClient(clients.pool.Conn(ctx, control.listen)).Execute(ctx, &wire.Command{Id: "read-own", Text: "show config limit 1000"})
+		if err != nil {
+			clients.pool.Discard(control.listen)
+			return err.Error()
+		}
+		rows = reply.GetTable().GetRows()
+		return reply.GetCode()
+	}).WithTimeout(readyLimit).Should(BeEmpty())
+	for _, row := range rows {
+		cells := row.GetCells()
+		revision, err := strconv.ParseUint(cells[0], 10, 64)
+		Expect(err).NotTo(HaveOccurred())
+		if made := (change{ID: cells[4], Text: cells[3], Revision: revision}); !known[made.ID] && revision > clients.history.Start {
+			clients.history.Own = append(clients.history.Own, made)
+		}
+	}
+}
+
 // finish resends every command and then, once no request can be in flight, reads
 // the counts of the order desk and the engines.
 func (clients *clients) finish() {
 	random := rand.New(rand.NewPCG(2, 2))
+	clients.readOwn(random)
 	for _, command := range clients.history.Changes {
 		resent := clients.command(change{ID: command.ID, Text: command.Text, Call: clients.now()}, random)
 		clients.history.Resent = append(clients.history.Resent, resent)
