quorum: candidates yield to one another at the pre-vote

A member that grants a pre-vote waits before it stands itself, and prefers that candidate to those that it outranks; one that collects pre-votes gives up for a candidate that outranks it. It yields to the same one once. The random wait is 0.7 of a timeout wide. Votes, logs and leases are as before.

--- a/internal/quorum/core.go
+++ b/internal/quorum/core.go
@@ -19,6 +19,9 @@
 	// leaseTenths is the lease duration in tenths of the election timeout. The
 	// remaining tenth allows for clock drift.
 	leaseTenths = 9
+	// electionSpreadTenths is the width of the random wait before an election, in tenths of
+	// the election timeout. It covers the messages and syncs of an election.
+	electionSpreadTenths = 7
 	// maxRecoveryTimeouts is the number of election timeouts after which a
 	// member with a damaged log takes part in elections again, even if no leader
 	// has brought it up to date. Without this limit, a group whose disks were all
@@ -74,6 +77,10 @@
 	votes         map[Peer]bool
 	// preVoting is set while the candidate runs a pre-vote.
 	preVoting bool
+	// yieldedTo is the candidate that last got a pre-vote, and yieldUntil the time until
+	// which it is preferred to candidates that it outranks.
+	yieldedTo  Peer
+	yieldUntil clock.Millis
 
 	progress map[Peer]*progress
 	// heartbeatDue is when the leader sends the next heartbeat, or a member
@@ -355,7 +362,7 @@
 // which a member starts an election.
 func (core *Core) electionDelay() clock.Millis {
 	timeout := core.settings.ElectionTimeout
-	return timeout + clock.Millis(core.random.Int64N(int64(timeout)))
+	return timeout + clock.Millis(core.random.Int64N(max(int64(timeout)*electionSpreadTenths/10, 1)))
 }
 
 // inGroup reports whether the member belongs to a group.
--- a/internal/quorum/election.go
+++ b/internal/quorum/election.go
@@ -67,12 +67,48 @@
 	return message.GetIndex() >= core.log.last()
 }
 
+// outranks orders candidates whose logs are the same, so that those that stand at the same
+// instant do not split the votes. Any fixed order will do.
+func (peer Peer) outranks(other Peer) bool {
+	if peer.Name != other.Name {
+		return peer.Name < other.Name
+	}
+	return peer.DiskID < other.DiskID
+}
+
+// prefersOther reports whether a pre-vote was granted to another candidate lately, which
+// may be collecting votes, and which the peer does not outrank.
+func (core *Core) prefersOther(peer Peer) bool {
+	return core.now < core.yieldUntil && core.yieldedTo != peer && !peer.outranks(core.yieldedTo)
+}
+
+// yield lets a candidate that got a pre-vote collect votes before this member stands for
+// election itself. A member that collects pre-votes gives up if the candidate outranks it.
+// It yields to a candidate once: one that stands again so soon cannot collect the votes,
+// for example because it sends but does not receive.
+func (core *Core) yield(peer Peer) {
+	if core.yieldedTo == peer && core.now < core.yieldUntil+core.settings.ElectionTimeout {
+		return
+	}
+	core.yieldedTo, core.yieldUntil = peer, core.now+core.settings.ElectionTimeout/2
+	switch {
+	case core.role != Candidate:
+		core.electionDue = max(core.electionDue, core.now+core.retryDelay())
+	case core.preVoting && peer.outranks(core.self):
+		core.electionDue = core.now + core.retryDelay()
+		core.votes = nil
+		core.setRole(core.passiveRole())
+	}
+}
+
 func (core *Core) onPreVote(message *wire.PeerMessage) {
+	from := Peer{message.GetFrom(), message.GetFromDisk()}
 	granted := core.electable() && !core.hasLeader() &&
-		message.GetTerm() > core.hard.Term && core.logIsCurrent(message)
+		message.GetTerm() > core.hard.Term && core.logIsCurrent(message) && !core.prefersOther(from)
 	term := core.hard.Term
 	if granted {
 		term = message.GetTerm()
+		core.yield(from)
 	}
 	core.reply(message, &wire.PeerMessage{Type: wire.PeerMessage_TYPE_PRE_VOTE_REPLY, Term: term, Reject: !granted})
 }
