--- a/internal/source/source.go
+++ b/internal/source/source.go
@@ -162,12 +162,6 @@
 	return table.with(best, picked), best
 }
 
-// HasOther reports whether there is a control VM that is not polled and may well reply:
-// it did not fail twice in a row, which one that was left because it is behind did not.
-func (table Table) HasOther(seeds []string) bool {
-	return slices.ContainsFunc(table.candidates(seeds), func(address string) bool { return table.entries[address].failures <= 1 })
-}
-
 // candidates lists the control VMs that could be polled, the seeds first.
 func (table Table) candidates(seeds []string) []string {
 	list := slices.Clone(seeds)
