source: come back to the own zone once a control VM there is heard from

A gateway whose poll of a control VM of its own zone had failed once, such as at the start of the fleet, preferred others of other zones from then on, and stays with the one that it polls.

A failure excludes a control VM from the preferred ones only until this process or another one has heard from it again. One that is gone is not heard from, so it stays excluded; one that only this process does not reach is tried once for each of its growing pauses.

--- a/internal/poll/poll.go
+++ b/internal/poll/poll.go
@@ -318,6 +318,8 @@
 // mergeControls stores the control VMs that one of them named. The caller holds mu.
 func (poller *Poller) mergeControls(address string, members []*wire.ControlMember, sent clock.Millis) {
 	heard := make([]source.Control, len(members))
+	// A control VM of an earlier version tells no silence, and one whose silence is not
+	// known is not preferred.
 	for at, member := range members {
 		silence := source.SilenceLimit
 		if member.Silence != nil {
--- a/internal/source/source.go
+++ b/internal/source/source.go
@@ -25,7 +25,7 @@
 	retention = 30 * clock.Second
 	// minBackoff is the pause before another poll of a control VM after its first
 	// failure. The pause doubles with each further failure up to maxBackoff.
-	minBackoff = 100 * clock.Millis(1)
+	minBackoff = 200 * clock.Millis(1)
 	maxBackoff = 5 * clock.Second
 )
 
@@ -46,8 +46,10 @@
 	// addedAt is when it became known, heardAt the time of the last message from it that
 	// is known, and retryAt the time before which others are preferred to it.
 	addedAt, heardAt, retryAt clock.Millis
-	// failures counts the polls without a reply since the last reply to this process.
+	// failures counts the polls without a reply since the last reply to this process, and
+	// failedAt is the time of the last one.
 	failures int
+	failedAt clock.Millis
 	// isPolled is set while this process polls it.
 	isPolled bool
 }
@@ -124,7 +126,7 @@
 // WithReply returns the table after a control VM replied to a poll sent at the time sent.
 func (table Table) WithReply(address string, sent clock.Millis) Table {
 	known := table.entryOf(address, sent)
-	known.heardAt, known.failures, known.retryAt = max(known.heardAt, sent), 0, 0
+	known.heardAt, known.failures, known.failedAt, known.retryAt = max(known.heardAt, sent), 0, 0, 0
 	return table.with(address, known)
 }
 
@@ -136,16 +138,16 @@
 		backoff = doubled
 	}
 	known.failures++
-	known.retryAt, known.isPolled = now+backoff, false
+	known.failedAt, known.retryAt, known.isPolled = now, now+backoff, false
 	return table.with(address, known)
 }
 
 // WithPicked returns the table and the control VM to poll next, or "" if all are polled
 // already. Seeds are the addresses from the settings.
 //
-// Control VMs that replied to the last poll, or were not polled yet, and are heard from
-// come first, those in the own zone before others. The rest is tried in the order of the
-// times at which they may be polled again, so that none of them keeps the others out.
+// Control VMs from which this process or another one has heard since they failed last come
+// first, those in the own zone before others. The rest is tried in the order of the times at
+// which they may be polled again, so that none of them keeps the others out.
 func (table Table) WithPicked(seeds []string, now clock.Millis) (Table, string) {
 	newest := table.newest()
 	best, bestRank := "", rank{}
@@ -182,7 +184,7 @@
 func (table Table) rank(address string, newest, now clock.Millis) rank {
 	known := table.entryOf(address, now)
 	return rank{
-		isAlive: known.failures == 0 && known.retryAt <= now && newest-known.lastSign() < SilenceLimit,
+		isAlive: known.heardAt >= known.failedAt && known.retryAt <= now && newest-known.lastSign() < SilenceLimit,
 		isNear:  known.zone == table.zone,
 		retryAt: known.retryAt,
 	}
