crowd: read the memory of a process only once it is at rest

The wait for a process at rest took its first two looks at the processor time at the same instant, so it never waited, and a peak was read while the process had yet to read what the crowd had sent: the case of the readiness check showed 26 to 42 MiB in 3 runs and 30 to 250 MiB in 3 others of the same code. Each look now takes its own interval.

Crowds and bounds are as they were.

--- a/test/crowd/crowd_test.go
+++ b/test/crowd/crowd_test.go
@@ -152,12 +152,11 @@
 
 // settle waits until a process has worked off what a crowd sent.
 func settle(process *procs.Process) {
-	used := processorTime(process)
 	Eventually(func() int {
-		last := used
-		used = processorTime(process)
-		return used - last
-	}).WithTimeout(waitLimit).WithPolling(settleInterval).Should(BeNumerically("<=", idleTicks), "the process does not come to rest")
+		before := processorTime(process)
+		time.Sleep(settleInterval)
+		return processorTime(process) - before
+	}).WithTimeout(waitLimit).Should(BeNumerically("<=", idleTicks), "the process does not come to rest")
 }
 
 // ask sends an ordinary request on a new connection and returns the status and body of its
