guard: bound what callers make a gateway hold, before it is parsed

What callers saw: 6.4 MB of headers of legal size made a gateway use hundreds of megabytes until it was ended, and a crowd without progress kept all others out.

Change: the listener of a door follows the framing of requests (package frame) and holds a header back until it is complete, so that it costs its bytes until then. One guard for the process counts what each connection holds, by its cost once parsed, and package evict decides, purely, whether more may be held and which connections are closed for it: those that have held most for the longest time without progress, never one whose request runs. A quarter of the bound is kept for small requests. Bounds follow from memory and descriptors (settings or VM); callers get 3/8 of the descriptors. A refusal before the server has seen the request is 503 with Retry-After, or 431.

--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -23,6 +23,9 @@
 	ShutdownLimit      = Event{104, "shutdown limit reached with requests in flight"}
 	ServeFailed        = Event{105, "listener failed"}
 	LinesDropped       = Event{106, "log lines dropped"}
+	AcceptFailed       = Event{107, "connection could not be accepted"}
+	BoundReached       = Event{108, "clients are refused or disconnected at a bound"}
+	BoundKept          = Event{109, "clients are no longer refused or disconnected at a bound"}
 	AttemptFailed      = Event{201, "attempt failed"}
 	AttemptSilent      = Event{202, "connection made no progress"}
 	AnswerNotRecorded  = Event{210, "answer of non-idempotent work could not be recorded in time"}
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -22,7 +22,7 @@
 	"github.com/hibiscuslug/hibiscuslug/internal/ctrl"
 	"github.com/hibiscuslug/hibiscuslug/internal/event"
 	"github.com/hibiscuslug/hibiscuslug/internal/feed"
-	"github.com/hibiscuslug/hibiscuslug/internal/holds"
+	"github.com/hibiscuslug/hibiscuslug/internal/guard"
 	"github.com/hibiscuslug/hibiscuslug/internal/knee"
 	"github.com/hibiscuslug/hibiscuslug/internal/link"
 	"github.com/hibiscuslug/hibiscuslug/internal/meter"
@@ -50,7 +50,9 @@
 	// net/http; the limit in the configuration is lower.
 	maxHeaderBytes = 64 << 10
 	// headerReadTimeout bounds the time for reading a request's header.
-	headerReadTimeout = 10 * time.Second
+	headerReadTimeout = 10 * clock.Second
+	// requestLineBytes is what a request line may have besides the header.
+	requestLineBytes = 4 << 10
 	// idleTimeout is longer than callers keep an idle connection open.
 	idleTimeout = 2 * time.Minute
 	// shutdownMargin is the part of the grace period reserved for closing resources.
@@ -88,8 +90,10 @@
 	// pauseEnded counts the requests ended because all endpoints ask for a pause.
 	pauseEnded atomic.Int64
 	meter      *meter.Meter
-	// held counts the bytes of request bodies and buffered responses.
-	held      *holds.Budget
+	// guard bounds what clients make the gateway hold.
+	guard *guard.Guard
+	// unguarded counts what belongs to no connection of a guarded listener.
+	unguarded *guard.Account
 	answered  *meter.Counter
 	sends     *meter.Counter
 	denied    *meter.Counter
@@ -153,7 +157,7 @@
 		evacuated: map[string]bool{}, coldLogged: map[quota.Endpoint]bool{}, coldDenied: map[string]int{},
 		responses: map[string][]response{}, knees: map[string]knee.Table{}, estimated: map[quota.Endpoint]knee.Estimate{},
 	}
-	gateway.held = holds.New(int64(settings.Gateway.MaxHeld))
+	gateway.bound(guard.Machine(settings.Node))
 	gateway.share = quota.NewShare(gateway.random.Float64())
 	gateway.poller = poll.New(poll.Settings{
 		Node: settings.Node.Name, Zone: settings.Node.Zone, Sources: controlSources, Seeds: gateway.seeds, Report: gateway.report, Board: gateway.board,
@@ -188,7 +192,7 @@
 	gateway.meter.Gauge(meter.Noticed, func() any { return gateway.noticed() })
 	gateway.meter.Gauge(meter.SlowEndpoints, func() any { return gateway.slowEndpoints() })
 	gateway.meter.Gauge(meter.PauseEnded, func() any { return gateway.pauseEnded.Load() })
-	gateway.meter.Gauge(meter.Held, func() any { return gateway.held.Held() })
+	gateway.meter.Bound(gateway.guard)
 	return gateway.meter.Serve(gateway.settings.Node.MetricsListen)
 }
 
@@ -198,11 +202,14 @@
 	if err != nil {
 		return errors.Wrap(err, "setting --http-listen")
 	}
-	gateway.listener = listener
+	gateway.listener = gateway.guard.Listen(listener, guard.Door{
+		Name: "callers", Share: guard.CallersShare, HeadLimit: gateway.headLimit, HeadTime: headerReadTimeout, WriteStall: gateway.settings.Gateway.WriteStall,
+	})
 	gateway.http = &http.Server{
-		Handler: gateway, MaxHeaderBytes: maxHeaderBytes, ReadHeaderTimeout: headerReadTimeout, IdleTimeout: idleTimeout,
+		Handler: gateway, MaxHeaderBytes: maxHeaderBytes, ReadHeaderTimeout: headerReadTimeout.Duration(), IdleTimeout: idleTimeout,
+		ConnContext: guard.Context, ConnState: guard.Follow,
 	}
-	gateway.serve(gateway.http, listener)
+	gateway.serve(gateway.http, gateway.listener)
 	if gateway.settings.Gateway.ReadyListen == "" {
 		return nil
 	}
@@ -210,7 +217,7 @@
 	if err != nil {
 		return errors.CombineErrors(errors.Wrap(err, "setting --ready-listen"), gateway.http.Close())
 	}
-	gateway.ready = &http.Server{Handler: http.HandlerFunc(gateway.answerReady), ReadHeaderTimeout: headerReadTimeout}
+	gateway.ready = &http.Server{Handler: http.HandlerFunc(gateway.answerReady), ReadHeaderTimeout: headerReadTimeout.Duration()}
 	gateway.serve(gateway.ready, ready)
 	return nil
 }
@@ -223,6 +230,21 @@
 	})
 }
 
+// bound sets the bounds of what clients make the gateway hold.
+func (gateway *Gateway) bound(settings guard.Settings) {
+	gateway.guard = guard.New(settings, gateway.clock, gateway.log)
+	gateway.unguarded = gateway.guard.Open("gateway")
+}
+
+// headLimit returns the largest header that callers may send, in bytes.
+func (gateway *Gateway) headLimit() int {
+	limit := maxHeaderBytes
+	if config := gateway.plan.Load(); config != nil && config.Limits().Header > 0 {
+		limit = config.Limits().Header
+	}
+	return limit + requestLineBytes
+}
+
 // Address returns the address for callers.
 func (gateway *Gateway) Address() string { return gateway.listener.Addr().String() }
 
@@ -367,6 +389,7 @@
 	gateway.cancel()
 	gateway.poller.Close()
 	gateway.loops.Wait()
+	gateway.guard.Close()
 	gateway.conns.Close()
 	failure = errors.CombineErrors(failure, errors.CombineErrors(gateway.links.Close(), gateway.meter.Close()))
 	gateway.log.Write(event.Stopped)
--- a/internal/gate/memory.go
+++ b/internal/gate/memory.go
@@ -4,6 +4,8 @@
 	"io"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/hibiscuslug/hibiscuslug/internal/guard"
 )
 
 const (
@@ -49,8 +51,16 @@
 	return body, nil
 }
 
+// holder returns the account that counts what the request holds.
+func (call *call) holder(gateway *Gateway) *guard.Account {
+	if call.account == nil {
+		return gateway.unguarded
+	}
+	return call.account
+}
+
 func (call *call) take(gateway *Gateway, size int) bool {
-	if !gateway.held.Take(int64(size)) {
+	if !call.holder(gateway).Take(int64(size)) {
 		return false
 	}
 	call.held += int64(size)
@@ -59,12 +69,12 @@
 
 // giveBack ends the count of a buffer of readHeld that is no longer used.
 func (call *call) giveBack(gateway *Gateway, body []byte) {
-	gateway.held.Give(int64(cap(body)))
+	call.holder(gateway).Give(int64(cap(body)))
 	call.held -= int64(cap(body))
 }
 
 // release ends the count of all buffers of a request.
 func (call *call) release(gateway *Gateway) {
-	gateway.held.Give(call.held)
+	call.holder(gateway).Give(call.held)
 	call.held = 0
 }
--- a/internal/gate/memory_test.go
+++ b/internal/gate/memory_test.go
@@ -10,7 +10,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
-	"github.com/hibiscuslug/hibiscuslug/internal/holds"
+	"github.com/hibiscuslug/hibiscuslug/internal/guard"
 	"github.com/hibiscuslug/hibiscuslug/internal/plan"
 	"github.com/hibiscuslug/hibiscuslug/internal/task"
 )
@@ -20,7 +20,7 @@
 // boundedGateway starts a gateway that may hold testBound bytes.
 func boundedGateway() *Gateway {
 	gateway := newIsolated()
-	gateway.held = holds.New(testBound)
+	gateway.bound(guard.Settings{Bytes: testBound})
 	return gateway
 }
 
@@ -53,10 +53,10 @@
 	Expect(refused.retryAfter).To(BeNumerically(">", 0))
 	Expect(header.Get("Connection")).To(Equal("close"))
 	Expect(body.size).To(BeNumerically("<", testBound))
-	Expect(gateway.held.Held()).To(BeNumerically("<=", testBound))
+	Expect(gateway.guard.Held()).To(BeNumerically("<=", testBound))
 	first.release(gateway)
 	second.release(gateway)
-	Expect(gateway.held.Held()).To(BeZero())
+	Expect(gateway.guard.Held()).To(BeZero())
 })
 
 // Guards against bytes that stay counted after their request has ended.
@@ -67,7 +67,7 @@
 		request := httptest.NewRequest(http.MethodPost, "/", bytes.NewReader(make([]byte, testBound/4)))
 		gateway.ServeHTTP(recorder, request)
 		Expect(recorder.Code).To(Equal(http.StatusServiceUnavailable))
-		Expect(gateway.held.Held()).To(BeZero())
+		Expect(gateway.guard.Held()).To(BeZero())
 	}
 })
 
@@ -89,7 +89,7 @@
 	Expect(outcome).To(Equal(delivered))
 	Expect(recorder.Body.Bytes()).To(Equal(content))
 	Expect(call.held).To(BeZero())
-	Expect(gateway.held.Held()).To(BeZero())
+	Expect(gateway.guard.Held()).To(BeZero())
 })
 
 // Guards against an error response that is sent to the caller although another attempt
@@ -100,5 +100,5 @@
 	Expect(errors.Is(err, errHeld)).To(BeTrue())
 	Expect(outcome).To(Equal(unknown))
 	Expect(recorder.Body.Len()).To(BeZero())
-	Expect(gateway.held.Held()).To(BeZero())
+	Expect(gateway.guard.Held()).To(BeZero())
 })
--- a/internal/gate/serve.go
+++ b/internal/gate/serve.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/hibiscuslug/hibiscuslug/internal/event"
+	"github.com/hibiscuslug/hibiscuslug/internal/guard"
 	"github.com/hibiscuslug/hibiscuslug/internal/outage"
 	"github.com/hibiscuslug/hibiscuslug/internal/plan"
 	"github.com/hibiscuslug/hibiscuslug/internal/task"
@@ -58,6 +59,8 @@
 	deadline clock.Millis
 	// version is the version of the configuration that classified the request.
 	version uint64
+	// account counts what the caller's connection holds; nil for the gateway's own.
+	account *guard.Account
 	// held is the number of bytes of bodies that this request holds.
 	held int64
 }
@@ -73,7 +76,7 @@
 
 // ServeHTTP serves a caller's request.
 func (gateway *Gateway) ServeHTTP(w http.ResponseWriter, request *http.Request) {
-	call := &call{arrived: gateway.clock.Now(), task: gateway.settings.Dialect.Task(request)}
+	call := &call{arrived: gateway.clock.Now(), task: gateway.settings.Dialect.Task(request), account: guard.From(request.Context())}
 	defer call.release(gateway)
 	if gateway.stopping.Load() {
 		w.Header().Set("Connection", "close")
@@ -194,10 +197,10 @@
 	body, err := call.readHeld(gateway, http.MaxBytesReader(w, request.Body, int64(limit)), limit+1)
 	if err == nil {
 		call.task.Body = body
-		return nil
+		return call.run()
 	}
 	if errors.Is(err, errHeld) {
-		gateway.log.Write(event.RequestTooMuch, "id", call.task.ID, "held", gateway.held.Held(), "read", len(body), "size", request.ContentLength)
+		gateway.log.Write(event.RequestTooMuch, "id", call.task.ID, "held", gateway.guard.Held(), "read", len(body), "size", request.ContentLength)
 		// The rest of the body is not read.
 		w.Header().Set("Connection", "close")
 		return &refusal{status: http.StatusServiceUnavailable, reason: "the gateway holds too many bytes", retryAfter: gateway.jitter(fullRetryAfter)}
@@ -210,6 +213,15 @@
 	panic(http.ErrAbortHandler)
 }
 
+// run states that the request arrived completely, so that its connection is not closed any
+// more to make room for others.
+func (call *call) run() *refusal {
+	if call.account != nil && !call.account.Run() {
+		panic(http.ErrAbortHandler)
+	}
+	return nil
+}
+
 // refuse sends an error response of the gateway itself.
 func (gateway *Gateway) refuse(w http.ResponseWriter, call *call, refused refusal) {
 	gateway.log.Write(event.RequestEnded, append([]any{
--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -16,6 +16,7 @@
 	"github.com/sourcegraph/conc"
 
 	"github.com/hibiscuslug/hibiscuslug/internal/feed"
+	"github.com/hibiscuslug/hibiscuslug/internal/guard"
 	"github.com/hibiscuslug/hibiscuslug/internal/opts"
 	"github.com/hibiscuslug/hibiscuslug/pkg/clock"
 )
@@ -46,14 +47,15 @@
 	ColdDenied      = Metric{"coldDenied", "requests", "requests kept from cold endpoints since the start, by what became of them: elsewhere or refused (gateway)"}
 	Noticed         = Metric{"noticed", "endpoints", "starts of endpoints by what was noticed of them: leaving, pausing (this gateway sends nothing), pausingElsewhere and slow (gateway)"}
 	SlowEndpoints   = Metric{"slowEndpoints", "endpoints", "endpoints of services without engines that are estimated to be slower than others of their service (gateway)"}
-	Held            = Metric{"held", "bytes", "bytes of request bodies and buffered responses in memory, bounded by --max-held (gateway)"}
+	Held            = Metric{"held", "bytes", "bytes of memory that requests and connections of clients take by estimate, bounded by --max-held (all)"}
+	Denied          = Metric{"denied", "connections", "connections closed or refused since the start because a bound was reached, as DOOR.REASON; the reason is memory or descriptors (all)"}
 	PauseEnded      = Metric{"pauseEnded", "requests", "requests ended since the start because all endpoints ask for a pause (gateway)"}
 	Members         = Metric{"members", "processes", "processes known by their announcements, by role (entry)"}
 	ControlBytesIn  = Metric{"controlBytesIn", "bytes", "bytes received since the start on connections for membership, configuration and commands (all)"}
 	ControlBytesOut = Metric{"controlBytesOut", "bytes", "bytes sent since the start on connections for membership, configuration and commands (all)"}
 )
 
-var allMetrics = []Metric{Requests, InFlight, Attempts, QueueLength, Running, Revision, RevisionAge, Evacuated, Answered, Sends, FirstByte, EventGap, Dialed, Version, Stalled, ColdEndpoints, ColdDenied, Noticed, SlowEndpoints, PauseEnded, Held, Members, ControlBytesIn, ControlBytesOut}
+var allMetrics = []Metric{Requests, InFlight, Attempts, QueueLength, Running, Revision, RevisionAge, Evacuated, Answered, Sends, FirstByte, EventGap, Dialed, Version, Stalled, ColdEndpoints, ColdDenied, Noticed, SlowEndpoints, PauseEnded, Held, Denied, Members, ControlBytesIn, ControlBytesOut}
 
 // revisionTimeout limits the wait of one request to /debug/revision.
 const revisionTimeout = 30 * time.Second
@@ -95,6 +97,12 @@
 	meter.vars.Set(metric.Name, expvar.Func(read))
 }
 
+// Bound registers the metrics of what clients use. It is called before Serve.
+func (meter *Meter) Bound(bounds *guard.Guard) {
+	meter.Gauge(Held, func() any { return bounds.Held() })
+	meter.Gauge(Denied, func() any { return bounds.Denied() })
+}
+
 // Counter is a metric that counts per key.
 type Counter struct {
 	values *expvar.Map
--- a/internal/opts/opts.go
+++ b/internal/opts/opts.go
@@ -20,6 +20,9 @@
 	TraceFile     string       `long:"trace-file" env:"HIB_TRACE_FILE" description:"File for traces when no collector is set; off when empty"`
 	TraceRatio    float64      `long:"trace-ratio" env:"HIB_TRACE_RATIO" description:"Share of requests that are traced (0 to 1)" default:"0.01"`
 	ShutdownLimit clock.Millis `long:"shutdown-limit" env:"HIB_SHUTDOWN_LIMIT" description:"Maximum wait for requests in flight at shutdown (0s to 1h)" default:"30s"`
+	MemoryMib     bounds.Count `long:"memory-mib" env:"HIB_MEMORY_MIB" description:"Memory of this process; 0 for that of the VM, in MiB (0 to 16777216)" default:"0"`
+	Descriptors   bounds.Count `long:"descriptors" env:"HIB_DESCRIPTORS" description:"Number of descriptors that this process may open; 0 for the limit that the system sets, in descriptors (0 to 1000000000)" default:"0"`
+	MaxHeld       int          `long:"max-held" env:"HIB_MAX_HELD" description:"Maximum memory that requests and connections of clients may take, by an estimate of their cost; never more than a quarter of the memory of the process, in bytes (1048576 to 17179869184)" default:"134217728"`
 }
 
 // Check returns an error for the first setting that is missing or out of range.
@@ -33,6 +36,9 @@
 		bounds.Optional(bounds.Address, "trace-address", set.TraceAddress),
 		bounds.Float("trace-ratio", set.TraceRatio, 0, 1, ""),
 		bounds.Span("shutdown-limit", set.ShutdownLimit, "0s", "1h"),
+		bounds.Int("memory-mib", int(set.MemoryMib), 0, 16777216, "MiB"),
+		bounds.Int("descriptors", int(set.Descriptors), 0, 1000000000, "descriptors"),
+		bounds.Int("max-held", set.MaxHeld, 1048576, 17179869184, "bytes"),
 	)
 }
 
@@ -128,7 +134,6 @@
 	RetryWindow clock.Millis `long:"retry-window" env:"HIB_RETRY_WINDOW" description:"Time window over which retries are counted (1ms to 24h)" default:"10s"`
 	ColdOver    float64      `long:"cold-over" env:"HIB_COLD_OVER" description:"With cold-slack: a cold endpoint gets at most its rate for cold endpoints times this in a second, for all gateways together (0 to 1000)" default:"1.5"`
 	ColdSlack   float64      `long:"cold-slack" env:"HIB_COLD_SLACK" description:"Additional requests that a cold endpoint may get in a second, for all gateways together, in requests (0 to 1000000)" default:"5"`
-	MaxHeld     int          `long:"max-held" env:"HIB_MAX_HELD" description:"Maximum size of all request bodies and buffered responses that are held at a time, in bytes (1048576 to 17179869184)" default:"50331648"`
 	WriteStall  clock.Millis `long:"write-stall" env:"HIB_WRITE_STALL" description:"Time after which a caller that reads nothing of its response is disconnected (100ms to 1h)" default:"10s"`
 }
 
@@ -147,7 +152,6 @@
 		bounds.Span("retry-window", set.RetryWindow, "1ms", "24h"),
 		bounds.Float("cold-over", set.ColdOver, 0, 1000, ""),
 		bounds.Float("cold-slack", set.ColdSlack, 0, 1000000, "requests"),
-		bounds.Int("max-held", set.MaxHeld, 1048576, 17179869184, "bytes"),
 		bounds.Span("write-stall", set.WriteStall, "100ms", "1h"),
 	)
 }
