gateway: keep the header of a request encoded, not parsed

What callers saw: 2,500 connections with headers of 16 kB and a body that never comes made a gateway use 1,363 MiB; with the guard it closed most of them, as each took half a megabyte.

Cause: the decoded header, and a clone of it, stayed in memory while the body was due, while the request waited and while it ran, though only its encoded form is sent to an endpoint.

Change: the task keeps the header lines that are forwarded, encoded once; the decoded header and the trailer are released before the body is read. What the request then counts is its true size, so that the guard has room for many times as many.

--- a/internal/gate/serve.go
+++ b/internal/gate/serve.go
@@ -23,6 +23,9 @@
 	keyCheckMargin = 500 * clock.Millis(1)
 	// busyRetryAfter is the Retry-After when no endpoint accepted the request.
 	busyRetryAfter = 250 * clock.Millis(1)
+	// headerCopies is how often the header of a request is in memory while it runs: once as
+	// it is kept and once as it is sent to an endpoint.
+	headerCopies = 2
 	// defaultMaxBody is the body limit, in bytes, when the configuration has none.
 	defaultMaxBody = 4 << 20
 	// defaultCallerWait is how long a caller is assumed to wait if its request does not
@@ -78,6 +81,7 @@
 func (gateway *Gateway) ServeHTTP(w http.ResponseWriter, request *http.Request) {
 	call := &call{arrived: gateway.clock.Now(), task: gateway.settings.Dialect.Task(request), account: guard.From(request.Context())}
 	defer call.release(gateway)
+	call.dropHeader(request)
 	if gateway.stopping.Load() {
 		w.Header().Set("Connection", "close")
 	}
@@ -90,6 +94,16 @@
 	gateway.forward(ctx, w, call)
 }
 
+// dropHeader releases the decoded header, of which the task keeps what is forwarded. It
+// would stay in memory until the request ends.
+func (call *call) dropHeader(request *http.Request) {
+	request.Header, request.Trailer = nil, nil
+	if call.account != nil && !call.account.SetRequest(call.task.Size()*headerCopies) {
+		// The connection was closed to make room for others.
+		panic(http.ErrAbortHandler)
+	}
+}
+
 // prepare classifies the request and reads its body. A non-nil result refuses it.
 func (gateway *Gateway) prepare(w http.ResponseWriter, request *http.Request, call *call) *refusal {
 	if !gateway.isStarting() {
@@ -195,6 +209,7 @@
 	}
 	// One byte more is read, so that a body of the limit ends with io.EOF.
 	body, err := call.readHeld(gateway, http.MaxBytesReader(w, request.Body, int64(limit)), limit+1)
+	request.Trailer = nil
 	if err == nil {
 		call.task.Body = body
 		return call.run()
--- a/internal/task/task.go
+++ b/internal/task/task.go
@@ -22,8 +22,9 @@
 	// Target is the path and query as the caller sent them.
 	Target string
 	Host   string
-	// Header holds the headers that are forwarded to the endpoint.
-	Header http.Header
+	// Header holds the header lines that are forwarded to the endpoint, encoded: a decoded
+	// header of many lines takes more than ten times the memory.
+	Header []byte
 	Body   []byte
 	// Key is the key that identifies the customer.
 	Key string
@@ -41,6 +42,14 @@
 	Prompt     []Part
 }
 
+// partCost is what one part of a prompt takes, in bytes.
+const partCost = 64
+
+// Size returns the memory that the task takes without its body, in bytes.
+func (task Task) Size() int64 {
+	return int64(len(task.Target)+len(task.Host)+len(task.Key)+len(task.LastEvent)+len(task.Header)) + int64(len(task.Prompt))*partCost
+}
+
 // Send describes one attempt to run a task at an endpoint.
 type Send struct {
 	// Endpoint is the id of the endpoint expected at the address; any other refuses
