gateway: give up a body that does not arrive while the caller waits

What callers saw: a request whose body stopped was never answered, and held its connection and its buffers for good.

Cause: net/http limits the time of the header only, and nothing limited that of the body.

Change: the body must arrive within the time for which the caller waits, at most the timeout of its route; after that it can't be served in any case. It is answered 408, which says that it has not run, and the connection is closed.

--- a/internal/gate/memory_test.go
+++ b/internal/gate/memory_test.go
@@ -1,10 +1,13 @@
 package gate
 
 import (
+	"bufio"
 	"bytes"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	. "github.com/onsi/ginkgo/v2"
@@ -102,3 +105,19 @@
 	Expect(recorder.Body.Len()).To(BeZero())
 	Expect(gateway.guard.Held()).To(BeZero())
 })
+
+// Guards against a body that never comes and holds its connection for good.
+var _ = It("gives up a body that does not arrive while the caller waits", func() {
+	server := httptest.NewServer(newIsolated())
+	DeferCleanup(server.Close)
+	conn, err := net.Dial("tcp", server.Listener.Addr().String())
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(conn.Close)
+	_, err = io.WriteString(conn, "POST / HTTP/1.1\r\nHost: h\r\nHibiscuslug-Deadline-Ms: 50\r\nContent-Length: 5\r\n\r\nbody")
+	Expect(err).NotTo(HaveOccurred())
+	Expect(conn.SetReadDeadline(time.Now().Add(20 * time.Second))).To(Succeed())
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	Expect(err).NotTo(HaveOccurred())
+	Expect(response.StatusCode).To(Equal(http.StatusRequestTimeout))
+	Expect(response.Body.Close()).To(Succeed())
+})
--- a/internal/gate/serve.go
+++ b/internal/gate/serve.go
@@ -5,7 +5,9 @@
 	"encoding/json"
 	"net"
 	"net/http"
+	"os"
 	"strings"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -207,10 +209,12 @@
 	if config := gateway.plan.Load(); config != nil && config.Limits().Body > 0 {
 		limit = config.Limits().Body
 	}
+	restore := call.limitRead(w, request, gateway)
 	// One byte more is read, so that a body of the limit ends with io.EOF.
 	body, err := call.readHeld(gateway, http.MaxBytesReader(w, request.Body, int64(limit)), limit+1)
 	request.Trailer = nil
 	if err == nil {
+		restore()
 		call.task.Body = body
 		return call.run()
 	}
@@ -220,6 +224,10 @@
 		w.Header().Set("Connection", "close")
 		return &refusal{status: http.StatusServiceUnavailable, reason: "the gateway holds too many bytes", retryAfter: gateway.jitter(fullRetryAfter)}
 	}
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		w.Header().Set("Connection", "close")
+		return &refusal{status: http.StatusRequestTimeout, reason: "the body did not arrive while the caller waits"}
+	}
 	var large *http.MaxBytesError
 	if errors.As(err, &large) {
 		return &refusal{status: http.StatusRequestEntityTooLarge, reason: "body is too large"}
@@ -228,6 +236,27 @@
 	panic(http.ErrAbortHandler)
 }
 
+// limitRead limits the time in which the body must arrive to that for which the caller
+// waits. It returns the function that lifts the limit.
+func (call *call) limitRead(w http.ResponseWriter, request *http.Request, gateway *Gateway) func() {
+	if request.ContentLength == 0 {
+		return func() {}
+	}
+	deadline := call.deadline
+	if deadline == 0 {
+		// The route is not known yet.
+		deadline = call.arrived + min(call.callerWait(), defaultCallerWait)
+	}
+	controller := http.NewResponseController(w)
+	set := func(at time.Time) {
+		if err := controller.SetReadDeadline(at); err != nil && !errors.Is(err, http.ErrNotSupported) {
+			gateway.log.Write(event.ServeFailed, "id", call.task.ID, "error", err)
+		}
+	}
+	set(time.Now().Add((deadline - gateway.clock.Now()).Duration()))
+	return func() { set(time.Time{}) }
+}
+
 // run states that the request arrived completely, so that its connection is not closed any
 // more to make room for others.
 func (call *call) run() *refusal {
