gateway, meter: bound the clients of readiness checks and metrics

What was seen: 100 unfinished headers of 256 kB at the readiness check made a gateway use 490 MiB. 600 silent connections at the metrics, with a limit of 300 descriptors, ended the metrics server for good, without a line in the log.

Cause: net/http takes headers of 1 MB where no limit is set. fiber ends with the first accept that fails, and its error was dropped with a comment in its place.

Change: both listeners go through the guard, with 1/32 of the descriptors each, headers of 8 and 4 KiB, and times for requests, idle connections and responses that nobody reads.

--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -53,6 +53,8 @@
 	headerReadTimeout = 10 * clock.Second
 	// requestLineBytes is what a request line may have besides the header.
 	requestLineBytes = 4 << 10
+	// maxCheckBytes bounds the header of a readiness check.
+	maxCheckBytes = 8 << 10
 	// idleTimeout is longer than callers keep an idle connection open.
 	idleTimeout = 2 * time.Minute
 	// shutdownMargin is the part of the grace period reserved for closing resources.
@@ -217,8 +219,14 @@
 	if err != nil {
 		return errors.CombineErrors(errors.Wrap(err, "setting --ready-listen"), gateway.http.Close())
 	}
-	gateway.ready = &http.Server{Handler: http.HandlerFunc(gateway.answerReady), ReadHeaderTimeout: headerReadTimeout.Duration()}
-	gateway.serve(gateway.ready, ready)
+	gateway.ready = &http.Server{
+		Handler: http.HandlerFunc(gateway.answerReady), MaxHeaderBytes: maxCheckBytes, ReadHeaderTimeout: headerReadTimeout.Duration(), IdleTimeout: idleTimeout,
+		ConnState: guard.Follow,
+	}
+	gateway.serve(gateway.ready, gateway.guard.Listen(ready, guard.Door{
+		Name: "ready", Share: guard.ChecksShare, HeadLimit: func() int { return maxCheckBytes }, HeadTime: headerReadTimeout,
+		WriteStall: gateway.settings.Gateway.WriteStall,
+	}))
 	return nil
 }
 
--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -57,6 +57,17 @@
 
 var allMetrics = []Metric{Requests, InFlight, Attempts, QueueLength, Running, Revision, RevisionAge, Evacuated, Answered, Sends, FirstByte, EventGap, Dialed, Version, Stalled, ColdEndpoints, ColdDenied, Noticed, SlowEndpoints, PauseEnded, Held, Denied, Members, ControlBytesIn, ControlBytesOut}
 
+const (
+	// maxHeaderBytes and maxBodyBytes bound a request of a reader of metrics.
+	maxHeaderBytes = 4 << 10
+	maxBodyBytes   = 4 << 10
+	// readTimeout limits the time in which such a request arrives, idleTimeout the time
+	// between two of them, and writeStall the time in which nothing of a response is read.
+	readTimeout = 10 * clock.Second
+	idleTimeout = 2 * time.Minute
+	writeStall  = 10 * clock.Second
+)
+
 // revisionTimeout limits the wait of one request to /debug/revision.
 const revisionTimeout = 30 * time.Second
 
@@ -67,6 +78,7 @@
 	view     *feed.View
 	app      *fiber.App
 	listener net.Listener
+	guard    *guard.Guard
 	running  conc.WaitGroup
 }
 
@@ -97,8 +109,10 @@
 	meter.vars.Set(metric.Name, expvar.Func(read))
 }
 
-// Bound registers the metrics of what clients use. It is called before Serve.
+// Bound registers the metrics of what clients use, and limits what the readers of metrics
+// may use. It is called before Serve.
 func (meter *Meter) Bound(bounds *guard.Guard) {
+	meter.guard = bounds
 	meter.Gauge(Held, func() any { return bounds.Held() })
 	meter.Gauge(Denied, func() any { return bounds.Denied() })
 }
@@ -141,16 +155,29 @@
 	if err != nil {
 		return errors.Wrapf(err, "setting --metrics-listen is %s", address)
 	}
+	meter.app = fiber.New(fiber.Config{
+		DisableStartupMessage: true, ReduceMemoryUsage: true, DisablePreParseMultipartForm: true, BodyLimit: maxBodyBytes,
+		ReadBufferSize: maxHeaderBytes, ReadTimeout: readTimeout.Duration(), IdleTimeout: idleTimeout,
+	})
+	if meter.guard != nil {
+		listener = meter.guard.Listen(listener, guard.Door{
+			Name: "metrics", Share: guard.ChecksShare, HeadLimit: func() int { return maxHeaderBytes }, HeadTime: readTimeout,
+			WholeBody: maxBodyBytes, ServerRefuses: true, WriteStall: writeStall,
+		})
+		meter.app.Server().ConnState = guard.FollowFast
+	}
 	meter.listener = listener
-	meter.app = fiber.New(fiber.Config{DisableStartupMessage: true})
 	meter.app.Get("/", func(ctx *fiber.Ctx) error { return ctx.SendString(meter.page()) })
 	meter.app.Get("/debug/vars", func(ctx *fiber.Ctx) error {
 		ctx.Set(fiber.HeaderContentType, fiber.MIMEApplicationJSON)
 		return ctx.SendString(meter.vars.String())
 	})
 	meter.app.Get("/debug/revision", meter.revision)
-	// The app serves until Close, which returns the error of the shutdown.
-	meter.running.Go(func() { _ = meter.app.Listener(listener) })
+	meter.running.Go(func() {
+		if err := meter.app.Listener(listener); meter.guard != nil {
+			meter.guard.Served("metrics", err)
+		}
+	})
 	return nil
 }
 
