front: read a prompt of many fields in a time that grows with its size

What was seen: 8 bodies of 1 MB that repeat the field "prompt" made an entry VM use 193 MiB.

Cause: the text of each field was appended to a string, which copies all that came before: garbage and time grow with the square of the number of fields.

Change: the texts are collected in a strings.Builder.

Evidence, go test ./test/crowd: 193 MiB before, 60 now, bound 96.

--- a/internal/front/request.go
+++ b/internal/front/request.go
@@ -122,10 +122,12 @@
 		return badRequest("body is not a JSON object")
 	}
 	var refusal *fiber.Error
+	var prompt strings.Builder
 	parsed.ForEach(func(name, value gjson.Result) bool {
-		refusal = readField(input, name.Str, value)
+		refusal = readField(input, &prompt, name.Str, value)
 		return refusal == nil
 	})
+	input.Prompt = prompt.String()
 	if refusal == nil && input.Model == "" {
 		return badRequest("model is missing")
 	}
@@ -157,7 +159,10 @@
 	return false
 }
 
-func readField(input *class.Input, name string, value gjson.Result) *fiber.Error {
+// readField reads one field of a model call. The texts of the prompt are collected in
+// prompt: appending each to a string takes a time that grows with the square of their
+// number.
+func readField(input *class.Input, prompt *strings.Builder, name string, value gjson.Result) *fiber.Error {
 	switch name {
 	case "model":
 		if value.Type != gjson.String {
@@ -165,7 +170,7 @@
 		}
 		input.Model = value.Str
 	case "prompt", "messages":
-		input.Prompt += value.Raw
+		prompt.WriteString(value.Raw)
 	case "stream":
 		if !value.IsBool() && value.Type != gjson.Null {
 			return badRequest("stream is not true or false")
