entry: bound what callers make an entry VM hold

What callers saw: headers of 16 kB without an end, or before a body that never comes, made an entry VM use over 400 MiB, and so did bodies that were only announced. 600 connections against a limit of 300 descriptors ended its HTTP server for good: the process lived, and nobody was answered any more.

Cause: fasthttp makes room for the length that is announced, keeps the parsed header while the body is due, and keeps request, reader and context of each connection after the answer. It ends with the first accept that fails, and front.New dropped that error. Bodies of forms were parsed into their parts.

Change: the listener goes through the guard. A request reaches the server only once its body has arrived too, so that nothing is parsed or made room for before; chunked bodies and those that wait for an interim response are counted as the server stores them. Connections keep nothing between requests. What does not fit gets 503 with X-Outcome notRun, as every refusal of an entry VM.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -17,6 +17,7 @@
 	"github.com/hibiscuslug/hibiscuslug/internal/event"
 	"github.com/hibiscuslug/hibiscuslug/internal/feed"
 	"github.com/hibiscuslug/hibiscuslug/internal/front"
+	"github.com/hibiscuslug/hibiscuslug/internal/guard"
 	"github.com/hibiscuslug/hibiscuslug/internal/ledger"
 	"github.com/hibiscuslug/hibiscuslug/internal/link"
 	"github.com/hibiscuslug/hibiscuslug/internal/member"
@@ -59,6 +60,7 @@
 	members     *member.Table
 	fleet       *engines
 	ledger      *ledger.Ledger
+	guard       *guard.Guard
 	front       *front.Front
 	runner      *dedup.Runner
 	admission   *admission
@@ -76,6 +78,7 @@
 		pool: link.NewPool(), requestPool: link.NewPool(), members: member.NewTable(), ledger: ledger.New(maxFinishedRequests),
 	}
 	entry.fleet = newEngines(entry.members, entry.view, ticker)
+	entry.guard = guard.New(guard.Machine(settings.Node), ticker, log)
 	server, err := link.Listen(settings.Node.Listen)
 	if err != nil {
 		return nil, err
@@ -100,7 +103,7 @@
 	if err := entry.serveMetrics(); err != nil {
 		return nil, err
 	}
-	entry.front, err = front.New(settings.Entry, entry.view, entry.flights, entry.ledger, ticker, entry.newID)
+	entry.front, err = front.New(settings.Entry, entry.guard, entry.view, entry.flights, entry.ledger, ticker, entry.newID)
 	if err != nil {
 		return nil, err
 	}
@@ -202,6 +205,7 @@
 	if err := entry.server.Close(); err != nil {
 		return err
 	}
+	defer entry.guard.Close()
 	entry.log.Write(event.Stopped)
 	return errors.Join(entry.pool.Close(), entry.requestPool.Close(), entry.meter.Close(), entry.tracer.Close())
 }
--- a/internal/entry/measure.go
+++ b/internal/entry/measure.go
@@ -14,6 +14,7 @@
 	entry.meter.Gauge(meter.InFlight, func() any { return entry.flights.count() })
 	entry.meter.Gauge(meter.Members, func() any { return entry.memberCounts() })
 	entry.meter.Control(entry.pool, entry.server)
+	entry.meter.Bound(entry.guard)
 	return entry.meter.Serve(entry.settings.Node.MetricsListen)
 }
 
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"log"
@@ -14,11 +15,12 @@
 	"github.com/cockroachdb/errors"
 	"github.com/gofiber/fiber/v2"
 	"github.com/sourcegraph/conc"
+	"github.com/valyala/fasthttp"
 
 	"github.com/hibiscuslug/hibiscuslug/internal/call"
 	"github.com/hibiscuslug/hibiscuslug/internal/feed"
+	"github.com/hibiscuslug/hibiscuslug/internal/guard"
 	"github.com/hibiscuslug/hibiscuslug/internal/ledger"
-	"github.com/hibiscuslug/hibiscuslug/internal/link"
 	"github.com/hibiscuslug/hibiscuslug/internal/opts"
 	"github.com/hibiscuslug/hibiscuslug/internal/route"
 	"github.com/hibiscuslug/hibiscuslug/pkg/clock"
@@ -59,7 +61,7 @@
 }
 
 // New listens for callers and starts to serve them.
-func New(settings opts.Entry, view *feed.View, router Router, requestLedger *ledger.Ledger, ticker *clock.Clock, newID func() string) (*Front, error) {
+func New(settings opts.Entry, bounds *guard.Guard, view *feed.View, router Router, requestLedger *ledger.Ledger, ticker *clock.Clock, newID func() string) (*Front, error) {
 	var config net.ListenConfig
 	listener, err := config.Listen(context.Background(), "tcp", settings.HTTPListen)
 	if err != nil {
@@ -73,14 +75,20 @@
 	front.app = fiber.New(fiber.Config{
 		BodyLimit: settings.MaxBody, ReadBufferSize: settings.MaxHeader,
 		ReadTimeout: settings.ReadLimit.Duration(), IdleTimeout: idleTimeout,
+		// A connection keeps nothing of a request that was answered, and a body is not parsed
+		// into the parts of a form.
+		ReduceMemoryUsage: true, DisablePreParseMultipartForm: true,
 		DisableStartupMessage: true, ErrorHandler: front.handleError,
 	})
+	front.app.Server().ConnState = guard.FollowFast
 	front.app.Server().Logger = log.New(io.Discard, "", 0)
 	front.app.All("/v1/*", front.serve)
 	front.app.All("/services/*", front.serve)
 	front.serving.Go(func() {
-		// The listener ends in Close, which returns the error of the shutdown.
-		_ = front.app.Listener(link.WithWriteLimit(listener, callerWriteTimeout))
+		bounds.Served("callers", front.app.Listener(bounds.Listen(listener, guard.Door{
+			Name: "callers", Share: guard.CallersShare, HeadLimit: func() int { return settings.MaxHeader }, HeadTime: settings.ReadLimit,
+			WholeBody: settings.MaxBody, ServerRefuses: true, Respond: front.refusal, WriteStall: callerWriteTimeout,
+		})))
 	})
 	return front, nil
 }
@@ -131,6 +139,26 @@
 	return front.run(ctx, request, limit, release)
 }
 
+// refusal returns the response to a request for which the entry VM has no room.
+func (front *Front) refusal(status int) []byte {
+	response := fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseResponse(response)
+	id := front.newID()
+	response.SetStatusCode(status)
+	response.Header.Set("X-Request-Id", id)
+	response.Header.Set("X-Outcome", OutcomeName(wire.Outcome_OUTCOME_NOT_RUN))
+	response.Header.Set(fiber.HeaderRetryAfter, "1")
+	response.Header.SetContentType(fiber.MIMEApplicationJSON)
+	response.SetConnectionClose()
+	text, err := json.Marshal(errorBody{Error: errorDetail{
+		Message: "this entry VM holds too many bytes of requests", Outcome: OutcomeName(wire.Outcome_OUTCOME_NOT_RUN), RequestID: id,
+	}})
+	if err == nil {
+		response.SetBody(text)
+	}
+	return []byte(response.String())
+}
+
 func tooMany(ctx *fiber.Ctx, text string, values ...any) error {
 	ctx.Set(fiber.HeaderRetryAfter, "1")
 	return refuse(ctx, fiber.StatusTooManyRequests, fmt.Sprintf(text, values...))
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -18,8 +18,10 @@
 
 	"github.com/hibiscuslug/hibiscuslug/internal/call"
 	"github.com/hibiscuslug/hibiscuslug/internal/class"
+	"github.com/hibiscuslug/hibiscuslug/internal/event"
 	"github.com/hibiscuslug/hibiscuslug/internal/feed"
 	"github.com/hibiscuslug/hibiscuslug/internal/front"
+	"github.com/hibiscuslug/hibiscuslug/internal/guard"
 	"github.com/hibiscuslug/hibiscuslug/internal/ledger"
 	"github.com/hibiscuslug/hibiscuslug/internal/opts"
 	"github.com/hibiscuslug/hibiscuslug/internal/route"
@@ -124,7 +126,7 @@
 		var err error
 		server, err = front.New(opts.Entry{
 			HTTPListen: "127.0.0.1:0", MaxBody: 2048, MaxHeader: 2048, MaxConcurrent: 3, RequestLimit: clock.Minute, ReadLimit: 300,
-		}, view, stub, ledger.New(10), clock.NewSystem(), func() string { return fmt.Sprint("r", ids.Add(1)) })
+		}, guard.New(guard.Settings{}, clock.NewSystem(), event.Discard()), view, stub, ledger.New(10), clock.NewSystem(), func() string { return fmt.Sprint("r", ids.Add(1)) })
 		Expect(err).NotTo(HaveOccurred())
 		DeferCleanup(func() { Expect(server.Close(limit)).To(Succeed()) })
 	})
--- a/internal/front/nest_test.go
+++ b/internal/front/nest_test.go
@@ -10,8 +10,10 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/hibiscuslug/hibiscuslug/internal/class"
+	"github.com/hibiscuslug/hibiscuslug/internal/event"
 	"github.com/hibiscuslug/hibiscuslug/internal/feed"
 	"github.com/hibiscuslug/hibiscuslug/internal/front"
+	"github.com/hibiscuslug/hibiscuslug/internal/guard"
 	"github.com/hibiscuslug/hibiscuslug/internal/ledger"
 	"github.com/hibiscuslug/hibiscuslug/internal/opts"
 	"github.com/hibiscuslug/hibiscuslug/pkg/clock"
@@ -33,7 +35,7 @@
 	}}, 0)).To(Succeed())
 	server, err := front.New(opts.Entry{
 		HTTPListen: "127.0.0.1:0", MaxBody: 16 << 20, MaxHeader: 2048, MaxConcurrent: 3, RequestLimit: clock.Minute, ReadLimit: clock.Minute,
-	}, view, &router{}, ledger.New(10), clock.NewSystem(), func() string { return "r1" })
+	}, guard.New(guard.Settings{}, clock.NewSystem(), event.Discard()), view, &router{}, ledger.New(10), clock.NewSystem(), func() string { return "r1" })
 	Expect(err).NotTo(HaveOccurred())
 	DeferCleanup(func() { Expect(server.Close(limit)).To(Succeed()) })
 	send := func(body string) (int, string) {
