control: bound what operators and endpoints make a control VM hold

What was seen: 8 configurations of 4 MB that consist of empty routes made a control VM use 5,405 MiB; 100 unfinished headers of 256 kB, 533.

Cause: the interface took headers of 1 MB, read bodies without a bound on their sum, and decoded a document before anything said what that would cost: an empty route of 3 bytes becomes some 500 bytes with the garbage of growing lists.

Change: the listener goes through the guard, with a quarter of the descriptors and headers of 16 KiB. A request reaches the server once its body has arrived, and its objects and values are counted for what decoding them needs; what does not fit gets 503, so that the operator tries again. A configuration of the largest size with 11,000 routes counts about 30 MiB of the 70 that a control VM of 280 MB may hold.

Evidence, go test ./test/crowd, peak in MiB for a bound of 96, before and after: small values 5,405, 56; headers 533, 30.

--- a/internal/ctrl/control.go
+++ b/internal/ctrl/control.go
@@ -18,6 +18,7 @@
 	"github.com/hibiscuslug/hibiscuslug/internal/evac"
 	"github.com/hibiscuslug/hibiscuslug/internal/event"
 	"github.com/hibiscuslug/hibiscuslug/internal/feed"
+	"github.com/hibiscuslug/hibiscuslug/internal/guard"
 	"github.com/hibiscuslug/hibiscuslug/internal/link"
 	"github.com/hibiscuslug/hibiscuslug/internal/meter"
 	"github.com/hibiscuslug/hibiscuslug/internal/opts"
@@ -106,6 +107,8 @@
 	reports   map[string]loadReport
 	spread    *evac.Spread
 
+	// guard bounds what clients make the process hold.
+	guard  *guard.Guard
 	cancel context.CancelFunc
 	loops  conc.WaitGroup
 }
@@ -127,12 +130,13 @@
 	if err != nil {
 		return nil, errors.CombineErrors(err, opened.Close())
 	}
+	bounds := guard.New(guard.Machine(settings.Node), ticker, log)
 	control := &Control{
 		settings: settings, diskID: contents.DiskID, clock: ticker, log: log, view: feed.NewView(ticker), pool: link.NewPool(), server: server,
 		inbox: make(chan input, inboxSize), waiters: map[uint64]waiter{}, pendingProposals: map[uint64][]chan<- outcome{},
 		machine: state.NewMachine(), claims: claim.NewTable(), self: settings.Node.Name,
 		incarnation: rand.Uint64(), startedAt: ticker.Now(), reports: map[string]loadReport{}, board: board.New(ticker, log),
-		spread: evac.New(settings.Control.EvacuateLimit),
+		spread: evac.New(settings.Control.EvacuateLimit), guard: bounds,
 	}
 	seeded := len(settings.Control.Seed) > 0
 	if seeded {
@@ -164,6 +168,7 @@
 	}
 	control.meter = meter.New(settings.Node, "control", control.view)
 	control.meter.Control(control.server, control.pool)
+	control.meter.Bound(bounds)
 	if err := control.meter.Serve(settings.Node.MetricsListen); err != nil {
 		return nil, errors.CombineErrors(err, opened.Close())
 	}
@@ -236,6 +241,9 @@
 	control.log.Write(event.Started, "role", "control", "address", control.server.Address())
 }
 
+// Guard returns what bounds the clients of the process.
+func (control *Control) Guard() *guard.Guard { return control.guard }
+
 // Address returns the listening address for other processes.
 func (control *Control) Address() string { return control.server.Address() }
 
@@ -258,6 +266,7 @@
 	failure = errors.CombineErrors(failure, control.pool.Close())
 	failure = errors.CombineErrors(failure, control.writer.close())
 	failure = errors.CombineErrors(failure, control.meter.Close())
+	control.guard.Close()
 	control.log.Write(event.Stopped)
 	return failure
 }
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -20,6 +20,7 @@
 	"github.com/hibiscuslug/hibiscuslug/internal/envset"
 	"github.com/hibiscuslug/hibiscuslug/internal/event"
 	"github.com/hibiscuslug/hibiscuslug/internal/gate"
+	"github.com/hibiscuslug/hibiscuslug/internal/guard"
 	"github.com/hibiscuslug/hibiscuslug/internal/opts"
 	"github.com/hibiscuslug/hibiscuslug/pkg/clock"
 	"github.com/hibiscuslug/hibiscuslug/platform"
@@ -29,7 +30,15 @@
 	settingsFlag = "--settings"
 	seedVariable = "HIB_SEED"
 	// apiHeaderTimeout limits the time to read the header of a request.
-	apiHeaderTimeout = 5 * time.Second
+	apiHeaderTimeout = 5 * clock.Second
+	// apiHeaderBytes bounds the header of a request.
+	apiHeaderBytes = 16 << 10
+	// apiBodyTimeout limits the time in which a whole request arrives, and apiWriteStall the
+	// time in which nothing of a response is read.
+	apiBodyTimeout = 30 * clock.Second
+	apiWriteStall  = 10 * clock.Second
+	// apiIdleTimeout limits the time between two requests on a connection.
+	apiIdleTimeout = 2 * time.Minute
 	// apiShutdownTimeout limits the wait for requests in progress at shutdown.
 	apiShutdownTimeout = time.Second
 )
@@ -165,9 +174,16 @@
 	if err != nil {
 		return nil, errors.CombineErrors(errors.Wrap(err, "setting --api-listen"), control.Close())
 	}
-	api := &controlAPI{Control: control, server: &http.Server{Handler: platform.NewControlHandler(control), ReadHeaderTimeout: apiHeaderTimeout}}
+	api := &controlAPI{Control: control, server: &http.Server{
+		Handler: platform.NewControlHandler(control), MaxHeaderBytes: apiHeaderBytes, ReadHeaderTimeout: apiHeaderTimeout.Duration(), IdleTimeout: apiIdleTimeout,
+		ConnState: guard.Follow,
+	}}
+	guarded := control.Guard().Listen(listener, guard.Door{
+		Name: "operators", Share: guard.OperatorsShare, HeadLimit: func() int { return apiHeaderBytes }, HeadTime: apiBodyTimeout,
+		WholeBody: platform.MaxDocumentBytes, Decoded: true, WriteStall: apiWriteStall,
+	})
 	api.running.Go(func() {
-		if err := api.server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		if err := api.server.Serve(guarded); !errors.Is(err, http.ErrServerClosed) {
 			log.Write(event.ServeFailed, "error", err)
 		}
 	})
