link: bound the clients of messages between processes

What was seen: 600 silent connections to the address for other processes, with a limit of 300 descriptors, kept operators' commands out of control and entry VMs for as long as they stayed. 60 messages of 3.9 MB that stop halfway made a control VM use 349 MiB.

Cause: nothing takes a place from a connection that holds it without progress, and a message is bounded by itself only, not with those of other connections.

Change: the server of a process goes through its guard: 3/8 of the descriptors, 1/8 at entry VMs, where the other connections are those of callers and to endpoints. What a peer sends counts until the server writes to it, and a peer that sent something lately is closed last.

Evidence, go test ./test/crowd: commands are answered beside the connections, before not.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/hibiscuslug/hibiscuslug/internal/event"
+	"github.com/hibiscuslug/hibiscuslug/internal/guard"
 	"github.com/hibiscuslug/hibiscuslug/internal/link"
 	"github.com/hibiscuslug/hibiscuslug/internal/opts"
 	"github.com/hibiscuslug/hibiscuslug/pkg/clock"
@@ -35,6 +36,7 @@
 // Agent is a running agent process.
 type Agent struct {
 	server *link.Server
+	guard  *guard.Guard
 	engine Engine
 	clock  *clock.Clock
 	log    *event.Log
@@ -51,7 +53,9 @@
 	if err != nil {
 		return nil, err
 	}
-	agent := &Agent{server: server, engine: engine, clock: ticker, log: log}
+	bounds := guard.New(guard.Machine(node), ticker, log)
+	server.Bound(bounds, guard.PeersShare)
+	agent := &Agent{server: server, guard: bounds, engine: engine, clock: ticker, log: log}
 	if err := wire.DRPCRegisterRank(server.Mux(), agent); err != nil {
 		return nil, errors.CombineErrors(err, server.Close())
 	}
@@ -125,6 +129,7 @@
 func (agent *Agent) Close() error {
 	agent.log.Write(event.Stopping)
 	err := agent.server.Close()
+	agent.guard.Close()
 	agent.engine.Close()
 	agent.log.Write(event.Stopped)
 	return err
--- a/internal/ctrl/control.go
+++ b/internal/ctrl/control.go
@@ -131,6 +131,7 @@
 		return nil, errors.CombineErrors(err, opened.Close())
 	}
 	bounds := guard.New(guard.Machine(settings.Node), ticker, log)
+	server.Bound(bounds, guard.PeersShare)
 	control := &Control{
 		settings: settings, diskID: contents.DiskID, clock: ticker, log: log, view: feed.NewView(ticker), pool: link.NewPool(), server: server,
 		inbox: make(chan input, inboxSize), waiters: map[uint64]waiter{}, pendingProposals: map[uint64][]chan<- outcome{},
--- a/internal/endpt/endpoint.go
+++ b/internal/endpt/endpoint.go
@@ -13,6 +13,7 @@
 	"github.com/hibiscuslug/hibiscuslug/internal/engine"
 	"github.com/hibiscuslug/hibiscuslug/internal/event"
 	"github.com/hibiscuslug/hibiscuslug/internal/feed"
+	"github.com/hibiscuslug/hibiscuslug/internal/guard"
 	"github.com/hibiscuslug/hibiscuslug/internal/link"
 	"github.com/hibiscuslug/hibiscuslug/internal/member"
 	"github.com/hibiscuslug/hibiscuslug/internal/meter"
@@ -43,6 +44,7 @@
 	pool        *link.Pool
 	tracer      *span.Tracer
 	meter       *meter.Meter
+	guard       *guard.Guard
 	server      *link.Server
 	announcer   *member.Announcer
 	table       *table
@@ -84,6 +86,8 @@
 	if err != nil {
 		return nil, err
 	}
+	endpoint.guard = guard.New(guard.Machine(settings.Node), ticker, log)
+	server.Bound(endpoint.guard, guard.PeersShare)
 	endpoint.server = server
 	if err := wire.DRPCRegisterRelay(server.Mux(), endpoint); err != nil {
 		return nil, err
@@ -171,6 +175,7 @@
 	if err := endpoint.server.Close(); err != nil {
 		return err
 	}
+	defer endpoint.guard.Close()
 	endpoint.log.Write(event.Stopped)
 	return errors.Join(endpoint.pool.Close(), endpoint.meter.Close(), endpoint.tracer.Close())
 }
--- a/internal/endpt/measure.go
+++ b/internal/endpt/measure.go
@@ -11,6 +11,7 @@
 	endpoint.meter.Gauge(meter.QueueLength, func() any { return endpoint.perEngine((*wire.EngineLoad).GetWaiting) })
 	endpoint.meter.Gauge(meter.Running, func() any { return endpoint.perEngine((*wire.EngineLoad).GetRunning) })
 	endpoint.meter.Control(endpoint.pool)
+	endpoint.meter.Bound(endpoint.guard)
 	return endpoint.meter.Serve(endpoint.settings.Node.MetricsListen)
 }
 
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -83,6 +83,7 @@
 	if err != nil {
 		return nil, err
 	}
+	server.Bound(entry.guard, guard.FewPeersShare)
 	entry.server = server
 	if err := entry.register(); err != nil {
 		return nil, err
--- a/internal/link/server.go
+++ b/internal/link/server.go
@@ -8,15 +8,19 @@
 	"github.com/sourcegraph/conc"
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcserver"
+
+	"github.com/hibiscuslug/hibiscuslug/internal/guard"
 )
 
 // Server accepts connections from other processes.
 type Server struct {
 	listener net.Listener
 	mux      *drpcmux.Mux
-	cancel   context.CancelFunc
-	running  conc.WaitGroup
-	bytes    traffic
+	// guard bounds the clients of the server; nil for no bounds.
+	guard   *guard.Guard
+	cancel  context.CancelFunc
+	running conc.WaitGroup
+	bytes   traffic
 }
 
 // Listen listens on an address. Register services on Mux before Start.
@@ -29,6 +33,12 @@
 	return &Server{listener: listener, mux: drpcmux.New()}, nil
 }
 
+// Bound limits what the clients of the server may use. It is called before Start.
+func (server *Server) Bound(bounds *guard.Guard, share float64) {
+	server.guard = bounds
+	server.listener = bounds.Listen(server.listener, guard.Door{Name: "peers", Share: share})
+}
+
 // Mux returns the multiplexer on which services are registered.
 func (server *Server) Mux() *drpcmux.Mux {
 	return server.mux
@@ -48,8 +58,9 @@
 	server.cancel = cancel
 	handler := drpcserver.NewWithOptions(server.mux, drpcserver.Options{Manager: managerOptions()})
 	server.running.Go(func() {
-		// Serve returns only once the listener is closed, so its error is not reported.
-		_ = handler.Serve(ctx, &countedListener{Listener: server.listener, bytes: &server.bytes})
+		if err := handler.Serve(ctx, &countedListener{Listener: server.listener, bytes: &server.bytes}); server.guard != nil {
+			server.guard.Served("peers", err)
+		}
 	})
 }
 
