daemon: let the collector run more often when memory becomes short

What was seen: 100 configurations that stop halfway made a control VM use 111 to 143 MiB of the 96 that its settings give it, and 60 messages that stop halfway 101 to 119, although the guard let them hold 24.

Cause: the collector lets garbage grow to the size of what is in use, and buffers that grow leave as much garbage as they hold.

Change: the runtime's memory limit is three quarters of what the memory of the process leaves besides the program itself (32 MiB). GOMEMLIMIT goes before it.

--- a/internal/daemon/agent.go
+++ b/internal/daemon/agent.go
@@ -13,6 +13,7 @@
 	"github.com/hibiscuslug/hibiscuslug/internal/coord"
 	"github.com/hibiscuslug/hibiscuslug/internal/ctrl"
 	"github.com/hibiscuslug/hibiscuslug/internal/event"
+	"github.com/hibiscuslug/hibiscuslug/internal/guard"
 	"github.com/hibiscuslug/hibiscuslug/internal/opts"
 	"github.com/hibiscuslug/hibiscuslug/internal/plan"
 	"github.com/hibiscuslug/hibiscuslug/internal/state"
@@ -33,6 +34,7 @@
 
 // Execute runs the agent on an engine's VM.
 func (command *agentCommand) Execute([]string) error {
+	guard.LimitMemory(command.Node)
 	log := event.NewBounded(os.Stdout, command.Name, command.Zone)
 	defer log.Close()
 	running, err := agent.New(command.Node, platform.NewEngine(command.EngineAddress), clock.NewSystem(), log)
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -18,6 +18,7 @@
 	"github.com/hibiscuslug/hibiscuslug/internal/entry"
 	"github.com/hibiscuslug/hibiscuslug/internal/event"
 	"github.com/hibiscuslug/hibiscuslug/internal/fleet"
+	"github.com/hibiscuslug/hibiscuslug/internal/guard"
 	"github.com/hibiscuslug/hibiscuslug/internal/opts"
 	"github.com/hibiscuslug/hibiscuslug/pkg/clock"
 )
@@ -58,6 +59,7 @@
 
 // Execute runs an entry VM's process.
 func (command *entryCommand) Execute([]string) error {
+	guard.LimitMemory(command.Node)
 	log := event.New(os.Stderr, command.Name, command.Zone)
 	running, err := entry.New(entry.Settings{Node: command.Node, Entry: command.Entry}, clock.NewSystem(), log)
 	if err != nil {
@@ -73,6 +75,7 @@
 
 // Execute runs an endpoint process.
 func (command *endpointCommand) Execute([]string) error {
+	guard.LimitMemory(command.Node)
 	log := event.New(os.Stderr, command.Name, command.Zone)
 	running, err := endpt.New(endpt.Settings{Node: command.Node, Endpoint: command.Endpoint}, clock.NewSystem(), log)
 	if err != nil {
@@ -88,6 +91,7 @@
 
 // Execute runs a control VM's process.
 func (command *controlCommand) Execute([]string) error {
+	guard.LimitMemory(command.Node)
 	log := event.New(os.Stderr, command.Name, command.Zone)
 	if command.APIListen != "" {
 		log = event.NewBounded(os.Stdout, command.Name, command.Zone)
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -56,6 +56,7 @@
 
 // Execute runs a gateway process.
 func (command *gatewayCommand) Execute([]string) error {
+	guard.LimitMemory(command.Node)
 	log := event.NewBounded(os.Stdout, command.Name, command.Zone)
 	defer log.Close()
 	running, err := gate.New(gate.Settings{
