--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -138,6 +138,7 @@
 	deployment.order(ctx, random, held, true)
 	loading.Go(func() { deployment.runEvacuations(load, seed, held) })
 	loading.Go(func() { deployment.runReader(load, seed) })
+	loading.Go(func() { deployment.runCrowds(load, seed) })
 	injector := &injector{deployment: deployment, random: random}
 	injector.run(time.Now().Add(span))
 	for _, node := range deployment.nodes {
