guard: count a body that is decoded however it is framed

What was seen: 8 configurations of 4 MB in chunks that consist of empty routes made a control VM use 791 MiB of 96, where those with a length were refused.

Cause: the objects and values of a body were counted when all of it was at hand, which is so only for a body with a length. In chunks, after an interim response or beside an ambiguous framing the server had got most of it already, and the bytes of the last kind were not counted at all.

Change: they are counted piece by piece as the body arrives. At the interface of operators, where a request is held back with its body, the server's time for a header is that of the whole request, since it runs while the body arrives.

Of the four framings in internal/guard three reached the decoder before, none does now.

--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -29,14 +29,12 @@
 const (
 	settingsFlag = "--settings"
 	seedVariable = "HIB_SEED"
-	// apiHeaderTimeout limits the time to read the header of a request.
-	apiHeaderTimeout = 5 * clock.Second
 	// apiHeaderBytes bounds the header of a request.
 	apiHeaderBytes = 16 << 10
-	// apiBodyTimeout limits the time in which a whole request arrives, and apiWriteStall the
-	// time in which nothing of a response is read.
-	apiBodyTimeout = 30 * clock.Second
-	apiWriteStall  = 10 * clock.Second
+	// apiRequestTimeout limits the time in which a whole request arrives, and apiWriteStall
+	// the time in which nothing of a response is read.
+	apiRequestTimeout = 30 * clock.Second
+	apiWriteStall     = 10 * clock.Second
 	// apiIdleTimeout limits the time between two requests on a connection.
 	apiIdleTimeout = 2 * time.Minute
 	// apiShutdownTimeout limits the wait for requests in progress at shutdown.
@@ -176,11 +174,11 @@
 		return nil, errors.CombineErrors(errors.Wrap(err, "setting --api-listen"), control.Close())
 	}
 	api := &controlAPI{Control: control, server: &http.Server{
-		Handler: platform.NewControlHandler(control), MaxHeaderBytes: apiHeaderBytes, ReadHeaderTimeout: apiHeaderTimeout.Duration(), IdleTimeout: apiIdleTimeout,
+		Handler: platform.NewControlHandler(control), MaxHeaderBytes: apiHeaderBytes, ReadHeaderTimeout: apiRequestTimeout.Duration(), IdleTimeout: apiIdleTimeout,
 		ConnState: guard.Follow,
 	}}
 	guarded := control.Guard().Listen(listener, guard.Door{
-		Name: "operators", Share: guard.OperatorsShare, HeadLimit: func() int { return apiHeaderBytes }, HeadTime: apiBodyTimeout,
+		Name: "operators", Share: guard.OperatorsShare, HeadLimit: func() int { return apiHeaderBytes }, HeadTime: apiRequestTimeout,
 		WholeBody: platform.MaxDocumentBytes, Decoded: true, WriteStall: apiWriteStall,
 	})
 	api.running.Go(func() {
--- a/internal/guard/conn.go
+++ b/internal/guard/conn.go
@@ -61,10 +61,12 @@
 	// followed, and the first ready of them may be passed on.
 	pending    []byte
 	fed, ready int
-	// buffer is the number of bytes that count for pending, and body the number of bytes
-	// of the current request's body that arrived.
-	buffer, body int
-	failure      error
+	// buffer is the number of bytes that count for pending.
+	buffer int
+	// body is the number of bytes of the current request's body that arrived, with the
+	// number of objects and other values of a JSON text in it.
+	body, objects, values int
+	failure               error
 	// endsAt is when the current request must have arrived.
 	endsAt time.Time
 
@@ -209,7 +211,7 @@
 	if conn.begun {
 		return
 	}
-	conn.begun, conn.whole, conn.body = true, false, 0
+	conn.begun, conn.whole, conn.body, conn.objects, conn.values = true, false, 0, 0, 0
 	conn.tracker.Begin()
 	conn.account.progress()
 }
@@ -289,16 +291,11 @@
 		phase := conn.tracker.Phase()
 		used, ended := conn.tracker.Feed(data[fed:])
 		fed += used
-		switch {
-		case phase == frame.Head:
-			if !conn.endsHead(ended) {
-				return ready, fed
-			}
-		case phase == frame.Body && !conn.takeBody(used):
+		if phase == frame.Head && !conn.endsHead(ended) || phase != frame.Head && !conn.takeBody(data[fed-used:fed]) {
 			return ready, fed
 		}
 		if ended {
-			if !conn.finish(data[:fed]) {
+			if !conn.finish() {
 				return 0, fed
 			}
 			return fed, fed
@@ -351,10 +348,14 @@
 	return true
 }
 
-// takeBody counts bytes of a body that the server stores, and reports whether they may be
+// takeBody counts a piece of a body that the server stores, and reports whether it may be
 // held.
-func (conn *conn) takeBody(size int) bool {
-	conn.body += size
+func (conn *conn) takeBody(piece []byte) bool {
+	conn.body += len(piece)
+	if conn.door.Decoded {
+		conn.objects += bytes.Count(piece, []byte{'{'})
+		conn.values += bytes.Count(piece, []byte{','})
+	}
 	if conn.door.WholeBody == 0 || conn.whole || conn.account.SetRequest(conn.cost()) {
 		return true
 	}
@@ -364,15 +365,10 @@
 
 // finish counts a request that has arrived completely, and reports whether the server may
 // get it.
-func (conn *conn) finish(request []byte) bool {
+func (conn *conn) finish() bool {
 	conn.begun = false
 	conn.limitReads(time.Time{})
-	cost := conn.cost()
-	if conn.door.Decoded {
-		objects := int64(bytes.Count(request, []byte{'{'}))
-		cost += objects*objectCost + int64(bytes.Count(request, []byte{','}))*valueCost
-	}
-	if !conn.account.SetRequest(cost) || !conn.account.Run() {
+	if !conn.account.SetRequest(conn.cost()) || !conn.account.Run() {
 		conn.failure = conn.refuse(http.StatusServiceUnavailable)
 		return false
 	}
@@ -388,7 +384,8 @@
 			body = max(body, min(conn.tracker.Length(), int64(conn.door.WholeBody)))
 		}
 	}
-	return int64(head.Bytes)*byteCost + int64(head.Lines)*lineCost + int64(head.Commas)*commaCost + body*byteCost
+	return int64(head.Bytes)*byteCost + int64(head.Lines)*lineCost + int64(head.Commas)*commaCost +
+		body*byteCost + int64(conn.objects)*objectCost + int64(conn.values)*valueCost
 }
 
 // refuse responds to a request that the server does not get to see, which has not run. It
--- a/internal/guard/guard_test.go
+++ b/internal/guard/guard_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"os"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -366,3 +367,30 @@
 	Expect(failed).NotTo(Receive())
 	Eventually(failed).WithTimeout(limit).Should(Receive(MatchError(ContainSubstring("timeout"))))
 })
+
+// Guards against a body that is decoded without being counted because of how it is framed.
+var _ = Describe("a body that costs too much to decode is refused", func() {
+	body := strings.Repeat("{},", 4000)
+	chunk := fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", len(body), body)
+	for name, text := range map[string]string{
+		"with a length":             "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: " + strconv.Itoa(len(body)) + "\r\n\r\n" + body,
+		"in chunks":                 "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk,
+		"in chunks beside a length": "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk,
+		"after an interim response": "POST / HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\nContent-Length: " + strconv.Itoa(len(body)) + "\r\n\r\n" + body,
+	} {
+		It(name, func() {
+			door, decoded := newDoor("door"), make(chan struct{}, 1)
+			door.WholeBody, door.Decoded = bodyLimit, true
+			server := serveStandard(guard.Settings{Bytes: 1 << 20}, door, http.HandlerFunc(func(w http.ResponseWriter, request *http.Request) {
+				echo(w, request)
+				decoded <- struct{}{}
+			}))
+			DeferCleanup(server.close)
+			conn := server.dial()
+			// The server may refuse the request before all of it was sent.
+			_, _ = io.WriteString(conn, text)
+			_, _ = io.Copy(io.Discard, conn)
+			Expect(decoded).NotTo(Receive())
+		})
+	}
+})
