guard: count a header once while its request runs

What was seen: a request with a header of many lines counted half a megabyte for as long as it ran, although its gateway keeps it encoded.

Cause: the cost of parsing was set again when the last byte of the body arrived, over what the handler had stated meanwhile.

Change: only a request that is held back whole is counted at its end; the header of any other was counted before the server got it.

Evidence: "counts what a handler states until the request ends" in internal/guard fails before.

--- a/internal/guard/conn.go
+++ b/internal/guard/conn.go
@@ -368,7 +368,8 @@
 func (conn *conn) finish() bool {
 	conn.begun = false
 	conn.limitReads(time.Time{})
-	if !conn.account.SetRequest(conn.cost()) || !conn.account.Run() {
+	// A server that counts bodies itself may have stated what it keeps of the header.
+	if conn.whole && !conn.account.SetRequest(conn.cost()) || !conn.account.Run() {
 		conn.failure = conn.refuse(http.StatusServiceUnavailable)
 		return false
 	}
--- a/internal/guard/guard_test.go
+++ b/internal/guard/guard_test.go
@@ -394,3 +394,27 @@
 		})
 	}
 })
+
+// Guards against the cost of parsing a header that is counted again once the server has
+// released what it parsed.
+var _ = It("counts what a handler states until the request ends", func() {
+	const bytes = 1000
+	stated, running, release := make(chan struct{}), make(chan struct{}), make(chan struct{})
+	server := serveStandard(guard.Settings{Bytes: 8 << 20}, newDoor("door"), http.HandlerFunc(func(w http.ResponseWriter, request *http.Request) {
+		guard.From(request.Context()).SetRequest(bytes)
+		close(stated)
+		echo(w, request)
+		close(running)
+		<-release
+	}))
+	DeferCleanup(server.close)
+	conn, text := server.dial(), request("/", 3000, "body")
+	send(conn, text[:len(text)-1])
+	Eventually(stated).WithTimeout(limit).Should(BeClosed())
+	send(conn, text[len(text)-1:])
+	Eventually(running).WithTimeout(limit).Should(BeClosed())
+	Expect(server.guard.Held()).To(BeNumerically("<", 64<<10))
+	close(release)
+	status, _ := receive(bufio.NewReader(conn))
+	Expect(status).To(Equal(http.StatusOK))
+})
