--- a/internal/plan/plan.go
+++ b/internal/plan/plan.go
@@ -118,7 +118,7 @@
 }
 
 // Limits bound the header and body sizes of requests, in bytes, and the idle time of
-// connections. Only Body is read yet.
+// connections. Idle is not read yet.
 type Limits struct {
 	Header int
 	Body   int
