guard: of a chunked body count the trailer, not the lines between chunks

Cause: the tracker counted every line of a chunked body as if a server parsed it into a header line, so that chunks cost too much. At a gateway the trailer was then not counted at all, which made such requests small ones: they took the part of the bound that is kept for ordinary requests.

Change: header and trailer have sizes of their own. The trailer is counted when it arrives, and given back when the gateway has dropped it. A request counts as small by the most that it ever held.

Evidence: "serves a body in chunks of one byte" and "counts a trailer" fail before.

--- a/internal/evict/evict.go
+++ b/internal/evict/evict.go
@@ -25,6 +25,8 @@
 	ID uint64
 	// Held is the number of bytes held.
 	Held int64
+	// Peak is the largest number of bytes held for the current request.
+	Peak int64
 	// Since is when the connection last made progress: when its current request began to
 	// arrive or, on an idle connection, when the last one ended.
 	Since clock.Millis
@@ -62,14 +64,14 @@
 	if limits.Bytes <= 0 {
 		return Admit{}
 	}
-	var held, own int64
+	var held, size int64
 	for at := range holders {
 		held += holders[at].Held
 		if holders[at].ID == asker {
-			own = holders[at].Held
+			size = max(holders[at].Held+more, holders[at].Peak)
 		}
 	}
-	room := Room(limits, own+more)
+	room := Room(limits, size)
 	if held+more <= room {
 		return Admit{}
 	}
@@ -89,7 +91,8 @@
 	return Close{IDs: closed}
 }
 
-// Room returns the number of bytes of the bound that a holder of a size may use.
+// Room returns the number of bytes of the bound that a holder may use whose largest size is
+// the given one.
 func Room(limits Limits, size int64) int64 {
 	if size <= limits.Bytes/smallParts {
 		return limits.Bytes
--- a/internal/frame/frame.go
+++ b/internal/frame/frame.go
@@ -37,7 +37,7 @@
 	chunkSize chunkStep = iota
 	chunkData
 	chunkEnd
-	trailer
+	trailerLine
 )
 
 // Tracker follows the requests of one connection.
@@ -47,8 +47,8 @@
 	// lineBytes counts all its bytes.
 	line      []byte
 	lineBytes int
-	// head describes the header of the current request.
-	head Size
+	// head describes the header of the current request, and trailer its trailer.
+	head, trailer Size
 	// hasLine is set once the request line was read.
 	hasLine bool
 	// other is set for a request of a version that is not known to be 1.1, in which
@@ -73,12 +73,25 @@
 	Bytes, Lines, Commas int
 }
 
+// with returns the size with more bytes, of which at most the last ends a line.
+func (size Size) with(part []byte) Size {
+	size.Bytes += len(part)
+	size.Commas += bytes.Count(part, []byte{','})
+	if bytes.HasSuffix(part, []byte{'\n'}) {
+		size.Lines++
+	}
+	return size
+}
+
 // Phase returns the phase of the next byte.
 func (tracker *Tracker) Phase() Phase { return tracker.phase }
 
-// Head returns the size of the header, and of a trailer, of the current request so far.
+// Head returns the size of the header of the current request so far.
 func (tracker *Tracker) Head() Size { return tracker.head }
 
+// Trailer returns the size of the trailer of the current request so far.
+func (tracker *Tracker) Trailer() Size { return tracker.trailer }
+
 // Length returns the length of the current request's body in bytes, or Chunked.
 func (tracker *Tracker) Length() int64 {
 	if tracker.chunked {
@@ -107,6 +120,7 @@
 func (tracker *Tracker) feedHead(data []byte) (used int, ended bool) {
 	for used < len(data) {
 		size, complete := tracker.feedLine(data[used:])
+		tracker.head = tracker.head.with(data[used : used+size])
 		used += size
 		if !complete {
 			return used, false
@@ -134,13 +148,10 @@
 	}
 	part := data[:used]
 	tracker.lineBytes += used
-	tracker.head.Bytes += used
-	tracker.head.Commas += bytes.Count(part, []byte{','})
 	tracker.line = append(tracker.line, part[:min(len(part), maxLineBytes-len(tracker.line))]...)
 	if end < 0 {
 		return used, false
 	}
-	tracker.head.Lines++
 	if tracker.lineBytes <= maxLineBytes {
 		tracker.line = bytes.TrimSuffix(bytes.TrimSuffix(tracker.line, []byte{'\n'}), []byte{'\r'})
 	}
@@ -211,7 +222,7 @@
 // endRequest prepares for the next request. The description of the one that ended stays
 // until the next one begins.
 func (tracker *Tracker) endRequest() {
-	*tracker = Tracker{line: tracker.line[:0], head: tracker.head, length: tracker.length, chunked: tracker.chunked, expects: tracker.expects}
+	*tracker = Tracker{line: tracker.line[:0], head: tracker.head, trailer: tracker.trailer, length: tracker.length, chunked: tracker.chunked, expects: tracker.expects}
 }
 
 // Begin discards the description of the request that ended.
@@ -236,6 +247,9 @@
 			continue
 		}
 		size, complete := tracker.feedLine(data[used:])
+		if tracker.step == trailerLine {
+			tracker.trailer = tracker.trailer.with(data[used : used+size])
+		}
 		used += size
 		if !complete {
 			break
@@ -258,7 +272,7 @@
 func (tracker *Tracker) chunkLine() bool {
 	empty := len(tracker.line) == 0
 	switch tracker.step {
-	case trailer:
+	case trailerLine:
 		return empty
 	case chunkEnd:
 		tracker.step = chunkSize
@@ -273,7 +287,7 @@
 			return false
 		}
 		if tracker.remaining, tracker.step = int64(size), chunkData; size == 0 {
-			tracker.step = trailer
+			tracker.step = trailerLine
 		}
 	}
 	return false
--- a/internal/frame/frame_test.go
+++ b/internal/frame/frame_test.go
@@ -30,13 +30,16 @@
 	Head   int `json:"head"`
 	Lines  int `json:"lines"`
 	Commas int `json:"commas"`
+	// TrailerLines is the number of lines of the trailer of the first request, with the
+	// empty one at its end.
+	TrailerLines int `json:"trailerLines"`
 	// Unframed is set if the requests cannot be told apart any more.
 	Unframed bool `json:"unframed"`
 }
 
 // split follows a text in pieces of a size and returns where requests end, the size of the
-// first header and the phase at the end.
-func split(text []byte, piece int) (ends []int, head frame.Size, last frame.Phase) {
+// first header, that of its trailer and the phase at the end.
+func split(text []byte, piece int) (ends []int, head, trailer frame.Size, last frame.Phase) {
 	tracker, hasHead := frame.Tracker{}, false
 	for at := 0; at < len(text); {
 		end := min(at+piece, len(text))
@@ -46,12 +49,15 @@
 				head, hasHead = tracker.Head(), true
 			}
 			if ended {
+				if len(ends) == 0 {
+					trailer = tracker.Trailer()
+				}
 				ends = append(ends, at)
 				tracker.Begin()
 			}
 		}
 	}
-	return ends, head, tracker.Phase()
+	return ends, head, trailer, tracker.Phase()
 }
 
 var _ = Describe("a tracker", func() {
@@ -66,10 +72,11 @@
 	for _, script := range scripts {
 		It(script.Name, func() {
 			for _, piece := range []int{1, 2, 7, len(script.Text)} {
-				ends, head, last := split([]byte(script.Text), piece)
+				ends, head, trailer, last := split([]byte(script.Text), piece)
 				Expect(ends).To(Equal(script.Ends), "pieces of %d", piece)
 				Expect(last == frame.Unframed).To(Equal(script.Unframed), "pieces of %d", piece)
 				Expect(head).To(Equal(frame.Size{Bytes: script.Head, Lines: script.Lines, Commas: script.Commas}), "pieces of %d", piece)
+				Expect(trailer.Lines).To(Equal(script.TrailerLines), "pieces of %d", piece)
 			}
 		})
 	}
@@ -90,7 +97,7 @@
 		f.Add([]byte(script.Text), 3)
 	}
 	f.Fuzz(func(t *testing.T, text []byte, piece int) {
-		ends, _, last := split(text, max(piece, 1))
+		ends, _, _, last := split(text, max(piece, 1))
 		source := bytes.NewReader(text)
 		reader := bufio.NewReader(source)
 		request, err := http.ReadRequest(reader)
--- a/internal/gate/serve.go
+++ b/internal/gate/serve.go
@@ -103,6 +103,11 @@
 // would stay in memory until the request ends.
 func (call *call) dropHeader(request *http.Request) {
 	request.Header, request.Trailer = nil, nil
+	call.countHeader()
+}
+
+// countHeader counts what the request needs besides its body.
+func (call *call) countHeader() {
 	if call.account != nil && !call.account.SetRequest(call.task.Size()*headerCopies+requestCost) {
 		// The connection was closed to make room for others.
 		panic(http.ErrAbortHandler)
@@ -218,6 +223,7 @@
 	request.Trailer = nil
 	if err == nil {
 		restore()
+		call.countHeader()
 		call.task.Body = body
 		return call.run()
 	}
--- a/internal/guard/conn.go
+++ b/internal/guard/conn.go
@@ -368,14 +368,26 @@
 func (conn *conn) finish() bool {
 	conn.begun = false
 	conn.limitReads(time.Time{})
-	// A server that counts bodies itself may have stated what it keeps of the header.
-	if conn.whole && !conn.account.SetRequest(conn.cost()) || !conn.account.Run() {
+	if !conn.takeEnd() || !conn.account.Run() {
 		conn.failure = conn.refuse(http.StatusServiceUnavailable)
 		return false
 	}
 	return true
 }
 
+// takeEnd counts what the server parses at the end of the request.
+func (conn *conn) takeEnd() bool {
+	switch trailer := conn.tracker.Trailer(); {
+	case conn.whole:
+		return conn.account.SetRequest(conn.cost())
+	case trailer.Lines > 1:
+		// Without a trailer there is only the empty line. The server may have stated what it
+		// keeps of the header, so the trailer is added to that.
+		return conn.account.addRequest(parseCost(trailer))
+	}
+	return true
+}
+
 // cost returns what the server needs for the current request so far, in bytes.
 func (conn *conn) cost() int64 {
 	head, body := conn.tracker.Head(), int64(0)
@@ -385,8 +397,12 @@
 			body = max(body, min(conn.tracker.Length(), int64(conn.door.WholeBody)))
 		}
 	}
-	return int64(head.Bytes)*byteCost + int64(head.Lines)*lineCost + int64(head.Commas)*commaCost +
-		body*byteCost + int64(conn.objects)*objectCost + int64(conn.values)*valueCost
+	return parseCost(head) + body*byteCost + int64(conn.objects)*objectCost + int64(conn.values)*valueCost
+}
+
+// parseCost returns what a server needs for a header or trailer.
+func parseCost(size frame.Size) int64 {
+	return int64(size.Bytes)*byteCost + int64(size.Lines)*lineCost + int64(size.Commas)*commaCost
 }
 
 // refuse responds to a request that the server does not get to see, which has not run. It
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -85,7 +85,9 @@
 	door  string
 	// close closes the connection.
 	close func()
-	held  int64
+	// held is the number of bytes held, and peak the largest one since the current request
+	// began.
+	held, peak int64
 	// request is the part of held that ends with the current request.
 	request int64
 	since   clock.Millis
@@ -183,7 +185,7 @@
 	holders := make([]evict.Holder, 0, len(guard.accounts))
 	for id, account := range guard.accounts {
 		if door == "" || account.door == door {
-			holders = append(holders, evict.Holder{ID: id, Held: account.held, Since: account.since, Running: account.running})
+			holders = append(holders, evict.Holder{ID: id, Held: account.held, Peak: account.peak, Since: account.since, Running: account.running})
 		}
 	}
 	return holders
@@ -297,7 +299,7 @@
 		return nil, false
 	}
 	var closing []*Account
-	if limits := (evict.Limits{Bytes: guard.settings.Bytes}); limits.Bytes > 0 && guard.held.Held()+more > evict.Room(limits, account.held+more) {
+	if limits := (evict.Limits{Bytes: guard.settings.Bytes}); limits.Bytes > 0 && guard.held.Held()+more > evict.Room(limits, max(account.held+more, account.peak)) {
 		decision := evict.Bytes(limits, guard.holders(""), account.id, more, guard.clock.Now())
 		var ok bool
 		if closing, ok = guard.carryOut(decision, denial{account.door, reasonMemory}); !ok {
@@ -308,6 +310,7 @@
 		return closing, false
 	}
 	account.held += more
+	account.peak = max(account.peak, account.held)
 	return closing, true
 }
 
@@ -326,9 +329,20 @@
 // SetRequest sets the bytes held for the current request besides those of Take. It reports
 // whether they may be held; if not, the count is unchanged.
 func (account *Account) SetRequest(size int64) bool {
+	account.guard.mu.Lock()
+	return account.changeRequest(size - account.request)
+}
+
+// addRequest adds to the bytes of SetRequest.
+func (account *Account) addRequest(more int64) bool {
+	account.guard.mu.Lock()
+	return account.changeRequest(more)
+}
+
+// changeRequest changes the bytes held for the current request. The caller holds mu, which
+// is released.
+func (account *Account) changeRequest(more int64) bool {
 	guard := account.guard
-	guard.mu.Lock()
-	more := size - account.request
 	var closing []*Account
 	ok := !account.closed
 	switch {
@@ -339,7 +353,7 @@
 		guard.held.Give(-more)
 	}
 	if ok {
-		account.request = size
+		account.request += more
 	}
 	guard.mu.Unlock()
 	closeAll(closing)
@@ -366,7 +380,7 @@
 func (account *Account) progress() {
 	account.guard.mu.Lock()
 	defer account.guard.mu.Unlock()
-	account.since = account.guard.clock.Now()
+	account.since, account.peak = account.guard.clock.Now(), account.held
 }
 
 // rest states that a request was answered and nothing is kept of it.
--- a/internal/guard/guard_test.go
+++ b/internal/guard/guard_test.go
@@ -418,3 +418,33 @@
 	status, _ := receive(bufio.NewReader(conn))
 	Expect(status).To(Equal(http.StatusOK))
 })
+
+// Guards against the lines between chunks that are counted as if they were parsed into
+// header lines.
+var _ = It("serves a body in chunks of one byte", func() {
+	server := serveFast(guard.Settings{Bytes: 4 << 20}, newDoor("fast"))
+	DeferCleanup(server.close)
+	conn := server.dial()
+	send(conn, "POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"+strings.Repeat("1\r\nx\r\n", 20_000)+"0\r\n\r\n")
+	status, body := receive(bufio.NewReader(conn))
+	Expect(status).To(Equal(http.StatusOK), body)
+})
+
+// Guards against requests with large trailers that take the part of the bound that is kept
+// for small requests.
+var _ = It("counts a trailer", func() {
+	began, release := make(chan struct{}), make(chan struct{})
+	server := serveStandard(guard.Settings{Bytes: 8 << 20}, newDoor("door"), http.HandlerFunc(func(w http.ResponseWriter, request *http.Request) {
+		echo(w, request)
+		close(began)
+		<-release
+	}))
+	DeferCleanup(server.close)
+	conn := server.dial()
+	send(conn, "POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n"+strings.Repeat("a:\r\n", 900)+"\r\n")
+	Eventually(began).WithTimeout(limit).Should(BeClosed())
+	Expect(server.guard.Held()).To(BeNumerically(">", 100<<10))
+	close(release)
+	status, _ := receive(bufio.NewReader(conn))
+	Expect(status).To(Equal(http.StatusOK))
+})
