guard: say listener and options where it said door

The usual words of the field: a listener with options. The log field is listener, the metric denied counts as LISTENER.REASON.

--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -177,7 +177,7 @@
 		Handler: platform.NewControlHandler(control), MaxHeaderBytes: apiHeaderBytes, ReadHeaderTimeout: apiRequestTimeout.Duration(), IdleTimeout: apiIdleTimeout,
 		ConnState: guard.Follow,
 	}}
-	guarded := control.Guard().Listen(listener, guard.Door{
+	guarded := control.Guard().Listen(listener, guard.Options{
 		Name: "operators", Share: guard.OperatorsShare, HeadLimit: func() int { return apiHeaderBytes }, HeadTime: apiRequestTimeout,
 		WholeBody: platform.MaxDocumentBytes, Decoded: true, WriteStall: apiWriteStall,
 	})
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -85,7 +85,7 @@
 	front.app.All("/v1/*", front.serve)
 	front.app.All("/services/*", front.serve)
 	front.serving.Go(func() {
-		bounds.Served("callers", front.app.Listener(bounds.Listen(listener, guard.Door{
+		bounds.Served("callers", front.app.Listener(bounds.Listen(listener, guard.Options{
 			Name: "callers", Share: guard.CallersShare, HeadLimit: func() int { return settings.MaxHeader }, HeadTime: settings.ReadLimit,
 			WholeBody: settings.MaxBody, ServerRefuses: true, Respond: front.refusal, WriteStall: callerWriteTimeout,
 		})))
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -204,7 +204,7 @@
 	if err != nil {
 		return errors.Wrap(err, "setting --http-listen")
 	}
-	gateway.listener = gateway.guard.Listen(listener, guard.Door{
+	gateway.listener = gateway.guard.Listen(listener, guard.Options{
 		Name: "callers", Share: guard.CallersShare, HeadLimit: gateway.headLimit, HeadTime: headerReadTimeout, WriteStall: gateway.settings.Gateway.WriteStall,
 	})
 	gateway.http = &http.Server{
@@ -223,7 +223,7 @@
 		Handler: http.HandlerFunc(gateway.answerReady), MaxHeaderBytes: maxCheckBytes, ReadHeaderTimeout: headerReadTimeout.Duration(), IdleTimeout: idleTimeout,
 		ConnState: guard.Follow,
 	}
-	gateway.serve(gateway.ready, gateway.guard.Listen(ready, guard.Door{
+	gateway.serve(gateway.ready, gateway.guard.Listen(ready, guard.Options{
 		Name: "ready", Share: guard.ChecksShare, HeadLimit: func() int { return maxCheckBytes }, HeadTime: headerReadTimeout,
 		WriteStall: gateway.settings.Gateway.WriteStall,
 	}))
--- a/internal/guard/bench_test.go
+++ b/internal/guard/bench_test.go
@@ -26,7 +26,7 @@
 		}
 	}
 	guarded := func(inner net.Listener) func() {
-		return serveOn(inner, guard.Settings{Bytes: 64 << 20, Descriptors: 1000}, newDoor("door"), http.HandlerFunc(echo)).close
+		return serveOn(inner, guard.Settings{Bytes: 64 << 20, Descriptors: 1000}, newOptions("callers"), http.HandlerFunc(echo)).close
 	}
 	for _, variant := range []struct {
 		name  string
--- a/internal/guard/conn.go
+++ b/internal/guard/conn.go
@@ -43,7 +43,7 @@
 // header, or all of it, has arrived: until then it costs no more than its bytes.
 type conn struct {
 	net.Conn
-	door    Door
+	options Options
 	account *Account
 
 	// received is the number of bytes since the server last wrote, for clients that do not
@@ -78,8 +78,8 @@
 	writesUntil time.Time
 }
 
-func newConn(accepted net.Conn, door Door, account *Account) *conn {
-	return &conn{Conn: accepted, door: door, account: account}
+func newConn(accepted net.Conn, options Options, account *Account) *conn {
+	return &conn{Conn: accepted, options: options, account: account}
 }
 
 // Of returns the account of a connection of a guarded listener, or nil.
@@ -137,7 +137,7 @@
 
 // Read passes on the next bytes of a request.
 func (conn *conn) Read(into []byte) (int, error) {
-	if conn.door.HeadLimit == nil {
+	if conn.options.HeadLimit == nil {
 		return conn.readMessage(into)
 	}
 	for {
@@ -256,7 +256,7 @@
 		return
 	}
 	conn.failure = err
-	if conn.door.ServerRefuses && !errors.Is(err, net.ErrClosed) {
+	if conn.options.ServerRefuses && !errors.Is(err, net.ErrClosed) {
 		// The server responds to the part that arrived.
 		conn.ready, conn.fed = len(conn.pending), len(conn.pending)
 	}
@@ -280,7 +280,7 @@
 	if conn.whole {
 		return conn.tracker.Head().Bytes + int(conn.tracker.Length())
 	}
-	return conn.door.HeadLimit() + 1
+	return conn.options.HeadLimit() + 1
 }
 
 // follow follows bytes from the first that was not. It returns how many of them may be
@@ -318,16 +318,16 @@
 
 // requestEnd returns when a request that begins now must have arrived; zero for any time.
 func (conn *conn) requestEnd() time.Time {
-	if conn.door.HeadTime <= 0 {
+	if conn.options.HeadTime <= 0 {
 		return time.Time{}
 	}
-	return time.Now().Add(conn.door.HeadTime.Duration())
+	return time.Now().Add(conn.options.HeadTime.Duration())
 }
 
 // endsHead reports whether the server may get the header.
 func (conn *conn) endsHead(ended bool) bool {
-	if conn.tracker.Head().Bytes > conn.door.HeadLimit() {
-		if conn.door.ServerRefuses {
+	if conn.tracker.Head().Bytes > conn.options.HeadLimit() {
+		if conn.options.ServerRefuses {
 			return true
 		}
 		conn.failure = conn.refuse(http.StatusRequestHeaderFieldsTooLarge)
@@ -341,7 +341,7 @@
 		return false
 	}
 	length := conn.tracker.Length()
-	conn.whole = !ended && conn.tracker.Phase() == frame.Body && length > 0 && length <= int64(conn.door.WholeBody) && !conn.tracker.Expects()
+	conn.whole = !ended && conn.tracker.Phase() == frame.Body && length > 0 && length <= int64(conn.options.WholeBody) && !conn.tracker.Expects()
 	if !conn.whole {
 		conn.limitReads(time.Time{})
 	}
@@ -352,11 +352,11 @@
 // held.
 func (conn *conn) takeBody(piece []byte) bool {
 	conn.body += len(piece)
-	if conn.door.Decoded {
+	if conn.options.Decoded {
 		conn.objects += bytes.Count(piece, []byte{'{'})
 		conn.values += bytes.Count(piece, []byte{','})
 	}
-	if conn.door.WholeBody == 0 || conn.whole || conn.account.SetRequest(conn.cost()) {
+	if conn.options.WholeBody == 0 || conn.whole || conn.account.SetRequest(conn.cost()) {
 		return true
 	}
 	conn.failure = conn.refuse(http.StatusServiceUnavailable)
@@ -391,10 +391,10 @@
 // cost returns what the server needs for the current request so far, in bytes.
 func (conn *conn) cost() int64 {
 	head, body := conn.tracker.Head(), int64(0)
-	if conn.door.WholeBody > 0 {
+	if conn.options.WholeBody > 0 {
 		if body = int64(conn.body); conn.tracker.Expects() {
 			// The server makes room for the length that was announced.
-			body = max(body, min(conn.tracker.Length(), int64(conn.door.WholeBody)))
+			body = max(body, min(conn.tracker.Length(), int64(conn.options.WholeBody)))
 		}
 	}
 	return parseCost(head) + body*byteCost + int64(conn.objects)*objectCost + int64(conn.values)*valueCost
@@ -409,8 +409,8 @@
 // returns the error that ends the connection.
 func (conn *conn) refuse(status int) error {
 	response := plainResponse
-	if conn.door.Respond != nil {
-		response = conn.door.Respond
+	if conn.options.Respond != nil {
+		response = conn.options.Respond
 	}
 	// The client may have disconnected, and is then told nothing.
 	_ = conn.Conn.SetDeadline(time.Now().Add(drainTime))
@@ -463,12 +463,12 @@
 }
 
 // Write sends a response. It fails once the client has read nothing for the time that the
-// door allows.
+// listener allows.
 func (conn *conn) Write(data []byte) (int, error) {
-	if conn.door.HeadLimit == nil && conn.received.Swap(0) > 0 {
+	if conn.options.HeadLimit == nil && conn.received.Swap(0) > 0 {
 		conn.account.rest()
 	}
-	if conn.door.WriteStall <= 0 {
+	if conn.options.WriteStall <= 0 {
 		return conn.Conn.Write(data)
 	}
 	written := 0
@@ -485,9 +485,9 @@
 }
 
 // extendWrites sets a write deadline that lies between one and one and a half times the
-// time that the door allows ahead, so that not every write has to move it.
+// time that the listener allows ahead, so that not every write has to move it.
 func (conn *conn) extendWrites() error {
-	stall, now := conn.door.WriteStall.Duration(), time.Now()
+	stall, now := conn.options.WriteStall.Duration(), time.Now()
 	if conn.writesUntil.After(now.Add(stall)) {
 		return nil
 	}
--- a/internal/guard/fuzz_test.go
+++ b/internal/guard/fuzz_test.go
@@ -10,9 +10,9 @@
 	"github.com/hibiscuslug/hibiscuslug/internal/guard"
 )
 
-// FuzzDoors sends legal and odd bytes to guarded servers of both kinds. It guards against
+// FuzzServers sends legal and odd bytes to guarded servers of both kinds. It guards against
 // a connection that ends a server, and against bytes that stay counted.
-func FuzzDoors(f *testing.F) {
+func FuzzServers(f *testing.F) {
 	for _, text := range []string{
 		request("/a", 3, "body"), request("/a", 3000, ""), "GET / HTTP/1.1\r\nHost: h\r\n\r\n", "GET / HTTP/1.1\r\nHost: h\r\n",
 		"POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\nA: b\r\n\r\n",
@@ -23,7 +23,7 @@
 		f.Add([]byte(text), 5)
 	}
 	settings := guard.Settings{Bytes: 8 << 20, Descriptors: 1000}
-	servers := []*server{serveStandard(settings, newDoor("standard"), http.HandlerFunc(echo)), serveFast(settings, newDoor("fast"))}
+	servers := []*server{serveStandard(settings, newOptions("standard"), http.HandlerFunc(echo)), serveFast(settings, newOptions("fast"))}
 	f.Cleanup(func() {
 		for _, server := range servers {
 			server.close()
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -39,7 +39,7 @@
 type Settings struct {
 	// Bytes is the memory that all connections may use together.
 	Bytes int64
-	// Descriptors is the number of descriptors that the process may open. Every door gets
+	// Descriptors is the number of descriptors that the process may open. Every listener gets
 	// a part of it.
 	Descriptors int
 }
@@ -56,7 +56,7 @@
 	// mu guards the fields below and those of the accounts. It is a leaf lock.
 	mu       sync.Mutex
 	accounts map[uint64]*Account
-	// counts holds the number of accounts by door.
+	// counts holds the number of accounts by listener.
 	counts map[string]int
 	lastID uint64
 	// held counts the bytes of all accounts.
@@ -69,7 +69,7 @@
 
 // denial is a bound that was reached.
 type denial struct {
-	door, reason string
+	listener, reason string
 }
 
 // pressure is what a bound that was reached has cost so far.
@@ -80,9 +80,9 @@
 
 // Account is what one connection makes the process hold.
 type Account struct {
-	guard *Guard
-	id    uint64
-	door  string
+	guard    *Guard
+	id       uint64
+	listener string
 	// close closes the connection.
 	close func()
 	// held is the number of bytes held, and peak the largest one since the current request
@@ -110,10 +110,10 @@
 	guard.watching.Wait()
 }
 
-// Served logs the error with which the server of a door ended; nil for none.
-func (guard *Guard) Served(door string, err error) {
+// Served logs the error with which the server of a listener ended; nil for none.
+func (guard *Guard) Served(listener string, err error) {
 	if err != nil && !errors.IsAny(err, net.ErrClosed, http.ErrServerClosed) {
-		guard.log.Write(event.ServeFailed, "door", door, "error", err)
+		guard.log.Write(event.ServeFailed, "listener", listener, "error", err)
 	}
 }
 
@@ -121,7 +121,7 @@
 func (guard *Guard) Held() int64 { return guard.held.Held() }
 
 // Denied returns the number of connections closed and refused since the start, as
-// DOOR.REASON.
+// LISTENER.REASON.
 func (guard *Guard) Denied() map[string]int64 {
 	guard.mu.Lock()
 	defer guard.mu.Unlock()
@@ -143,24 +143,24 @@
 }
 
 // open opens an account. The caller holds mu.
-func (guard *Guard) open(door string, shut func()) *Account {
+func (guard *Guard) open(listener string, shut func()) *Account {
 	guard.lastID++
-	account := &Account{guard: guard, id: guard.lastID, door: door, close: shut, since: guard.clock.Now()}
+	account := &Account{guard: guard, id: guard.lastID, listener: listener, close: shut, since: guard.clock.Now()}
 	guard.accounts[account.id] = account
-	guard.counts[door]++
+	guard.counts[listener]++
 	return account
 }
 
 // accept opens the account of a new connection, or returns nil if there is no room for
 // one. Connections that make no progress give way.
-func (guard *Guard) accept(door string, limit int, shut func()) *Account {
+func (guard *Guard) accept(listener string, limit int, shut func()) *Account {
 	guard.mu.Lock()
-	closing, ok := guard.makePlace(door, limit)
+	closing, ok := guard.makePlace(listener, limit)
 	if !ok {
 		guard.mu.Unlock()
 		return nil
 	}
-	account := guard.open(door, shut)
+	account := guard.open(listener, shut)
 	guard.mu.Unlock()
 	closeAll(closing)
 	if !account.Take(connCost) {
@@ -172,19 +172,19 @@
 
 // makePlace decides about a new connection. It returns the connections that are closed for
 // it, and whether it may be accepted. The caller holds mu.
-func (guard *Guard) makePlace(door string, limit int) ([]*Account, bool) {
-	if limit <= 0 || guard.counts[door] < limit {
+func (guard *Guard) makePlace(listener string, limit int) ([]*Account, bool) {
+	if limit <= 0 || guard.counts[listener] < limit {
 		return nil, true
 	}
-	decision := evict.Connection(evict.Limits{Connections: limit}, guard.holders(door), guard.clock.Now())
-	return guard.carryOut(decision, denial{door, reasonDescriptors})
+	decision := evict.Connection(evict.Limits{Connections: limit}, guard.holders(listener), guard.clock.Now())
+	return guard.carryOut(decision, denial{listener, reasonDescriptors})
 }
 
-// holders lists the connections of a door, or of all doors. The caller holds mu.
-func (guard *Guard) holders(door string) []evict.Holder {
+// holders lists the connections of a listener, or of all. The caller holds mu.
+func (guard *Guard) holders(listener string) []evict.Holder {
 	holders := make([]evict.Holder, 0, len(guard.accounts))
 	for id, account := range guard.accounts {
-		if door == "" || account.door == door {
+		if listener == "" || account.listener == listener {
 			holders = append(holders, evict.Holder{ID: id, Held: account.held, Peak: account.peak, Since: account.since, Running: account.running})
 		}
 	}
@@ -239,13 +239,13 @@
 	guard.held.Give(account.held)
 	account.held, account.request = 0, 0
 	delete(guard.accounts, account.id)
-	guard.counts[account.door]--
+	guard.counts[account.listener]--
 }
 
 // deny counts connections that were closed or refused, and logs when that begins. The
 // caller holds mu.
 func (guard *Guard) deny(why denial, closed, refused int) {
-	guard.denied[why.door+"."+why.reason] += int64(closed + refused)
+	guard.denied[why.listener+"."+why.reason] += int64(closed + refused)
 	current := guard.denials[why]
 	if current == nil && guard.ctx.Err() != nil {
 		// Nobody watches a guard that is closed.
@@ -254,7 +254,7 @@
 	if current == nil {
 		current = &pressure{}
 		guard.denials[why] = current
-		guard.log.Write(event.BoundReached, "door", why.door, "reason", why.reason, "held", guard.held.Held(), "bytes", guard.settings.Bytes,
+		guard.log.Write(event.BoundReached, "listener", why.listener, "reason", why.reason, "held", guard.held.Held(), "bytes", guard.settings.Bytes,
 			"connections", len(guard.accounts), "descriptors", guard.settings.Descriptors)
 		guard.watching.Go(func() { guard.watch(why) })
 	}
@@ -271,7 +271,7 @@
 		calm := guard.clock.Now()-current.lastAt >= calmTime
 		if calm {
 			delete(guard.denials, why)
-			guard.log.Write(event.BoundKept, "door", why.door, "reason", why.reason, "closed", current.closed, "refused", current.refused,
+			guard.log.Write(event.BoundKept, "listener", why.listener, "reason", why.reason, "closed", current.closed, "refused", current.refused,
 				"held", guard.held.Held(), "connections", len(guard.accounts))
 		}
 		guard.mu.Unlock()
@@ -302,7 +302,7 @@
 	if limits := (evict.Limits{Bytes: guard.settings.Bytes}); limits.Bytes > 0 && guard.held.Held()+more > evict.Room(limits, max(account.held+more, account.peak)) {
 		decision := evict.Bytes(limits, guard.holders(""), account.id, more, guard.clock.Now())
 		var ok bool
-		if closing, ok = guard.carryOut(decision, denial{account.door, reasonMemory}); !ok {
+		if closing, ok = guard.carryOut(decision, denial{account.listener, reasonMemory}); !ok {
 			return nil, false
 		}
 	}
--- a/internal/guard/guard_test.go
+++ b/internal/guard/guard_test.go
@@ -44,8 +44,8 @@
 	close   func()
 }
 
-func newDoor(name string) guard.Door {
-	return guard.Door{Name: name, Share: 0.5, HeadLimit: func() int { return headLimit }, HeadTime: 10 * clock.Second}
+func newOptions(name string) guard.Options {
+	return guard.Options{Name: name, Share: 0.5, HeadLimit: func() int { return headLimit }, HeadTime: 10 * clock.Second}
 }
 
 func newGuard(settings guard.Settings) *guard.Guard {
@@ -53,15 +53,15 @@
 }
 
 // serveStandard starts a server of net/http.
-func serveStandard(settings guard.Settings, door guard.Door, handler http.Handler) *server {
-	return serveOn(listen(), settings, door, handler)
+func serveStandard(settings guard.Settings, options guard.Options, handler http.Handler) *server {
+	return serveOn(listen(), settings, options, handler)
 }
 
-func serveOn(inner net.Listener, settings guard.Settings, door guard.Door, handler http.Handler) *server {
+func serveOn(inner net.Listener, settings guard.Settings, options guard.Options, handler http.Handler) *server {
 	guarded := newGuard(settings)
 	var running conc.WaitGroup
 	standard := &http.Server{Handler: handler, ReadHeaderTimeout: limit, ConnContext: guard.Context, ConnState: guard.Follow}
-	listener := guarded.Listen(inner, door)
+	listener := guarded.Listen(inner, options)
 	running.Go(func() { _ = standard.Serve(listener) })
 	return &server{guard: guarded, address: inner.Addr().String(), close: func() {
 		_ = standard.Close()
@@ -71,10 +71,10 @@
 }
 
 // serveFast starts a server of fasthttp.
-func serveFast(settings guard.Settings, door guard.Door) *server {
+func serveFast(settings guard.Settings, options guard.Options) *server {
 	inner, guarded := listen(), newGuard(settings)
 	var running conc.WaitGroup
-	door.WholeBody, door.ServerRefuses = bodyLimit, true
+	options.WholeBody, options.ServerRefuses = bodyLimit, true
 	fast := &fasthttp.Server{
 		ReadBufferSize: headLimit, MaxRequestBodySize: bodyLimit, ReduceMemoryUsage: true, DisablePreParseMultipartForm: true, NoDefaultDate: true,
 		ConnState: guard.FollowFast,
@@ -82,7 +82,7 @@
 			fmt.Fprintf(ctx, "%s %s %s", ctx.Method(), ctx.Path(), ctx.Request.Body())
 		},
 	}
-	listener := guarded.Listen(inner, door)
+	listener := guarded.Listen(inner, options)
 	running.Go(func() { _ = fast.Serve(listener) })
 	return &server{guard: guarded, address: inner.Addr().String(), close: func() {
 		_ = fast.Shutdown()
@@ -172,8 +172,8 @@
 		panic(err)
 	}
 	for name, start := range map[string]func() *server{
-		"net/http": func() *server { return serveStandard(guard.Settings{}, newDoor("standard"), http.HandlerFunc(echo)) },
-		"fasthttp": func() *server { return serveFast(guard.Settings{}, newDoor("fast")) },
+		"net/http": func() *server { return serveStandard(guard.Settings{}, newOptions("standard"), http.HandlerFunc(echo)) },
+		"fasthttp": func() *server { return serveFast(guard.Settings{}, newOptions("fast")) },
 	} {
 		for _, script := range scripts {
 			It(name+" "+script.Name, func() {
@@ -211,7 +211,7 @@
 
 // Guards against a header that a server parses line by line while it is incomplete.
 var _ = It("holds a header back until it is complete", func() {
-	server := serveStandard(guard.Settings{}, newDoor("door"), http.HandlerFunc(echo))
+	server := serveStandard(guard.Settings{}, newOptions("callers"), http.HandlerFunc(echo))
 	DeferCleanup(server.close)
 	conn, text := server.dial(), request("/", 3000, "")
 	send(conn, text[:len(text)-2])
@@ -224,7 +224,7 @@
 
 // Guards against a header above the limit that is read to its end.
 var _ = It("refuses a header above the limit before it is complete", func() {
-	server := serveStandard(guard.Settings{}, newDoor("door"), http.HandlerFunc(echo))
+	server := serveStandard(guard.Settings{}, newOptions("callers"), http.HandlerFunc(echo))
 	DeferCleanup(server.close)
 	conn := server.dial()
 	send(conn, request("/", headLimit/4+1, "")[:headLimit+1])
@@ -234,9 +234,9 @@
 
 // Guards against a header that arrives slower and slower.
 var _ = It("closes a connection whose header does not arrive in time", func() {
-	door := newDoor("door")
-	door.HeadTime = 50 * clock.Millis(1)
-	server := serveStandard(guard.Settings{}, door, http.HandlerFunc(echo))
+	options := newOptions("callers")
+	options.HeadTime = 50 * clock.Millis(1)
+	server := serveStandard(guard.Settings{}, options, http.HandlerFunc(echo))
 	DeferCleanup(server.close)
 	conn := server.dial()
 	send(conn, "GET / HTTP/1.1\r\n")
@@ -246,13 +246,13 @@
 
 // Guards against a body that is given up because its header had little time.
 var _ = It("limits the time of a header only", func() {
-	door := newDoor("door")
-	door.HeadTime = 50 * clock.Millis(1)
-	server := serveStandard(guard.Settings{}, door, http.HandlerFunc(echo))
+	options := newOptions("callers")
+	options.HeadTime = 50 * clock.Millis(1)
+	server := serveStandard(guard.Settings{}, options, http.HandlerFunc(echo))
 	DeferCleanup(server.close)
 	conn, text := server.dial(), request("/", 0, "body")
 	send(conn, text[:len(text)-1])
-	time.Sleep(4 * door.HeadTime.Duration())
+	time.Sleep(4 * options.HeadTime.Duration())
 	send(conn, text[len(text)-1:])
 	status, body := receive(bufio.NewReader(conn))
 	Expect(status).To(Equal(http.StatusOK))
@@ -262,7 +262,7 @@
 // Guards against clients that hold all memory with requests that never become complete.
 var _ = It("makes room for an ordinary request beside stalled ones", func() {
 	const bytes = 1 << 20
-	server := serveStandard(guard.Settings{Bytes: bytes}, newDoor("door"), http.HandlerFunc(echo))
+	server := serveStandard(guard.Settings{Bytes: bytes}, newOptions("callers"), http.HandlerFunc(echo))
 	DeferCleanup(server.close)
 	text := request("/", 3000, "")
 	for range 200 {
@@ -270,25 +270,25 @@
 	}
 	Expect(server.get()).To(Equal(http.StatusOK))
 	Expect(server.guard.Held()).To(BeNumerically("<=", bytes))
-	Expect(server.guard.Denied()).To(HaveKey("door.memory"))
+	Expect(server.guard.Denied()).To(HaveKey("callers.memory"))
 })
 
 // Guards against idle connections that keep others from being accepted.
 var _ = It("makes room for a connection beside idle ones", func() {
-	server := serveStandard(guard.Settings{Descriptors: 20}, newDoor("door"), http.HandlerFunc(echo))
+	server := serveStandard(guard.Settings{Descriptors: 20}, newOptions("callers"), http.HandlerFunc(echo))
 	DeferCleanup(server.close)
 	for range 30 {
 		server.dial()
 	}
 	Expect(server.get()).To(Equal(http.StatusOK))
-	Expect(server.guard.Denied()).To(HaveKey("door.descriptors"))
+	Expect(server.guard.Denied()).To(HaveKey("callers.descriptors"))
 })
 
 // Guards against a request that is ended to make room for a new one.
 var _ = It("closes no connection whose request runs", func() {
 	var once sync.Once
 	began, release := make(chan struct{}), make(chan struct{})
-	server := serveStandard(guard.Settings{Descriptors: 4}, newDoor("door"), http.HandlerFunc(func(w http.ResponseWriter, request *http.Request) {
+	server := serveStandard(guard.Settings{Descriptors: 4}, newOptions("callers"), http.HandlerFunc(func(w http.ResponseWriter, request *http.Request) {
 		if request.URL.Path == "/wait" {
 			once.Do(func() { close(began) })
 			<-release
@@ -313,7 +313,7 @@
 // request, and is not told that it did not run.
 var _ = It("answers a request that does not fit", func() {
 	ran := false
-	server := serveStandard(guard.Settings{Bytes: 100 << 10}, newDoor("door"), http.HandlerFunc(func(http.ResponseWriter, *http.Request) { ran = true }))
+	server := serveStandard(guard.Settings{Bytes: 100 << 10}, newOptions("callers"), http.HandlerFunc(func(http.ResponseWriter, *http.Request) { ran = true }))
 	DeferCleanup(server.close)
 	conn := server.dial()
 	send(conn, request("/", 3000, ""))
@@ -339,7 +339,7 @@
 
 // Guards against a server that ends with the first connection that cannot be accepted.
 var _ = It("accepts again after errors", func() {
-	server := serveOn(&failingListener{Listener: listen(), failures: 3}, guard.Settings{}, newDoor("door"), http.HandlerFunc(echo))
+	server := serveOn(&failingListener{Listener: listen(), failures: 3}, guard.Settings{}, newOptions("callers"), http.HandlerFunc(echo))
 	DeferCleanup(server.close)
 	Expect(server.get()).To(Equal(http.StatusOK))
 })
@@ -347,9 +347,9 @@
 // Guards against responses that are kept for a client that reads nothing, and against
 // cutting off one that is only slow.
 var _ = It("fails a write only if the client reads nothing for the limit", func() {
-	door, failed := newDoor("door"), make(chan error, 1)
-	door.WriteStall = 500 * clock.Millis(1)
-	server := serveStandard(guard.Settings{}, door, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+	options, failed := newOptions("callers"), make(chan error, 1)
+	options.WriteStall = 500 * clock.Millis(1)
+	server := serveStandard(guard.Settings{}, options, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		for {
 			if _, err := w.Write(make([]byte, 1<<20)); err != nil {
 				failed <- err
@@ -379,9 +379,9 @@
 		"after an interim response": "POST / HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\nContent-Length: " + strconv.Itoa(len(body)) + "\r\n\r\n" + body,
 	} {
 		It(name, func() {
-			door, decoded := newDoor("door"), make(chan struct{}, 1)
-			door.WholeBody, door.Decoded = bodyLimit, true
-			server := serveStandard(guard.Settings{Bytes: 1 << 20}, door, http.HandlerFunc(func(w http.ResponseWriter, request *http.Request) {
+			options, decoded := newOptions("callers"), make(chan struct{}, 1)
+			options.WholeBody, options.Decoded = bodyLimit, true
+			server := serveStandard(guard.Settings{Bytes: 1 << 20}, options, http.HandlerFunc(func(w http.ResponseWriter, request *http.Request) {
 				echo(w, request)
 				decoded <- struct{}{}
 			}))
@@ -400,7 +400,7 @@
 var _ = It("counts what a handler states until the request ends", func() {
 	const bytes = 1000
 	stated, running, release := make(chan struct{}), make(chan struct{}), make(chan struct{})
-	server := serveStandard(guard.Settings{Bytes: 8 << 20}, newDoor("door"), http.HandlerFunc(func(w http.ResponseWriter, request *http.Request) {
+	server := serveStandard(guard.Settings{Bytes: 8 << 20}, newOptions("callers"), http.HandlerFunc(func(w http.ResponseWriter, request *http.Request) {
 		guard.From(request.Context()).SetRequest(bytes)
 		close(stated)
 		echo(w, request)
@@ -422,7 +422,7 @@
 // Guards against the lines between chunks that are counted as if they were parsed into
 // header lines.
 var _ = It("serves a body in chunks of one byte", func() {
-	server := serveFast(guard.Settings{Bytes: 4 << 20}, newDoor("fast"))
+	server := serveFast(guard.Settings{Bytes: 4 << 20}, newOptions("fast"))
 	DeferCleanup(server.close)
 	conn := server.dial()
 	send(conn, "POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"+strings.Repeat("1\r\nx\r\n", 20_000)+"0\r\n\r\n")
@@ -434,7 +434,7 @@
 // for small requests.
 var _ = It("counts a trailer", func() {
 	began, release := make(chan struct{}), make(chan struct{})
-	server := serveStandard(guard.Settings{Bytes: 8 << 20}, newDoor("door"), http.HandlerFunc(func(w http.ResponseWriter, request *http.Request) {
+	server := serveStandard(guard.Settings{Bytes: 8 << 20}, newOptions("callers"), http.HandlerFunc(func(w http.ResponseWriter, request *http.Request) {
 		echo(w, request)
 		close(began)
 		<-release
--- a/internal/guard/listener.go
+++ b/internal/guard/listener.go
@@ -34,9 +34,9 @@
 	ChecksShare = 1.0 / 32
 )
 
-// Door describes the clients of a listener.
-type Door struct {
-	// Name names the door in the log and in metrics.
+// Options describe the clients of a listener.
+type Options struct {
+	// Name names the listener in the log and in metrics.
 	Name string
 	// Share is the part of the descriptors of the process that its connections may use.
 	Share float64
@@ -64,10 +64,10 @@
 
 type listener struct {
 	net.Listener
-	guard  *Guard
-	door   Door
-	ctx    context.Context
-	cancel context.CancelFunc
+	guard   *Guard
+	options Options
+	ctx     context.Context
+	cancel  context.CancelFunc
 	// closing keeps the first result of Close, which servers call more than once.
 	closing sync.Once
 	closed  error
@@ -75,9 +75,9 @@
 
 // Listen returns a listener that passes on the connections of another one. Its Accept ends
 // only when it is closed: other errors are logged and waited out.
-func (guard *Guard) Listen(inner net.Listener, door Door) net.Listener {
+func (guard *Guard) Listen(inner net.Listener, options Options) net.Listener {
 	ctx, cancel := context.WithCancel(guard.ctx)
-	return &listener{Listener: inner, guard: guard, door: door, ctx: ctx, cancel: cancel}
+	return &listener{Listener: inner, guard: guard, options: options, ctx: ctx, cancel: cancel}
 }
 
 // Accept returns the next connection for which there is room.
@@ -89,7 +89,7 @@
 		case errors.Is(err, net.ErrClosed):
 			return nil, err
 		case err != nil:
-			listener.guard.log.Write(event.AcceptFailed, "door", listener.door.Name, "wait", wait, "error", err)
+			listener.guard.log.Write(event.AcceptFailed, "listener", listener.options.Name, "wait", wait, "error", err)
 			if err := listener.guard.clock.Sleep(listener.ctx, wait); err != nil {
 				return nil, net.ErrClosed
 			}
@@ -97,22 +97,22 @@
 			continue
 		}
 		wait = minAcceptWait
-		account := listener.guard.accept(listener.door.Name, listener.limit(), func() { _ = accepted.Close() })
+		account := listener.guard.accept(listener.options.Name, listener.limit(), func() { _ = accepted.Close() })
 		if account == nil {
 			// Nothing was read, so there is nobody to tell an error.
 			_ = accepted.Close()
 			continue
 		}
-		return newConn(accepted, listener.door, account), nil
+		return newConn(accepted, listener.options, account), nil
 	}
 }
 
-// limit returns the number of connections that the door may have; 0 for any.
+// limit returns the number of connections that the listener may have; 0 for any.
 func (listener *listener) limit() int {
 	if listener.guard.settings.Descriptors <= 0 {
 		return 0
 	}
-	return max(int(float64(listener.guard.settings.Descriptors)*listener.door.Share), 1)
+	return max(int(float64(listener.guard.settings.Descriptors)*listener.options.Share), 1)
 }
 
 // Close closes the listener. Its connections stay open.
--- a/internal/link/server.go
+++ b/internal/link/server.go
@@ -36,7 +36,7 @@
 // Bound limits what the clients of the server may use. It is called before Start.
 func (server *Server) Bound(bounds *guard.Guard, share float64) {
 	server.guard = bounds
-	server.listener = bounds.Listen(server.listener, guard.Door{Name: "peers", Share: share})
+	server.listener = bounds.Listen(server.listener, guard.Options{Name: "peers", Share: share})
 }
 
 // Mux returns the multiplexer on which services are registered.
--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -48,7 +48,7 @@
 	Noticed         = Metric{"noticed", "endpoints", "starts of endpoints by what was noticed of them: leaving, pausing (this gateway sends nothing), pausingElsewhere and slow (gateway)"}
 	SlowEndpoints   = Metric{"slowEndpoints", "endpoints", "endpoints of services without engines that are estimated to be slower than others of their service (gateway)"}
 	Held            = Metric{"held", "bytes", "bytes of memory that requests and connections of clients take by estimate, bounded by --max-held (all)"}
-	Denied          = Metric{"denied", "connections", "connections closed or refused since the start because a bound was reached, as DOOR.REASON; the reason is memory or descriptors (all)"}
+	Denied          = Metric{"denied", "connections", "connections closed or refused since the start because a bound was reached, as LISTENER.REASON; the reason is memory or descriptors (all)"}
 	PauseEnded      = Metric{"pauseEnded", "requests", "requests ended since the start because all endpoints ask for a pause (gateway)"}
 	Members         = Metric{"members", "processes", "processes known by their announcements, by role (entry)"}
 	ControlBytesIn  = Metric{"controlBytesIn", "bytes", "bytes received since the start on connections for membership, configuration and commands (all)"}
@@ -160,7 +160,7 @@
 		ReadBufferSize: maxHeaderBytes, ReadTimeout: readTimeout.Duration(), IdleTimeout: idleTimeout,
 	})
 	if meter.guard != nil {
-		listener = meter.guard.Listen(listener, guard.Door{
+		listener = meter.guard.Listen(listener, guard.Options{
 			Name: "metrics", Share: guard.ChecksShare, HeadLimit: func() int { return maxHeaderBytes }, HeadTime: readTimeout,
 			WholeBody: maxBodyBytes, ServerRefuses: true, WriteStall: writeStall,
 		})
--- a/test/crowd/crowd_test.go
+++ b/test/crowd/crowd_test.go
@@ -44,10 +44,10 @@
 type crowdCase struct {
 	Name   string `json:"name"`
 	Guards string `json:"guards"`
-	// Role is the process that is tested, and Door the address of it that the crowd uses:
+	// Role is the process that is tested, and Listener the address of it that the crowd uses:
 	// callers, ready, metrics, api or peers.
-	Role string `json:"role"`
-	Door string `json:"door"`
+	Role     string `json:"role"`
+	Listener string `json:"listener"`
 	// Settings are lines of the settings file of the process.
 	Settings []string `json:"settings"`
 	// Connections is the size of the crowd. Each connection sends the parts of Request in
--- a/test/crowd/target_test.go
+++ b/test/crowd/target_test.go
@@ -122,21 +122,21 @@
 		})
 	}
 	Eventually(func() int { status, _ := askCaller(); return status }).WithTimeout(waitLimit).Should(Equal(http.StatusOK))
-	return test.target(process, map[string]door{
+	return test.target(process, map[string]listener{
 		"callers": {callers, askCaller},
 		"ready":   {ready, func() (int, string) { return ask(http.MethodGet, "http://"+ready+"/readyz", "", nil) }},
 		"metrics": {metrics, func() (int, string) { return ask(http.MethodGet, "http://"+metrics+"/debug/vars", "", nil) }},
 	})
 }
 
-type door struct {
+type listener struct {
 	address string
 	ask     func() (int, string)
 }
 
-func (test crowdCase) target(process *procs.Process, doors map[string]door) target {
-	used, ok := doors[test.Door]
-	Expect(ok).To(BeTrue(), "door %q of %s", test.Door, test.Role)
+func (test crowdCase) target(process *procs.Process, listeners map[string]listener) target {
+	used, ok := listeners[test.Listener]
+	Expect(ok).To(BeTrue(), "listener %q of %s", test.Listener, test.Role)
 	return target{process: process, address: used.address, ask: used.ask}
 }
 
@@ -144,7 +144,7 @@
 	process, peers, api := startControlled(test.startTested)
 	read := func() (int, string) { return ask(http.MethodGet, "http://"+api+"/Config.Get", "", nil) }
 	show := func() (int, string) { return command(peers, "show config") }
-	return test.target(process, map[string]door{"api": {api, read}, "peers": {peers, show}})
+	return test.target(process, map[string]listener{"api": {api, read}, "peers": {peers, show}})
 }
 
 func startEntry(test crowdCase) target {
@@ -160,7 +160,7 @@
 			map[string]string{"Authorization": "Bearer paid", "Content-Type": "application/json"})
 	}
 	Eventually(func() int { status, _ := askCaller(); return status }).WithTimeout(waitLimit).Should(Equal(http.StatusOK))
-	return test.target(process, map[string]door{
+	return test.target(process, map[string]listener{
 		"callers": {strings.TrimPrefix(process.HTTP, "http://"), askCaller},
 		"metrics": {metrics, func() (int, string) { return ask(http.MethodGet, "http://"+metrics+"/debug/vars", "", nil) }},
 		"peers":   {process.Address, func() (int, string) { return command(process.Address, "show config") }},
