operate test: wait until the process has stopped before asking

Cause: SIGSTOP takes effect only after the call that sends it has returned. The test asked at once. That this is what happened in that run is inferred.

Change: procs.Process.Pause waits until every thread is stopped. The check is as it was.

--- a/internal/procs/process.go
+++ b/internal/procs/process.go
@@ -4,7 +4,9 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
+	"fmt"
 	"io"
 	"os"
 	"os/exec"
@@ -128,6 +130,39 @@
 	return process.command.Process.Signal(signal)
 }
 
+// Pause sends SIGSTOP and waits until no thread of the process runs any more, which takes
+// some milliseconds on a busy machine.
+func (process *Process) Pause() error {
+	if err := process.Signal(syscall.SIGSTOP); err != nil {
+		return err
+	}
+	for deadline := time.Now().Add(stopLimit); time.Now().Before(deadline); time.Sleep(time.Millisecond) {
+		if paused, err := process.isPaused(); paused || err != nil {
+			return err
+		}
+	}
+	return errors.Newf("%s did not pause within %s", process.Name, stopLimit)
+}
+
+// isPaused reports whether all threads of the process are stopped.
+func (process *Process) isPaused() (bool, error) {
+	files, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/stat", process.ID()))
+	if err != nil {
+		return false, err
+	}
+	for _, file := range files {
+		text, err := os.ReadFile(file)
+		if err != nil {
+			return false, err
+		}
+		// The state follows the name, which is in parentheses.
+		if state := strings.Fields(string(text[bytes.LastIndexByte(text, ')')+1:]))[0]; state != "T" {
+			return false, nil
+		}
+	}
+	return len(files) > 0, nil
+}
+
 // Stop sends SIGTERM and waits for the process to exit. After stopLimit it kills
 // the process and returns an error.
 func (process *Process) Stop() error {
--- a/test/operate/operate_test.go
+++ b/test/operate/operate_test.go
@@ -191,7 +191,7 @@
 
 		// Guards against one silent entry VM that hides the requests of the others.
 		It("names an entry VM that does not answer and shows the rest", func() {
-			Expect(second.Signal(syscall.SIGSTOP)).To(Succeed())
+			Expect(second.Pause()).To(Succeed())
 			DeferCleanup(func() { Expect(second.Signal(syscall.SIGCONT)).To(Succeed()) })
 			output := query(first, "show requests")
 			Expect(output.Rows).To(HaveLen(2))
