frame: find the version at the end of a request line of any length

What callers saw: a request in chunks whose request line is longer than 256 bytes, which is legal, was answered, and its connection was closed without a word; a request that followed on it got no answer.

Cause: the tracker stored the first 256 bytes of a line and took the version of a longer request line for unknown, in which chunks may mean anything. It then took no further request from the connection.

Change: the end of the request line is kept, whatever its length. Header names are compared without copies of each line, since this runs for every request.

--- a/internal/frame/frame.go
+++ b/internal/frame/frame.go
@@ -5,7 +5,6 @@
 import (
 	"bytes"
 	"strconv"
-	"strings"
 )
 
 // Phase is the part of a request that the next byte belongs to.
@@ -30,6 +29,13 @@
 // extensions of this size.
 const maxLineBytes = 256
 
+const (
+	// version ends the request line of a version whose framing is known.
+	version = " HTTP/1.1"
+	// endBytes is the length of version with the end of the line.
+	endBytes = len(version + "\r\n")
+)
+
 // chunkStep is what follows in a chunked body.
 type chunkStep int
 
@@ -47,6 +53,8 @@
 	// lineBytes counts all its bytes.
 	line      []byte
 	lineBytes int
+	// end holds the last bytes of a request line, up to endBytes.
+	end []byte
 	// head describes the header of the current request, and trailer its trailer.
 	head, trailer Size
 	// hasLine is set once the request line was read.
@@ -121,6 +129,9 @@
 	for used < len(data) {
 		size, complete := tracker.feedLine(data[used:])
 		tracker.head = tracker.head.with(data[used : used+size])
+		if !tracker.hasLine {
+			tracker.keepEnd(data[used : used+size])
+		}
 		used += size
 		if !complete {
 			return used, false
@@ -162,7 +173,7 @@
 func (tracker *Tracker) headLine() {
 	if !tracker.hasLine {
 		tracker.hasLine = true
-		tracker.other = tracker.lineBytes > maxLineBytes || !bytes.HasSuffix(tracker.line, []byte(" HTTP/1.1"))
+		tracker.other = !bytes.HasSuffix(bytes.TrimRight(tracker.end, "\r\n"), []byte(version))
 		return
 	}
 	if char := tracker.line[0]; char == ' ' || char == '\t' {
@@ -170,29 +181,36 @@
 		tracker.ambiguous = true
 		return
 	}
-	name, value, _ := strings.Cut(string(tracker.line), ":")
-	field := strings.ToLower(strings.TrimSpace(name))
-	if field != "content-length" && field != "transfer-encoding" && field != "expect" {
+	name, value, _ := bytes.Cut(tracker.line, []byte{':'})
+	field := bytes.TrimSpace(name)
+	isLength, isEncoding := bytes.EqualFold(field, []byte("Content-Length")), bytes.EqualFold(field, []byte("Transfer-Encoding"))
+	if isExpect := bytes.EqualFold(field, []byte("Expect")); !isLength && !isEncoding && !isExpect {
 		return
 	}
-	if field != strings.ToLower(name) || tracker.lineBytes > maxLineBytes {
+	if len(field) != len(name) || tracker.lineBytes > maxLineBytes {
 		tracker.ambiguous = true
 		return
 	}
-	value = strings.Trim(value, " \t")
-	switch field {
-	case "expect":
-		tracker.expects = true
-	case "transfer-encoding":
-		if tracker.chunked || !strings.EqualFold(value, "chunked") {
+	value = bytes.Trim(value, " \t")
+	switch {
+	case isLength:
+		tracker.setLength(string(value))
+	case isEncoding:
+		if tracker.chunked || !bytes.EqualFold(value, []byte("chunked")) {
 			tracker.ambiguous = true
 		}
 		tracker.chunked = true
 	default:
-		tracker.setLength(value)
+		tracker.expects = true
 	}
 }
 
+// keepEnd keeps the last bytes of a request line.
+func (tracker *Tracker) keepEnd(part []byte) {
+	tracker.end = append(tracker.end, part[max(len(part)-endBytes, 0):]...)
+	tracker.end = append(tracker.end[:0], tracker.end[max(len(tracker.end)-endBytes, 0):]...)
+}
+
 func (tracker *Tracker) setLength(text string) {
 	// 63 bits exclude lengths that servers take for negative ones.
 	length, err := strconv.ParseUint(text, 10, 63)
@@ -222,11 +240,11 @@
 // endRequest prepares for the next request. The description of the one that ended stays
 // until the next one begins.
 func (tracker *Tracker) endRequest() {
-	*tracker = Tracker{line: tracker.line[:0], head: tracker.head, trailer: tracker.trailer, length: tracker.length, chunked: tracker.chunked, expects: tracker.expects}
+	*tracker = Tracker{line: tracker.line[:0], end: tracker.end[:0], head: tracker.head, trailer: tracker.trailer, length: tracker.length, chunked: tracker.chunked, expects: tracker.expects}
 }
 
 // Begin discards the description of the request that ended.
-func (tracker *Tracker) Begin() { *tracker = Tracker{line: tracker.line[:0]} }
+func (tracker *Tracker) Begin() { *tracker = Tracker{line: tracker.line[:0], end: tracker.end[:0]} }
 
 func (tracker *Tracker) feedBody(data []byte) (used int, ended bool) {
 	if !tracker.chunked {
