--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"testing"
 	"time"
 
@@ -11,7 +10,6 @@
 
 	"github.com/hibiscuslug/hibiscuslug/internal/fault"
 	"github.com/hibiscuslug/hibiscuslug/internal/link"
-	"github.com/hibiscuslug/hibiscuslug/pkg/clock"
 	"github.com/hibiscuslug/hibiscuslug/pkg/wire"
 )
 
@@ -63,38 +61,6 @@
 	Expect(exchange(pool, proxy.Address(), limit)).To(Succeed())
 })
 
-// Guards against work that is kept for a caller that reads nothing, and against
-// cutting off one that is only slow.
-var _ = It("fails a write only when the peer reads nothing for the limit", func() {
-	plain, err := net.Listen("tcp", "127.0.0.1:0")
-	Expect(err).NotTo(HaveOccurred())
-	listener := link.WithWriteLimit(plain, 500*clock.Millis(1))
-	DeferCleanup(listener.Close)
-	peer, err := net.Dial("tcp", listener.Addr().String())
-	Expect(err).NotTo(HaveOccurred())
-	DeferCleanup(peer.Close)
-	conn, err := listener.Accept()
-	Expect(err).NotTo(HaveOccurred())
-	DeferCleanup(conn.Close)
-	ended := make(chan error, 1)
-	go func() {
-		chunk := make([]byte, 1<<20)
-		for {
-			if _, err := conn.Write(chunk); err != nil {
-				ended <- err
-				return
-			}
-		}
-	}()
-	buffer := make([]byte, 1<<20)
-	for range 20 {
-		_, err := peer.Read(buffer)
-		Expect(err).NotTo(HaveOccurred())
-	}
-	Expect(ended).NotTo(Receive())
-	Eventually(ended).WithTimeout(limit).Should(Receive(MatchError(ContainSubstring("timeout"))))
-})
-
 // Guards against an oversized message of one peer that ends the calls of others.
 var _ = It("closes only the connection on which a frame over the size limit arrives", func() {
 	server, err := link.Listen("127.0.0.1:0")
