fake: Close of Brittle returns the error of a server that ended by itself

Cause: the error of each server was dropped, with a comment that said what it was. An endpoint that ends for another reason would look like one that crashed.

--- a/internal/fake/brittle.go
+++ b/internal/fake/brittle.go
@@ -36,6 +36,8 @@
 	cut     bool
 	crashes int
 	answers int
+	// failure is the error of servers that ended by themselves, which Close returns.
+	failure error
 }
 
 // BrittleSettings of a Brittle.
@@ -89,8 +91,12 @@
 	brittle.servers[number], brittle.listeners[number] = server, listener
 	brittle.mu.Unlock()
 	brittle.running.Go(func() {
-		// The error says that the server was closed.
-		_ = server.Serve(listener)
+		// A crash closes the server, and a partition the listener.
+		if err := server.Serve(listener); !errors.IsAny(err, http.ErrServerClosed, net.ErrClosed) {
+			brittle.mu.Lock()
+			defer brittle.mu.Unlock()
+			brittle.failure = errors.CombineErrors(brittle.failure, errors.Wrapf(err, "endpoint %d", number))
+		}
 	})
 	brittle.settings.Started(number, listener.Addr().String(), incarnation)
 }
@@ -190,5 +196,5 @@
 		}
 	}
 	brittle.running.Wait()
-	return failure
+	return errors.CombineErrors(failure, brittle.failure)
 }
