--- /dev/null
+++ b/review/drive/revoked.go
@@ -0,0 +1,146 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	// cutTime is how long the gateway is cut off, and cutBefore how long it is before the key
+	// is taken away.
+	cutTime   = 8 * time.Second
+	cutBefore = 300 * time.Millisecond
+	// moreRoutes is the number of routes by which the configuration grows.
+	moreRoutes = 1400
+	// impatient is the number of clients that ask again soon, whatever they are told, and
+	// askPause the time between two of their requests.
+	impatient = 200
+	askPause  = 100 * time.Millisecond
+	// pressTime is how long they do so.
+	pressTime = 3 * time.Second
+)
+
+// routes returns the route of the requests and many others.
+func routes() []map[string]any {
+	list := []map[string]any{route("r-1", "/lohu930/", "non_idempotent")}
+	for number := range moreRoutes {
+		list = append(list, route(fmt.Sprintf("r-more-%d", number), fmt.Sprintf("/puxa%d/", number), "idempotent"))
+	}
+	return list
+}
+
+// press sends requests with a key to a gateway from a number of clients, each of which
+// keeps its channel, and returns when each request was sent, by id.
+func (system *system) press(gateway *machine, key string, until time.Time) *sync.Map {
+	sent := &sync.Map{}
+	var running sync.WaitGroup
+	statuses := [600]atomic.Int64{}
+	for number := range impatient {
+		running.Add(1)
+		go func() {
+			defer running.Done()
+			// The clients do not ask all at once.
+			time.Sleep(askPause * time.Duration(number) / impatient)
+			client := &http.Client{Transport: &http.Transport{}, Timeout: callTime}
+			defer client.CloseIdleConnections()
+			for time.Now().Before(until) {
+				id := fmt.Sprintf("%016x", lastRequest.Add(1))
+				sent.Store(id, time.Now())
+				statuses[system.attempt(client, gateway, id, key)].Add(1)
+				time.Sleep(askPause)
+			}
+		}()
+	}
+	running.Wait()
+	for status := range statuses {
+		if count := statuses[status].Load(); count > 0 {
+			system.note("%d requests with the revoked key got status %d", count, status)
+		}
+	}
+	return sent
+}
+
+// attempt sends one request and returns its status, or 0 without an answer.
+func (system *system) attempt(client *http.Client, gateway *machine, id, key string) int {
+	url := fmt.Sprintf("http://%s:%d/lohu930/2f", gateway.ip, system.callers)
+	request, err := http.NewRequestWithContext(context.Background(), http.MethodPost, url, nil)
+	if err != nil {
+		return 0
+	}
+	request.Host = host
+	request.Header.Set("Hibiscuslug-Request-Id", id)
+	request.Header.Set("Hibiscuslug-Deadline-Ms", "1000")
+	request.Header.Set("Hibiscuslug-Key", key)
+	response, err := client.Do(request)
+	if err != nil {
+		return 0
+	}
+	defer func() { _ = response.Body.Close() }()
+	if _, err := io.Copy(io.Discard, response.Body); err != nil {
+		return 0
+	}
+	return response.StatusCode
+}
+
+// revokedKey takes a key away while a gateway is cut off from the control machines, and
+// judges whether requests with that key, sent later than allowed after the acknowledgement,
+// run once the cut is over.
+func revokedKey(system *system, trouble bool) (int, error) {
+	system.links = &links{}
+	if err := system.begin(5); err != nil {
+		return noCase, err
+	}
+	started, err := system.newEngine("i-7f3a91c1", plainService, 1)
+	if err != nil {
+		return noCase, err
+	}
+	defer started.stop()
+	const kept, revoked = "n2ctnfzs989anu6wsjnb", "anfqasnmgkcuyj8pjbvk"
+	if err := system.put(config(3, tenant(kept, revoked), routes()...), system.controls); err != nil {
+		return noCase, err
+	}
+	if err := system.awaitReady(); err != nil {
+		return noCase, err
+	}
+	time.Sleep(4 * time.Second)
+	apart := system.gateways[0]
+	if _, status := system.request(apart, http.MethodPost, "/lohu930/2f", revoked); status != http.StatusOK {
+		return noCase, fmt.Errorf("a request with a valid key got status %d", status)
+	}
+	if trouble {
+		system.note("%s is cut off from the control machines", apart.name)
+		system.links.setCut(apart.name)
+	}
+	began := time.Now()
+	time.Sleep(cutBefore)
+	if err := system.put(config(5, tenant(kept), routes()...), system.controls); err != nil {
+		return noCase, err
+	}
+	acked := time.Now()
+	time.Sleep(time.Until(began.Add(cutTime - time.Second)))
+	healed := make(chan struct{})
+	go func() {
+		defer close(healed)
+		time.Sleep(time.Until(began.Add(cutTime)))
+		system.links.setCut("")
+		system.note("the cut is over after %s", time.Since(began))
+	}()
+	sent := system.press(apart, revoked, time.Now().Add(pressTime))
+	<-healed
+	late := 0
+	for _, seen := range started.seen() {
+		if at, ok := sent.Load(seen.id); ok && at.(time.Time).Sub(acked) > revoke {
+			late++
+		}
+	}
+	system.note("%d requests ran that were sent later than %s after the key was taken away", late, revoke)
+	if late > 0 {
+		return broken, nil
+	}
+	return held, nil
+}
