Review case 7: the control group loses its majority for good

Cause: a voter that is gone is replaced 3 s after the present leader began to track it, and a new leader starts to count anew.

--- a/review/drive/main.go
+++ b/review/drive/main.go
@@ -25,11 +25,12 @@
 	"other-writer":  otherWriter,
 	"last-customer": lastCustomer,
 	"revoked-key":   revokedKey,
+	"lost-majority": lostMajority,
 }
 
 func main() {
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: drive CASE RECORD; the cases are second-group, other-writer, last-customer and revoked-key")
+		fmt.Fprintln(os.Stderr, "usage: drive CASE RECORD; the cases are second-group, other-writer, last-customer, revoked-key and lost-majority")
 		os.Exit(noCase)
 	}
 	os.Exit(run(os.Args[1], os.Args[2]))
--- a/review/drive/revoked.go
+++ b/review/drive/revoked.go
@@ -15,20 +15,22 @@
 	// is taken away.
 	cutTime   = 8 * time.Second
 	cutBefore = 300 * time.Millisecond
-	// moreRoutes is the number of routes by which the configuration grows.
-	moreRoutes = 1400
+	// moreRoutes is the number of routes by which the configuration grows at a time, and
+	// growths how often it does.
+	moreRoutes = 350
+	growths    = 4
 	// impatient is the number of clients that ask again soon, whatever they are told, and
 	// askPause the time between two of their requests.
-	impatient = 200
+	impatient = 60
 	askPause  = 100 * time.Millisecond
 	// pressTime is how long they do so.
 	pressTime = 3 * time.Second
 )
 
-// routes returns the route of the requests and many others.
-func routes() []map[string]any {
+// routes returns the route of the requests and a number of others.
+func routes(others int) []map[string]any {
 	list := []map[string]any{route("r-1", "/lohu930/", "non_idempotent")}
-	for number := range moreRoutes {
+	for number := range others {
 		list = append(list, route(fmt.Sprintf("r-more-%d", number), fmt.Sprintf("/puxa%d/", number), "idempotent"))
 	}
 	return list
@@ -101,8 +103,10 @@
 	}
 	defer started.stop()
 	const kept, revoked = "n2ctnfzs989anu6wsjnb", "anfqasnmgkcuyj8pjbvk"
-	if err := system.put(config(3, tenant(kept, revoked), routes()...), system.controls); err != nil {
-		return noCase, err
+	for growth := range growths + 1 {
+		if err := system.put(config(3+growth, tenant(kept, revoked), routes(growth*moreRoutes)...), system.controls); err != nil {
+			return noCase, err
+		}
 	}
 	if err := system.awaitReady(); err != nil {
 		return noCase, err
@@ -118,7 +122,7 @@
 	}
 	began := time.Now()
 	time.Sleep(cutBefore)
-	if err := system.put(config(5, tenant(kept), routes()...), system.controls); err != nil {
+	if err := system.put(config(20, tenant(kept), routes(growths*moreRoutes)...), system.controls); err != nil {
 		return noCase, err
 	}
 	acked := time.Now()
