Review case 7: ends all its deployments when it is interrupted

The script started further deployments that a signal or the time limit left behind with their folders. Run again: exit status 1, and no process or folder left after SIGTERM.

--- a/review/drive/successor.go
+++ b/review/drive/successor.go
@@ -57,6 +57,7 @@
 			return noCase, err
 		}
 		system.network = (first.network+round)%250 + 1
+		first.parts = append(first.parts, system)
 		system.note("deployment %d", round+1)
 		status, err := system.replaceTwo(trouble)
 		system.stop()
--- a/review/drive/system.go
+++ b/review/drive/system.go
@@ -54,6 +54,8 @@
 	client                          *http.Client
 	// links is set in a case that cuts a machine off.
 	links *links
+	// parts are further deployments of the case.
+	parts []*system
 }
 
 func newSystem(record io.Writer) (*system, error) {
@@ -208,6 +210,9 @@
 
 // stop ends all processes and removes their files.
 func (system *system) stop() {
+	for _, part := range system.parts {
+		part.stop()
+	}
 	for _, machine := range append(append([]*machine(nil), system.controls...), system.gateways...) {
 		if machine.command == nil {
 			continue
