--- a/review/drive/cases.go
+++ b/review/drive/cases.go
@@ -27,7 +27,7 @@
 func config(version int, tenants any, routes ...map[string]any) map[string]any {
 	made := map[string]any{
 		"version": version, "routes": routes,
-		"services": []any{map[string]any{"name": plainService, "healthPath": "/healthz", "maxConnections": 248, "protocol": "h1", "tls": false}},
+		"services": []any{map[string]any{"name": plainService, "healthPath": healthPath, "maxConnections": 248, "protocol": "h1", "tls": false}},
 		"limits":   map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
 	}
 	if tenants != nil {
--- a/review/drive/engine.go
+++ b/review/drive/engine.go
@@ -10,6 +10,9 @@
 	"time"
 )
 
+// healthPath is the path of health probes, which are no requests.
+const healthPath = "/healthz"
+
 // arrival is a request that reached an engine.
 type arrival struct {
 	id, path, tenant string
@@ -61,6 +64,9 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	if request.URL.Path == healthPath {
+		return
+	}
 	seen := arrival{id: id, path: request.URL.Path, tenant: request.Header.Get("Hibiscuslug-Tenant"), at: time.Now()}
 	engine.mu.Lock()
 	engine.arrivals = append(engine.arrivals, seen)
--- a/review/drive/main.go
+++ b/review/drive/main.go
@@ -20,11 +20,12 @@
 	maxTime = 115 * time.Second
 )
 
+// cases holds the cases by name; some are played in several deployments.
 var cases = map[string]func(*system, bool) (int, error){
 	"second-group":  secondGroup,
 	"other-writer":  otherWriter,
-	"revoked-key":   revokedKey,
-	"lost-majority": lostMajority,
+	"revoked-key":   inTurn(3, revokedKey),
+	"lost-majority": inTurn(4, lostMajority),
 }
 
 func main() {
--- a/review/drive/revoked.go
+++ b/review/drive/revoked.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -18,13 +20,14 @@
 	// moreRoutes is the number of routes by which the configuration grows at a time, and
 	// growths how often it does.
 	moreRoutes = 350
-	growths    = 4
+	growths    = 8
 	// impatient is the number of clients that ask again soon, whatever they are told, and
 	// askPause the time between two of their requests.
 	impatient = 60
 	askPause  = 100 * time.Millisecond
-	// pressTime is how long they do so.
-	pressTime = 3 * time.Second
+	// pressBefore and pressAfter are how long they do so before and after the cut.
+	pressBefore = time.Second
+	pressAfter  = 2 * time.Second
 )
 
 // routes returns the route of the requests and a number of others.
@@ -36,35 +39,63 @@
 	return list
 }
 
-// press sends requests with a key to a gateway from a number of clients, each of which
-// keeps its channel, and returns when each request was sent, by id.
-func (system *system) press(gateway *machine, key string, until time.Time) *sync.Map {
-	sent := &sync.Map{}
-	var running sync.WaitGroup
-	statuses := [600]atomic.Int64{}
+// errNoChannel is the error of a client that would need a new channel: the platform gives
+// none to a gateway that is not ready.
+var errNoChannel = errors.New("no new channels to this gateway")
+
+// crowd is a number of clients, each of which keeps the channel that it opened.
+type crowd struct {
+	// closed is set once no more channels may be opened.
+	closed   atomic.Bool
+	sent     sync.Map
+	statuses [600]atomic.Int64
+	running  sync.WaitGroup
+}
+
+// client returns a client with a channel of its own.
+func (crowd *crowd) client() *http.Client {
+	var dialer net.Dialer
+	return &http.Client{Timeout: callTime, Transport: &http.Transport{
+		DisableCompression: true, MaxConnsPerHost: 1,
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			if crowd.closed.Load() {
+				return nil, errNoChannel
+			}
+			return dialer.DialContext(ctx, network, address)
+		},
+	}}
+}
+
+// press lets clients send requests with a key to a gateway until a time.
+func (system *system) press(gateway *machine, key string, until time.Time) *crowd {
+	pressing := &crowd{}
 	for number := range impatient {
-		running.Add(1)
+		pressing.running.Add(1)
 		go func() {
-			defer running.Done()
+			defer pressing.running.Done()
 			// The clients do not ask all at once.
 			time.Sleep(askPause * time.Duration(number) / impatient)
-			client := &http.Client{Transport: &http.Transport{}, Timeout: callTime}
+			client := pressing.client()
 			defer client.CloseIdleConnections()
 			for time.Now().Before(until) {
 				id := fmt.Sprintf("%016x", lastRequest.Add(1))
-				sent.Store(id, time.Now())
-				statuses[system.attempt(client, gateway, id, key)].Add(1)
+				pressing.sent.Store(id, time.Now())
+				pressing.statuses[system.attempt(client, gateway, id, key)].Add(1)
 				time.Sleep(askPause)
 			}
 		}()
 	}
-	running.Wait()
-	for status := range statuses {
-		if count := statuses[status].Load(); count > 0 {
-			system.note("%d requests with the revoked key got status %d", count, status)
+	return pressing
+}
+
+// wait waits until the clients have ended and notes what they got.
+func (system *system) wait(pressing *crowd) {
+	pressing.running.Wait()
+	for status := range pressing.statuses {
+		if count := pressing.statuses[status].Load(); count > 0 {
+			system.note("%d requests with the key that is taken away got status %d", count, status)
 		}
 	}
-	return sent
 }
 
 // attempt sends one request and returns its status, or 0 without an answer.
@@ -116,29 +147,26 @@
 	if status := system.request(apart, http.MethodPost, "/lohu930/2f", revoked); status != http.StatusOK {
 		return noCase, fmt.Errorf("a request with a valid key got status %d", status)
 	}
+	began := time.Now().Add(pressBefore)
+	pressing := system.press(apart, revoked, began.Add(cutTime+pressAfter))
+	time.Sleep(time.Until(began))
+	pressing.closed.Store(true)
 	if trouble {
 		system.note("%s is cut off from the control machines", apart.name)
 		system.links.setCut(apart.name)
 	}
-	began := time.Now()
 	time.Sleep(cutBefore)
 	if err := system.put(config(20, tenant(kept), routes(growths*moreRoutes)...), system.controls); err != nil {
 		return noCase, err
 	}
 	acked := time.Now()
-	time.Sleep(time.Until(began.Add(cutTime - time.Second)))
-	healed := make(chan struct{})
-	go func() {
-		defer close(healed)
-		time.Sleep(time.Until(began.Add(cutTime)))
-		system.links.setCut("")
-		system.note("the cut is over after %s", time.Since(began))
-	}()
-	sent := system.press(apart, revoked, time.Now().Add(pressTime))
-	<-healed
+	time.Sleep(time.Until(began.Add(cutTime)))
+	system.links.setCut("")
+	system.note("the cut is over after %s", time.Since(began))
+	system.wait(pressing)
 	late := 0
 	for _, seen := range started.seen() {
-		if at, ok := sent.Load(seen.id); ok && at.(time.Time).Sub(acked) > revoke {
+		if at, ok := pressing.sent.Load(seen.id); ok && at.(time.Time).Sub(acked) > revoke {
 			late++
 		}
 	}
--- a/review/drive/successor.go
+++ b/review/drive/successor.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"fmt"
 	"net/http"
 	"syscall"
 	"time"
@@ -16,8 +17,6 @@
 	// successor, and backAfter that to their own start.
 	killBefore = 50 * time.Millisecond
 	backAfter  = 800 * time.Millisecond
-	// rounds is the number of deployments that are tried at most.
-	rounds = 4
 	// readTime is how long the operator asks for the configuration at the end; the rules ask
 	// for recoveryS (12 s) at most.
 	readTime = 25 * time.Second
@@ -48,30 +47,32 @@
 	return nil
 }
 
-// lostMajority tries several deployments in turn and ends with the first in which the rule
-// was broken.
-func lostMajority(first *system, trouble bool) (int, error) {
-	for round := range rounds {
-		system, err := newSystem(first.record)
-		if err != nil {
-			return noCase, err
-		}
-		system.network = (first.network+round)%250 + 1
-		first.parts = append(first.parts, system)
-		system.note("deployment %d", round+1)
-		status, err := system.replaceTwo(trouble)
-		system.stop()
-		if err != nil || status != held {
-			return status, err
+// inTurn plays a case in several deployments and ends with the first in which the rule was
+// broken.
+func inTurn(rounds int, play func(*system, bool) (int, error)) func(*system, bool) (int, error) {
+	return func(first *system, trouble bool) (int, error) {
+		for round := range rounds {
+			system, err := newSystem(first.record)
+			if err != nil {
+				return noCase, err
+			}
+			system.network = (first.network+round)%250 + 1
+			first.parts = append(first.parts, system)
+			system.note("deployment %d", round+1)
+			status, err := play(system, trouble)
+			system.stop()
+			if err != nil || status != held {
+				return status, err
+			}
 		}
+		return held, nil
 	}
-	return held, nil
 }
 
-// replaceTwo replaces one control machine and then another. After the loss of the first, all
+// lostMajority replaces one control machine and then another. After the loss of the first, all
 // processes that serve control are killed and are back within a second. It judges whether
 // the configuration that was acknowledged is read back at the end.
-func (system *system) replaceTwo(trouble bool) (int, error) {
+func lostMajority(system *system, trouble bool) (int, error) {
 	if err := system.begin(1); err != nil {
 		return noCase, err
 	}
@@ -115,6 +116,11 @@
 		return noCase, err
 	}
 	time.Sleep(successorAfter)
+	// The list from which seeds are taken lags by 3 s: the first machine has left it.
+	system.seeds = nil
+	for _, machine := range system.controls[1:4] {
+		system.seeds = append(system.seeds, fmt.Sprintf("%s:%d", machine.ip, system.api))
+	}
 	if err := system.successor(5); err != nil {
 		return noCase, err
 	}
--- a/review/drive/system.go
+++ b/review/drive/system.go
@@ -65,7 +65,7 @@
 	}
 	started := &system{
 		folder: folder, began: time.Now(), network: os.Getpid()%250 + 1, record: record,
-		client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}},
+		client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}},
 	}
 	for _, port := range []*int{&started.internal, &started.metrics, &started.api, &started.callers, &started.ready} {
 		if *port, err = freePort(); err != nil {
@@ -75,10 +75,10 @@
 	return started, nil
 }
 
-// freePort returns a port on which nothing listens at any address.
+// freePort returns a port on which nothing listens at the first loopback address.
 func freePort() (int, error) {
 	var config net.ListenConfig
-	listener, err := config.Listen(context.Background(), "tcp4", "0.0.0.0:0")
+	listener, err := config.Listen(context.Background(), "tcp4", "127.0.0.1:0")
 	if err != nil {
 		return 0, err
 	}
@@ -240,6 +240,9 @@
 	if err != nil {
 		return 0, nil, err
 	}
+	if len(body) > 0 {
+		request.Header.Set("Content-Type", "application/json")
+	}
 	for name, value := range header {
 		request.Header.Set(name, value)
 	}
