ctrl: a VM that was never in a group forms none

Cause: whether a process may form the first group was derived from the presence of a disk id, which is written at any start. The second start of a VM that waited outside the group therefore could form one with the seeds of that start.

Change: the permission is stored.

--- a/internal/ctrl/control.go
+++ b/internal/ctrl/control.go
@@ -123,31 +123,37 @@
 	if err != nil {
 		return nil, err
 	}
-	opened, contents, err := store.Open(settings.Control.Data, settings.Disk)
+	server, err := link.Listen(settings.Node.Listen)
 	if err != nil {
 		return nil, err
 	}
-	server, err := link.Listen(settings.Node.Listen)
+	seeded := len(settings.Control.Seed) > 0
+	self, seeds := settings.Node.Name, []string(nil)
+	if seeded {
+		self = advertised(settings.Node, server)
+		if seeds, err = ParseSeeds(settings.Control.Seed, self); err != nil {
+			return nil, errors.CombineErrors(err, server.Close())
+		}
+	}
+	opened, contents, err := store.Open(settings.Control.Data, settings.Disk, founders(settings.Control, seeds))
 	if err != nil {
-		return nil, errors.CombineErrors(err, opened.Close())
+		return nil, errors.CombineErrors(err, server.Close())
+	}
+	if seeded {
+		initialMembers = membersByAddress(seeds)
+		if len(contents.Founders) > 0 {
+			initialMembers = membersByAddress(contents.Founders)
+		}
 	}
 	bounds := guard.New(guard.Machine(settings.Node), ticker, log)
 	server.Bound(bounds, guard.PeersShare)
 	control := &Control{
 		settings: settings, diskID: contents.DiskID, clock: ticker, log: log, view: feed.NewView(ticker), pool: link.NewPool(), server: server,
 		inbox: make(chan input, inboxSize), waiters: map[uint64]waiter{}, pendingProposals: map[uint64][]chan<- outcome{},
-		machine: state.NewMachine(), claims: claim.NewTable(), self: settings.Node.Name,
+		machine: state.NewMachine(), claims: claim.NewTable(), self: self,
 		incarnation: rand.Uint64(), startedAt: ticker.Now(), reports: map[string]loadReport{}, board: board.New(ticker, log),
 		spread: evac.New(settings.Control.EvacuateLimit), guard: bounds,
 	}
-	seeded := len(settings.Control.Seed) > 0
-	if seeded {
-		addresses, err := ParseSeeds(settings.Control.Seed, control.advertised())
-		if err != nil {
-			return nil, errors.CombineErrors(err, opened.Close())
-		}
-		initialMembers, control.self = membersByAddress(addresses), control.advertised()
-	}
 	control.poller = newPoller(control, control.seeds)
 	if contents.TruncatedBytes > 0 {
 		log.Write(event.TailCut, "bytes", contents.TruncatedBytes, "damaged", contents.Damaged)
@@ -157,7 +163,7 @@
 	}
 	control.core = quorum.New(quorum.Settings{
 		Self: quorum.Peer{Name: control.self, DiskID: contents.DiskID}, Address: control.advertised(), InitialMembers: initialMembers,
-		JoinOnly: seeded && !settings.Control.Bootstrap && !contents.Existing, Voters: voterCount(seeded, int(settings.Control.Tolerance)),
+		JoinOnly: seeded && len(contents.Founders) == 0, Voters: voterCount(seeded, int(settings.Control.Tolerance)),
 		ReplaceAfter:    replaceAfter,
 		ElectionTimeout: settings.Control.ElectionTimeout, Seed: contents.DiskID,
 		CatchUpEntries: catchUpEntries(seeded), ImageChunkBytes: quorum.DefaultImageChunkBytes,
@@ -249,11 +255,22 @@
 // Address returns the listening address for other processes.
 func (control *Control) Address() string { return control.server.Address() }
 
-func (control *Control) advertised() string {
-	if control.settings.Node.Advertise != "" {
-		return control.settings.Node.Advertise
+func (control *Control) advertised() string { return advertised(control.settings.Node, control.server) }
+
+func advertised(node opts.Node, server *link.Server) string {
+	if node.Advertise != "" {
+		return node.Advertise
+	}
+	return server.Address()
+}
+
+// founders returns the seeds as those that may form the first group, or nothing in a
+// deployment that has started before.
+func founders(settings opts.Control, seeds []string) []string {
+	if !settings.Bootstrap {
+		return nil
 	}
-	return control.server.Address()
+	return seeds
 }
 
 // Close hands over leadership, stops serving and closes the data folder.
--- a/internal/ctrl/seeds_test.go
+++ b/internal/ctrl/seeds_test.go
@@ -24,7 +24,11 @@
 	"github.com/hibiscuslug/hibiscuslug/pkg/wire"
 )
 
-const seedLimit = 60 * time.Second
+const (
+	seedLimit = 60 * time.Second
+	// outsideTime is several election timeouts, in which a group is made.
+	outsideTime = 2 * time.Second
+)
 
 type seedStep struct {
 	Do string `json:"do"`
@@ -36,8 +40,10 @@
 }
 
 type seedScript struct {
-	Name      string     `json:"name"`
-	VMs       int        `json:"vms"`
+	Name string `json:"name"`
+	VMs  int    `json:"vms"`
+	// Absent is the number of VMs that do not start at first, the last ones.
+	Absent    int        `json:"absent"`
 	Tolerance int        `json:"tolerance"`
 	Steps     []seedStep `json:"steps"`
 }
@@ -48,7 +54,7 @@
 	script seedScript
 	port   int
 	// seeds are those in the settings of VMs that start, current those that running VMs
-	// read again.
+	// read again. The step exchange sets both.
 	seeds   []string
 	current atomic.Pointer[[]string]
 	// zones is the setting of the known zones of VMs that start.
@@ -76,7 +82,7 @@
 			group.stop(number)
 		}
 	})
-	for number := range script.VMs {
+	for number := range script.VMs - script.Absent {
 		group.start(number, true)
 	}
 	return group
@@ -176,7 +182,7 @@
 		for _, number := range step.On {
 			Eventually(func() int { return len(group.running[number].Endpoints("s")) }).WithTimeout(seedLimit).Should(BeNumerically(">", 0), "VM %d", number)
 		}
-	case "seeds", "voters", "member":
+	case "seeds", "exchange", "voters", "member", "outside":
 		group.doMembers(step)
 	default:
 		group.doZone(step)
@@ -186,12 +192,19 @@
 // doMembers runs a step about the members of the group.
 func (group *seeded) doMembers(step seedStep) {
 	switch step.Do {
-	case "seeds":
+	case "seeds", "exchange":
 		var seeds []string
 		for _, number := range step.On {
 			seeds = append(seeds, group.address(number))
 		}
 		group.current.Store(&seeds)
+		if step.Do == "exchange" {
+			group.seeds = seeds
+		}
+	case "outside":
+		for _, number := range step.On {
+			Consistently(func() []string { return group.voters(number) }).WithTimeout(outsideTime).Should(BeEmpty(), "VM %d belongs to no group", number)
+		}
 	case "voters":
 		for _, number := range step.On {
 			Eventually(func() []string { return group.voters(number) }).WithTimeout(seedLimit).Should(HaveLen(int(step.Version)), "as VM %d sees it", number)
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -25,6 +25,8 @@
 	folder string
 	disk   FileSystem
 	diskID uint64
+	// founders is recorded beside the disk id; see Contents.
+	founders []string
 	// segments are ordered by number; the last one is written to.
 	segments []*segment
 	// dirty is set if the last segment may contain bytes of a failed write after
@@ -37,48 +39,69 @@
 	quorum.Stored
 	// DiskID is the disk id of the folder, or a new one if the folder was empty.
 	DiskID uint64
-	// Existing is set if the folder had a disk id before it was opened.
-	Existing bool
+	// Founders are the names of the control VMs with which this one may form the first
+	// group, as recorded before it joined one. It is empty on a disk that may only join.
+	Founders []string
 	// TruncatedBytes is the number of bytes that were removed from the segments
 	// because they were not intact records. Segments after damage are emptied
 	// without being counted.
 	TruncatedBytes int64
 }
 
+// InGroup reports whether the control VM has belonged to a group with this disk.
+func (contents *Contents) InGroup() bool { return contents.Image != nil || len(contents.Entries) > 0 }
+
 // Open opens a data folder and truncates an incomplete or damaged tail of its log.
-func Open(folder string, disk FileSystem) (*Store, *Contents, error) {
+// Founders are recorded if the folder is of no group and has none yet; they stay
+// whatever a later start gives, because settings change and the disk is what tells a
+// new control VM from one that has been in a group.
+func Open(folder string, disk FileSystem, founders []string) (*Store, *Contents, error) {
 	if err := os.MkdirAll(folder, 0o750); err != nil {
 		return nil, nil, errors.Wrap(err, "create data folder")
 	}
 	store := &Store{folder: folder, disk: disk}
 	contents := &Contents{}
-	for _, load := range []func(*Contents) error{store.loadState, store.loadImage, store.loadLog} {
+	loadState := func(contents *Contents) error { return store.loadState(contents, founders) }
+	recordFounders := func(contents *Contents) error { return store.recordFounders(contents, founders) }
+	for _, load := range []func(*Contents) error{loadState, store.loadImage, store.loadLog, recordFounders} {
 		if err := load(contents); err != nil {
 			return nil, nil, errors.CombineErrors(err, store.Close())
 		}
 	}
-	contents.DiskID = store.diskID
+	contents.DiskID, contents.Founders = store.diskID, store.founders
 	return store, contents, nil
 }
 
-func (store *Store) loadState(contents *Contents) error {
+// loadState loads the disk id, the term and the vote. In an empty folder it makes a disk
+// id and writes it together with the founders, so that no crash separates the two.
+func (store *Store) loadState(contents *Contents, founders []string) error {
 	data, err := store.readFile(stateName)
 	if err != nil {
 		return err
 	}
 	if data == nil {
-		store.diskID = rand.Uint64() | 1
+		store.diskID, store.founders = rand.Uint64()|1, founders
 		return store.saveHard(quorum.HardState{})
 	}
 	saved := &wire.DiskState{}
 	if err := saved.UnmarshalVT(data); err != nil {
 		return errors.Wrap(err, "decode term and vote")
 	}
-	store.diskID, contents.Existing = saved.GetDisk(), true
+	store.diskID, store.founders = saved.GetDisk(), saved.GetFounders()
 	contents.Hard = quorum.HardState{Term: saved.GetTerm(), Vote: quorum.Peer{Name: saved.GetVote(), DiskID: saved.GetVoteDisk()}}
 	return nil
 }
 
+// recordFounders records the founders in a folder that has a disk id, for example of an
+// older version, but neither a group nor founders.
+func (store *Store) recordFounders(contents *Contents, founders []string) error {
+	if len(store.founders) > 0 || len(founders) == 0 || contents.InGroup() {
+		return nil
+	}
+	store.founders = founders
+	return store.saveHard(contents.Hard)
+}
+
 func (store *Store) loadImage(contents *Contents) error {
 	data, err := store.readFile(imageName)
 	if err != nil || data == nil {
@@ -293,7 +316,7 @@
 
 func (store *Store) saveHard(hard quorum.HardState) error {
 	record, err := (&wire.DiskState{
-		Disk: store.diskID, Term: hard.Term, Vote: hard.Vote.Name, VoteDisk: hard.Vote.DiskID,
+		Disk: store.diskID, Term: hard.Term, Vote: hard.Vote.Name, VoteDisk: hard.Vote.DiskID, Founders: store.founders,
 	}).MarshalVT()
 	if err != nil {
 		return errors.Wrap(err, "marshal term and vote")
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -61,7 +61,7 @@
 }
 
 func open(folder string, disk store.FileSystem) (*store.Store, *store.Contents) {
-	opened, contents, err := store.Open(folder, disk)
+	opened, contents, err := store.Open(folder, disk, nil)
 	Expect(err).NotTo(HaveOccurred())
 	return opened, contents
 }
@@ -88,6 +88,31 @@
 
 	BeforeEach(func() { folder = GinkgoT().TempDir() })
 
+	// Guards against a control VM that forms a second group after a restart with other seeds.
+	It("keeps the founders of its first start", func() {
+		first, second := []string{"a", "b"}, []string{"c"}
+		opened, contents, err := store.Open(folder, store.OSFileSystem{}, first)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(contents.Founders).To(Equal(first))
+		write(opened, quorum.Save{Hard: &vote})
+		Expect(opened.Close()).To(Succeed())
+		opened, contents, err = store.Open(folder, store.OSFileSystem{}, second)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(contents.Founders).To(Equal(first))
+		Expect(opened.Close()).To(Succeed())
+	})
+
+	// Guards against a control VM that forms a group although it has been in one.
+	It("records no founders once it holds the log of a group", func() {
+		opened, _ := open(folder, store.OSFileSystem{})
+		write(opened, entries(1, 1, 1))
+		Expect(opened.Close()).To(Succeed())
+		opened, contents, err := store.Open(folder, store.OSFileSystem{}, []string{"a"})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(contents.Founders).To(BeEmpty())
+		Expect(opened.Close()).To(Succeed())
+	})
+
 	// Guards against a log that cannot be opened, or that returns other
 	// entries than those written, after an incomplete or corrupt write.
 	for _, script := range tails() {
