quorum: format the test of voters' places

The linter refused a line of places_test.go and an unused assignment in place.go; no change of behaviour. make lint on ./internal/quorum reports 0 issues now.

--- a/internal/quorum/place.go
+++ b/internal/quorum/place.go
@@ -118,7 +118,7 @@
 	}
 	surplus := len(votersOf(core.members)) > core.settings.Voters
 	for _, member := range core.members {
-		reason := ""
+		var reason string
 		switch isSilent := core.isSilent(member, core.settings.ReplaceAfter); {
 		case member.GetVoter() && isSilent && surplus:
 			reason = "silent voter removed"
--- a/internal/quorum/places_test.go
+++ b/internal/quorum/places_test.go
@@ -48,7 +48,9 @@
 	made := &places{group: &group{
 		script: lossScript{Disk: script.Disk, Link: script.Link}, random: rand.New(rand.NewPCG(seed, 13)), now: clock.Minute,
 	}}
-	made.isCut = func(from, to *voter) bool { return from.zone != to.zone && (from.zone == made.cut || to.zone == made.cut) }
+	made.isCut = func(from, to *voter) bool {
+		return from.zone != to.zone && (from.zone == made.cut || to.zone == made.cut)
+	}
 	return made
 }
 
