answer: one reader decides what a response is

Cause: the gateway and the agent took for an answer what net/http lets pass.

Change: package answer reads responses by RFC 9112 and refuses what a recipient would have to repair; conns reads through it. The agent's reads and orders go through conns as well, so the status and framing of a rank's engine are checked by the same code.

--- a/internal/conns/conns.go
+++ b/internal/conns/conns.go
@@ -3,10 +3,8 @@
 package conns
 
 import (
-	"bufio"
 	"context"
 	"io"
-	"math"
 	"net"
 	"net/http"
 	"sync"
@@ -17,6 +15,7 @@
 	"github.com/sourcegraph/conc"
 	"golang.org/x/sys/unix"
 
+	"github.com/hibiscuslug/hibiscuslug/internal/answer"
 	"github.com/hibiscuslug/hibiscuslug/pkg/clock"
 )
 
@@ -36,16 +35,11 @@
 	idleMargin = clock.Second
 	// defaultIdle is the idle timeout assumed for an endpoint that states none.
 	defaultIdle = 4 * clock.Second
-	// maxIdlePerAddress is the maximum number of idle connections to one endpoint.
-	maxIdlePerAddress = 8
-	bufferSize        = 4 << 10
+	// defaultMaxIdle is the default of Pool.WithMaxIdle.
+	defaultMaxIdle = 8
 	// maxInlineBody is the largest body, in bytes, that is written before the response
 	// is read; it fits into the TCP windows of a new connection.
 	maxInlineBody = 16 << 10
-	// maxHeadBytes bounds what an endpoint may send before the header of the response
-	// is complete, interim responses and those of other requests included. A faulty
-	// endpoint sends such bytes without end.
-	maxHeadBytes = 256 << 10
 )
 
 // ErrNotSent marks errors of requests of which no byte was handed to the kernel: no
@@ -59,10 +53,6 @@
 // when the connection was open. They are also marked as ErrNotSent.
 var ErrExpired = errors.New("request expired")
 
-// ErrTooLong is the error of an endpoint that sends more than maxHeadBytes without
-// the header of a response.
-var ErrTooLong = errors.New("endpoint sends bytes without a response header")
-
 // ErrStale marks errors of requests that failed on a reused connection before any byte
 // of a response arrived; the endpoint may have closed the connection while it was idle.
 // They are also marked as ErrNotSent if no byte of the request was sent.
@@ -75,42 +65,20 @@
 
 type conn struct {
 	net.Conn
-	reader  *bufio.Reader
-	limit   *limitedReader
+	reader  *answer.Reader
 	address string
+	// exchange is the current one.
+	exchange *Exchange
 	// accepted is the number of bytes of the current request that the kernel accepted.
 	accepted int
 	// reused is set once the connection was returned to the pool.
 	reused bool
 }
 
-// limitedReader fails with ErrTooLong when more bytes are read than remain.
-type limitedReader struct {
-	source    io.Reader
-	remaining int64
-}
-
-func (limited *limitedReader) Read(into []byte) (int, error) {
-	if limited.remaining <= 0 {
-		return 0, ErrTooLong
-	}
-	size, err := limited.source.Read(into[:min(int64(len(into)), limited.remaining)])
-	limited.remaining -= int64(size)
-	return size, err
-}
-
-// mark marks an error as ErrTooLong if the limit is its cause. Parsers report a
-// line that the limit cuts off as malformed.
-func (limited *limitedReader) mark(err error) error {
-	if limited.remaining <= 0 {
-		return errors.Mark(err, ErrTooLong)
-	}
-	return err
-}
-
 // Pool holds idle connections by address.
 type Pool struct {
-	clock *clock.Clock
+	clock   *clock.Clock
+	maxIdle int
 
 	// mu guards the fields below. It is a leaf lock.
 	mu     sync.Mutex
@@ -120,7 +88,16 @@
 }
 
 // New returns an empty pool.
-func New(ticker *clock.Clock) *Pool { return &Pool{clock: ticker, idle: map[string][]idleConn{}} }
+func New(ticker *clock.Clock) *Pool {
+	return &Pool{clock: ticker, maxIdle: defaultMaxIdle, idle: map[string][]idleConn{}}
+}
+
+// WithMaxIdle sets the maximum number of idle connections to one endpoint, before the
+// first use of the pool.
+func (pool *Pool) WithMaxIdle(count int) *Pool {
+	pool.maxIdle = count
+	return pool
+}
 
 // Dialed returns the number of connection attempts since the start.
 func (pool *Pool) Dialed() uint64 {
@@ -131,9 +108,17 @@
 
 // Close closes all idle connections; those in use are closed by their exchange.
 func (pool *Pool) Close() {
+	pool.mu.Lock()
+	pool.closed = true
+	pool.mu.Unlock()
+	pool.CloseIdle()
+}
+
+// CloseIdle closes the idle connections; the pool stays in use.
+func (pool *Pool) CloseIdle() {
 	pool.mu.Lock()
 	lists := pool.idle
-	pool.idle, pool.closed = nil, true
+	pool.idle = map[string][]idleConn{}
 	pool.mu.Unlock()
 	for _, list := range lists {
 		for _, idle := range list {
@@ -220,7 +205,7 @@
 	}
 	lifetime := idleTimeout - idleMargin
 	pool.mu.Lock()
-	if pool.closed || lifetime <= 0 || len(pool.idle[conn.address]) >= maxIdlePerAddress {
+	if pool.closed || lifetime <= 0 || len(pool.idle[conn.address]) >= pool.maxIdle {
 		pool.mu.Unlock()
 		abort(conn)
 		return
@@ -244,8 +229,9 @@
 	if err := setUserTimeout(opened); err != nil {
 		return nil, errors.CombineErrors(errors.Mark(err, ErrNotSent), opened.Close())
 	}
-	limit := &limitedReader{source: opened}
-	return &conn{Conn: opened, reader: bufio.NewReaderSize(limit, bufferSize), limit: limit, address: address}, nil
+	made := &conn{Conn: opened, address: address}
+	made.reader = answer.NewReader(opened, nil)
+	return made, nil
 }
 
 // Reach opens a connection to an endpoint and closes it again.
@@ -307,6 +293,7 @@
 type Exchange struct {
 	Response *http.Response
 
+	ctx  context.Context
 	pool *Pool
 	conn *conn
 	stop func() bool
@@ -341,7 +328,8 @@
 			return nil, errors.Mark(err, ErrNotSent)
 		}
 	}
-	exchange := &Exchange{pool: pool, conn: used, stop: context.AfterFunc(ctx, func() { abort(used) })}
+	exchange := &Exchange{ctx: ctx, pool: pool, conn: used, stop: context.AfterFunc(ctx, func() { abort(used) })}
+	used.exchange = exchange
 	if err := exchange.begin(request); err != nil {
 		exchange.stop()
 		abort(used)
@@ -374,14 +362,13 @@
 			exchange.written.Store(conn.send(request) == nil)
 		})
 	}
-	conn.limit.remaining = maxHeadBytes
-	if _, err := conn.reader.Peek(1); err != nil {
+	if err := conn.reader.Expect(); err != nil {
 		return exchange.noResponse(err)
 	}
 	for {
-		response, err := http.ReadResponse(conn.reader, &http.Request{Method: request.Method})
+		response, err := conn.reader.Next(request.Method)
 		if err != nil {
-			return conn.limit.mark(errors.Wrapf(err, "read response header of %s", conn.address))
+			return errors.Wrapf(err, "read response header of %s", conn.address)
 		}
 		if response.StatusCode < http.StatusOK {
 			continue
@@ -392,14 +379,17 @@
 			return errors.Newf("response of %s on a reused connection names no request", conn.address)
 		}
 		if owner != Other {
-			conn.limit.remaining = math.MaxInt64
+			conn.reader.Accept()
 			exchange.Response = response
 			return nil
 		}
 		// The response belongs to an earlier request; the matching one follows.
 		_, err = io.Copy(io.Discard, response.Body)
-		if err := errors.CombineErrors(err, response.Body.Close()); err != nil || response.Close {
-			return conn.limit.mark(errors.Newf("response of %s belongs to another request and none follows", conn.address))
+		if err := errors.CombineErrors(err, response.Body.Close()); err != nil {
+			return errors.Wrapf(err, "response of %s belongs to another request", conn.address)
+		}
+		if response.Close {
+			return errors.Newf("response of %s belongs to another request and none follows", conn.address)
 		}
 	}
 }
--- a/internal/conns/conns_test.go
+++ b/internal/conns/conns_test.go
@@ -16,6 +16,7 @@
 	. "github.com/onsi/gomega"
 	"github.com/sourcegraph/conc"
 
+	"github.com/hibiscuslug/hibiscuslug/internal/answer"
 	"github.com/hibiscuslug/hibiscuslug/internal/conns"
 	"github.com/hibiscuslug/hibiscuslug/internal/fake"
 	"github.com/hibiscuslug/hibiscuslug/pkg/clock"
@@ -107,7 +108,7 @@
 			Address: listener.Addr().String(), Method: http.MethodGet, Head: []byte("GET / HTTP/1.1\r\nHost: h\r\n\r\n"),
 			Owner: func(http.Header) conns.Owner { return conns.Other },
 		})
-		Expect(errors.Is(err, conns.ErrTooLong)).To(BeTrue(), "%v", err)
+		Expect(errors.Is(err, answer.ErrTooLong)).To(BeTrue(), "%v", err)
 		Expect(ctx.Err()).NotTo(HaveOccurred())
 		Eventually(closed).WithTimeout(limit).Should(BeClosed())
 	},
--- a/internal/daemon/agent.go
+++ b/internal/daemon/agent.go
@@ -37,7 +37,7 @@
 	guard.LimitMemory(command.Node)
 	log := event.NewBounded(os.Stdout, command.Name, command.Zone)
 	defer log.Close()
-	running, err := agent.New(command.Node, platform.NewEngine(command.EngineAddress), clock.NewSystem(), log)
+	running, err := agent.New(command.Node, platform.NewEngine(command.EngineAddress, clock.NewSystem()), clock.NewSystem(), log)
 	if err != nil {
 		return err
 	}
@@ -56,7 +56,7 @@
 func withCoordinator(running role, control *ctrl.Control, node opts.Node, ticker *clock.Clock, log *event.Log) role {
 	return &coordinatedControl{role: running, coordinator: coord.New(coord.Settings{
 		Listen: node.Listen, Plan: latestPlan(control, log), Endpoints: control.Endpoints, Leads: control.IsLeader, SetPace: control.SetPace,
-		Engine: func(address string) agent.Engine { return platform.NewEngine(address) },
+		Engine: func(address string) agent.Engine { return platform.NewEngine(address, ticker) },
 	}, ticker, log)}
 }
 
