conns: prove the end of a response without a length

Cause: the kernel reports a reset once. The goroutine that writes the upload got it, and the read that followed returned the end of the stream, which ends a body without a length.

Change: at the end of such a body the whole request must have been written and acknowledged, and TCP must be in CLOSE-WAIT.

--- a/internal/conns/conns.go
+++ b/internal/conns/conns.go
@@ -230,7 +230,7 @@
 		return nil, errors.CombineErrors(errors.Mark(err, ErrNotSent), opened.Close())
 	}
 	made := &conn{Conn: opened, address: address}
-	made.reader = answer.NewReader(opened, nil)
+	made.reader = answer.NewReader(opened, func() error { return made.exchange.proveEnd() })
 	return made, nil
 }
 
--- a/internal/conns/conns_test.go
+++ b/internal/conns/conns_test.go
@@ -120,6 +120,37 @@
 	Entry("responses of other requests", "", "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"),
 )
 
+// uploads is how often an upload that is answered early is tried. Which goroutine gets the
+// error of a reset connection differs from one to the next.
+const uploads = 60
+
+// Guards against a part of a response that passes for the whole one: the endpoint answers an
+// upload early, without a length, and ends the connection while the upload is written.
+var _ = DescribeTable("does not take a part for the whole response to an upload",
+	func(step fake.Step) {
+		step.Text = "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nok"
+		pool, address := newPool(), startBackend(step)
+		for upload := range uploads {
+			text, err := post(pool, address, make([]byte, 3<<20))
+			Expect(err).To(HaveOccurred(), "upload %d of %d is answered with %q", upload, uploads, text)
+			Expect(errors.Is(err, io.EOF)).To(BeFalse())
+		}
+	},
+	Entry("that is reset after a part of the upload", fake.Step{Early: 384 << 10, Then: "reset"}),
+	Entry("that is closed with a part of the upload unread", fake.Step{Early: 128 << 10, Then: "close"}),
+)
+
+// Guards against a refusal of complete responses without a length.
+var _ = It("takes a response without a length after the whole upload was read", func() {
+	step := fake.Step{Text: "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nok", Then: "close"}
+	pool, address := newPool(), startBackend(step)
+	for range uploads {
+		text, err := post(pool, address, make([]byte, 3<<20))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(text).To(Equal("ok"))
+	}
+})
+
 var _ = It("distinguishes a request that was not sent from one that may have run", func() {
 	pool := newPool()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
--- a/internal/fake/backend.go
+++ b/internal/fake/backend.go
@@ -39,8 +39,15 @@
 	Kept string `json:"kept"`
 	// Then is close, reset or hang; any other value keeps the connection open.
 	Then string `json:"then"`
+	// Early is the number of bytes of the body that are read, in parts, after Text was
+	// written; each part is followed by one more byte of the response. The rest of the
+	// body is not read. 0 reads the whole body before Text.
+	Early int64 `json:"early"`
 }
 
+// earlyPart is the size of the parts of a body that a step reads early, in bytes.
+const earlyPart = 64 << 10
+
 // ReceivedRequest is a request that a Backend has read.
 type ReceivedRequest struct {
 	Method, Target string
@@ -130,11 +137,14 @@
 		if err != nil {
 			return
 		}
-		body, err := io.ReadAll(request.Body)
-		if err != nil {
-			return
+		step := backend.step()
+		var body []byte
+		if step.Early == 0 {
+			if body, err = io.ReadAll(request.Body); err != nil {
+				return
+			}
 		}
-		step, disconnected := backend.record(request, body)
+		disconnected := backend.record(request, body)
 		text := step.Text
 		if served > 0 {
 			text = step.Kept + text
@@ -143,6 +153,14 @@
 		if _, err := fmt.Fprint(conn, text); err != nil {
 			return
 		}
+		for read := int64(0); read < step.Early; read += earlyPart {
+			if _, err := io.CopyN(io.Discard, request.Body, earlyPart); err != nil {
+				return
+			}
+			if _, err := fmt.Fprint(conn, "."); err != nil {
+				return
+			}
+		}
 		switch step.Then {
 		case "close":
 			return
@@ -160,16 +178,23 @@
 	}
 }
 
-func (backend *Backend) record(request *http.Request, body []byte) (Step, chan struct{}) {
+// step returns the step of the next request.
+func (backend *Backend) step() Step {
+	backend.mu.Lock()
+	defer backend.mu.Unlock()
+	step := backend.steps[min(backend.next, len(backend.steps)-1)]
+	backend.next++
+	return step
+}
+
+func (backend *Backend) record(request *http.Request, body []byte) chan struct{} {
 	backend.mu.Lock()
 	defer backend.mu.Unlock()
 	disconnected := make(chan struct{})
 	backend.requests = append(backend.requests, ReceivedRequest{
 		Method: request.Method, Target: request.RequestURI, Header: request.Header, Body: string(body), ReceivedAt: time.Now(), Disconnected: disconnected,
 	})
-	step := backend.steps[min(backend.next, len(backend.steps)-1)]
-	backend.next++
-	return step, disconnected
+	return disconnected
 }
 
 // awaitDisconnect waits until the caller closes the connection or the backend
