engine: read engines' answers with the shared reader

Callers saw, through an endpoint process: a status 000 as a 200, field names with a blank passed on, and chunks framed in another way than at a gateway (shared/docs/answers.md).

Cause: the endpoint process read answers with fasthttp, which repairs them.

Sink.Data returns an error, which ends the call.

--- a/internal/endpt/attempt.go
+++ b/internal/endpt/attempt.go
@@ -54,8 +54,9 @@
 }
 
 // Data records a batch of events or a body chunk of the engine's answer.
-func (run *attempt) Data(events [][]byte) {
+func (run *attempt) Data(events [][]byte) error {
 	run.add(&wire.Answer{Kind: wire.AnswerKind_ANSWER_KIND_DATA, Events: events})
+	return nil
 }
 
 func (run *attempt) add(answer *wire.Answer) {
--- a/internal/endpt/endpoint.go
+++ b/internal/endpt/endpoint.go
@@ -48,6 +48,7 @@
 	server      *link.Server
 	announcer   *member.Announcer
 	table       *table
+	runner      *engine.Runner
 	lanes       map[string]*lane
 	leaving     atomic.Bool
 	quarantine  quarantine
@@ -70,7 +71,7 @@
 		return nil, err
 	}
 	endpoint.tracer = tracer
-	runner := engine.NewRunner().WithTracer(tracer)
+	endpoint.runner = engine.NewRunner(ticker).WithTracer(tracer)
 	for _, text := range settings.Endpoint.Engine {
 		target, err := engine.Parse(text)
 		if err != nil {
@@ -80,7 +81,7 @@
 		if _, ok := endpoint.lanes[name]; ok {
 			return nil, errors.Newf("setting --engine defines engine %s twice", name)
 		}
-		endpoint.lanes[name] = newLane(target, runner, settings.Endpoint.Slots, ticker, log, &endpoint.runs)
+		endpoint.lanes[name] = newLane(target, endpoint.runner, settings.Endpoint.Slots, ticker, log, &endpoint.runs)
 	}
 	server, err := link.Listen(settings.Node.Listen)
 	if err != nil {
@@ -176,6 +177,7 @@
 		return err
 	}
 	defer endpoint.guard.Close()
+	endpoint.runner.Close()
 	endpoint.log.Write(event.Stopped)
 	return errors.Join(endpoint.pool.Close(), endpoint.meter.Close(), endpoint.tracer.Close())
 }
--- a/internal/endpt/lane.go
+++ b/internal/endpt/lane.go
@@ -288,8 +288,10 @@
 }
 
 // Data passes on and counts a batch of events or a body chunk.
-func (sink *laneSink) Data(events [][]byte) {
-	sink.attempt.Data(events)
+func (sink *laneSink) Data(events [][]byte) error {
+	if err := sink.attempt.Data(events); err != nil {
+		return err
+	}
 	sink.events += uint32(len(events))
 	lane := sink.lane
 	now := lane.clock.Now()
@@ -297,4 +299,5 @@
 	defer lane.mu.Unlock()
 	lane.queue.Progress(sink.id, sink.events)
 	lane.rate.add(now, uint64(len(events)), uint64(lane.queue.Running()))
+	return nil
 }
--- a/internal/endpt/silence.go
+++ b/internal/endpt/silence.go
@@ -46,13 +46,14 @@
 }
 
 // Data passes on and counts a batch of events or a body chunk.
-func (in *inbound) Data(events [][]byte) {
+func (in *inbound) Data(events [][]byte) error {
 	in.mu.Lock()
 	defer in.mu.Unlock()
-	if in.last = in.clock.Now(); !in.discarding {
-		in.events += len(events)
-		in.sink.Data(events)
+	if in.last = in.clock.Now(); in.discarding {
+		return errEngineSilent
 	}
+	in.events += len(events)
+	return in.sink.Data(events)
 }
 
 func (in *inbound) received() (int, clock.Millis) {
--- a/internal/engine/control.go
+++ b/internal/engine/control.go
@@ -1,17 +1,18 @@
 package engine
 
 import (
-	"time"
+	"net/http"
+	"net/url"
 
 	"github.com/cockroachdb/errors"
-	"github.com/valyala/fasthttp"
 
+	"github.com/hibiscuslug/hibiscuslug/pkg/clock"
 	"github.com/hibiscuslug/hibiscuslug/pkg/wire"
 )
 
 // orderTimeout bounds an order to an engine. It is short because the work that
 // takes over the slot waits for the order.
-const orderTimeout = 300 * time.Millisecond
+const orderTimeout = 300 * clock.Millis(1)
 
 // order is the operation that a model engine is to perform on an attempt.
 type order string
@@ -35,17 +36,14 @@
 	if _, ok := target.(Model); !ok {
 		return errors.Newf("engine %s does not support orders for single requests", target.Info().GetName())
 	}
-	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
-	defer fasthttp.ReleaseRequest(request)
-	defer fasthttp.ReleaseResponse(response)
-	request.SetRequestURI(URL(target) + "/engine/" + string(action))
-	request.URI().QueryArgs().Set("id", ID(attempt.GetRequestId(), attempt.GetAttempt()))
-	request.Header.SetMethod(fasthttp.MethodPost)
-	if err := runner.client.DoTimeout(request, response, orderTimeout); err != nil {
+	status, _, err := runner.query(orderTimeout, call{
+		target: target, method: http.MethodPost, path: "/engine/" + string(action) + "?id=" + url.QueryEscape(ID(attempt.GetRequestId(), attempt.GetAttempt())),
+	})
+	if err != nil {
 		return errors.Wrapf(err, "%s attempt at engine %s", action, target.Info().GetName())
 	}
-	if response.StatusCode() >= fasthttp.StatusBadRequest {
-		return errors.Newf("engine %s responded to %s with status %d", target.Info().GetName(), action, response.StatusCode())
+	if status >= http.StatusBadRequest {
+		return errors.Newf("engine %s responded to %s with status %d", target.Info().GetName(), action, status)
 	}
 	return nil
 }
--- a/internal/engine/plain.go
+++ b/internal/engine/plain.go
@@ -1,10 +1,11 @@
 package engine
 
 import (
+	"maps"
+	"net/http"
+	"slices"
 	"strings"
 
-	"github.com/valyala/fasthttp"
-
 	"github.com/hibiscuslug/hibiscuslug/pkg/wire"
 )
 
@@ -54,14 +55,17 @@
 }
 
 // forwardedHeaders returns the response headers to forward to the caller.
-func forwardedHeaders(target Engine, header *fasthttp.ResponseHeader) []*wire.Header {
+func forwardedHeaders(target Engine, header http.Header) []*wire.Header {
 	if _, ok := target.(Plain); !ok {
 		return nil
 	}
 	var list []*wire.Header
-	for name, value := range header.All() {
-		if text := string(name); ForwardsHeader(text) {
-			list = append(list, &wire.Header{Name: text, Value: string(value)})
+	for _, name := range slices.Sorted(maps.Keys(header)) {
+		if !ForwardsHeader(name) {
+			continue
+		}
+		for _, value := range header[name] {
+			list = append(list, &wire.Header{Name: name, Value: value})
 		}
 	}
 	return list
--- a/internal/engine/progress.go
+++ b/internal/engine/progress.go
@@ -2,17 +2,17 @@
 
 import (
 	"encoding/json"
-	"net"
-	"time"
+	"net/http"
+	"net/url"
 
 	"github.com/cockroachdb/errors"
-	"github.com/valyala/fasthttp"
 
+	"github.com/hibiscuslug/hibiscuslug/pkg/clock"
 	"github.com/hibiscuslug/hibiscuslug/pkg/wire"
 )
 
 // progressTimeout bounds a query for the progress of one request.
-const progressTimeout = 300 * time.Millisecond
+const progressTimeout = 300 * clock.Millis(1)
 
 // Progress is the state of one attempt as reported by an engine's load page.
 type Progress struct {
@@ -26,23 +26,15 @@
 
 // CloseIdleConnections closes the idle connections to engines. After one
 // connection fell silent, the idle ones may be silent as well.
-func (runner *Runner) CloseIdleConnections() { runner.client.CloseIdleConnections() }
+func (runner *Runner) CloseIdleConnections() { runner.pool.CloseIdle() }
 
 // Progress queries an engine for the progress of an attempt. It opens a new
 // connection, because existing ones may be silent.
 func (runner *Runner) Progress(target Engine, attempt *wire.Attempt) (Progress, error) {
-	client := fasthttp.Client{
-		MaxIdemponentCallAttempts: 1,
-		Dial:                      func(address string) (net.Conn, error) { return fasthttp.DialTimeout(address, progressTimeout) },
-	}
-	defer client.CloseIdleConnections()
-	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
-	defer fasthttp.ReleaseRequest(request)
-	defer fasthttp.ReleaseResponse(response)
-	request.SetRequestURI(URL(target) + "/engine/load")
-	request.URI().QueryArgs().Set("id", ID(attempt.GetRequestId(), attempt.GetAttempt()))
-	request.SetConnectionClose()
-	if err := client.DoTimeout(request, response, progressTimeout); err != nil {
+	_, body, err := runner.query(progressTimeout, call{
+		target: target, method: http.MethodGet, path: "/engine/load?id=" + url.QueryEscape(ID(attempt.GetRequestId(), attempt.GetAttempt())), fresh: true,
+	})
+	if err != nil {
 		return Progress{}, errors.Wrapf(err, "query engine %s for the progress of a request", target.Info().GetName())
 	}
 	var page struct {
@@ -51,7 +43,7 @@
 			Produced int    `json:"produced"`
 		} `json:"request"`
 	}
-	if err := json.Unmarshal(response.Body(), &page); err != nil || page.Request == nil {
+	if err := json.Unmarshal(body, &page); err != nil || page.Request == nil {
 		// The page is optional, so its absence does not mean that the connection is
 		// silent.
 		return Progress{}, nil //nolint:nilerr // the page is optional
--- a/internal/engine/runner.go
+++ b/internal/engine/runner.go
@@ -5,24 +5,25 @@
 	"bytes"
 	"context"
 	"io"
-	"net"
+	"net/http"
+	"net/url"
 	"strconv"
 	"strings"
 	"sync"
-	"time"
 
 	"github.com/cockroachdb/errors"
-	"github.com/valyala/fasthttp"
 
+	"github.com/hibiscuslug/hibiscuslug/internal/conns"
 	"github.com/hibiscuslug/hibiscuslug/internal/span"
+	"github.com/hibiscuslug/hibiscuslug/internal/stream"
+	"github.com/hibiscuslug/hibiscuslug/pkg/clock"
 	"github.com/hibiscuslug/hibiscuslug/pkg/wire"
 )
 
 const (
-	dialTimeout    = 500 * time.Millisecond
 	readBufferSize = 64 << 10
 	maxBodyChunk   = 32 << 10
-	cancelTimeout  = 2 * time.Second
+	cancelTimeout  = 2 * clock.Second
 	// maxTrailingBytes bounds what is read after a stream's closing event.
 	maxTrailingBytes = 4 << 10
 	// maxEventsPerAnswer bounds the events in one message to an entry VM.
@@ -35,7 +36,9 @@
 // Sink receives the parts of an engine's answer in order.
 type Sink interface {
 	Head(status int, contentType string, headers []*wire.Header)
-	Data(events [][]byte)
+	// Data takes events or a chunk of the body. It may wait for a reader of the answer,
+	// and returns an error if the answer is not wanted any more.
+	Data(events [][]byte) error
 }
 
 // Result is the result of an attempt.
@@ -46,24 +49,19 @@
 
 // Runner sends attempts to engines over HTTP.
 type Runner struct {
-	client *fasthttp.Client
+	pool   *conns.Pool
 	tracer *span.Tracer
 }
 
-// NewRunner returns a runner with its own connection pool.
-func NewRunner() *Runner {
-	return &Runner{client: &fasthttp.Client{
-		StreamResponseBody:  true,
-		MaxConnsPerHost:     4096,
-		MaxIdleConnDuration: time.Minute,
-		// fasthttp must not repeat a request whose connection broke: package route
-		// alone decides about retries.
-		MaxIdemponentCallAttempts: 1,
-		RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
-		Dial:                      func(address string) (net.Conn, error) { return fasthttp.DialTimeout(address, dialTimeout) },
-	}}
+// NewRunner returns a runner with its own connection pool. It never repeats a request
+// whose connection broke: package route alone decides about retries.
+func NewRunner(ticker *clock.Clock) *Runner {
+	return &Runner{pool: conns.New(ticker).WithMaxIdle(maxIdleConns)}
 }
 
+// Close closes the idle connections.
+func (runner *Runner) Close() { runner.pool.Close() }
+
 // WithTracer makes the runner record a span for each call to an engine.
 func (runner *Runner) WithTracer(tracer *span.Tracer) *Runner {
 	runner.tracer = tracer
@@ -84,45 +82,51 @@
 }
 
 func (runner *Runner) call(ctx context.Context, target Engine, attempt *wire.Attempt, traceparent string, sink Sink) Result {
-	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
-	defer fasthttp.ReleaseRequest(request)
-	defer fasthttp.ReleaseResponse(response)
-	runner.fill(request, target, attempt)
-	if traceparent != "" {
-		request.Header.Set("Traceparent", traceparent)
-	}
 	stop := context.AfterFunc(ctx, func() { runner.cancel(target, attempt) })
 	defer stop()
-	if err := runner.client.Do(request, response); err != nil {
+	// A cancelled attempt ends with the engine's answer to the order, so that its slot is
+	// free at the engine as well.
+	exchange, err := runner.do(context.WithoutCancel(ctx), call{
+		target: target, method: attempt.GetMethod(), path: enginePath(target, attempt.GetPath()), header: header(target, attempt, traceparent),
+		body: attempt.GetBody(), fresh: !attempt.GetIdempotent(),
+	})
+	if err != nil {
 		return classifyFailure(err)
 	}
-	defer func() { _ = response.CloseBodyStream() }()
-	sink.Head(response.StatusCode(), string(response.Header.ContentType()), forwardedHeaders(target, &response.Header))
-	if err := copyBody(response, sink); err != nil {
+	response := exchange.Response
+	sink.Head(response.StatusCode, response.Header.Get("Content-Type"), forwardedHeaders(target, response.Header))
+	complete, err := copyBody(response, sink)
+	exchange.Close(complete, 0)
+	if err != nil {
 		return Result{Outcome: wire.Outcome_OUTCOME_UNKNOWN, Err: errors.Wrap(err, "response ended before it was complete")}
 	}
-	if response.StatusCode() >= fasthttp.StatusBadRequest {
-		return Result{Outcome: wire.Outcome_OUTCOME_FAILED, Err: errors.Newf("engine responded with status %d", response.StatusCode())}
+	if response.StatusCode >= http.StatusBadRequest {
+		return Result{Outcome: wire.Outcome_OUTCOME_FAILED, Err: errors.Newf("engine responded with status %d", response.StatusCode)}
 	}
 	return Result{Outcome: wire.Outcome_OUTCOME_OK}
 }
 
-func (runner *Runner) fill(request *fasthttp.Request, target Engine, attempt *wire.Attempt) {
-	request.SetRequestURI(URL(target) + enginePath(target, attempt.GetPath()))
-	for _, header := range attempt.GetHeaders() {
-		if !forwardsEncoding(target, attempt) && strings.EqualFold(header.GetName(), "Accept-Encoding") {
+// header returns the header of an attempt's request.
+func header(target Engine, attempt *wire.Attempt, traceparent string) http.Header {
+	fields := http.Header{}
+	for _, field := range attempt.GetHeaders() {
+		if !forwardsEncoding(target, attempt) && strings.EqualFold(field.GetName(), "Accept-Encoding") {
 			continue
 		}
-		request.Header.Add(header.GetName(), header.GetValue())
+		fields.Add(field.GetName(), field.GetValue())
 	}
-	request.Header.SetMethod(attempt.GetMethod())
-	request.Header.SetContentType(attempt.GetContentType())
-	request.Header.Set("X-Request-Id", ID(attempt.GetRequestId(), attempt.GetAttempt()))
+	if attempt.GetContentType() != "" {
+		fields.Set("Content-Type", attempt.GetContentType())
+	}
+	fields.Set("X-Request-Id", ID(attempt.GetRequestId(), attempt.GetAttempt()))
 	if _, ok := target.(Model); ok {
-		request.Header.Set("X-Priority", strconv.Itoa(int(attempt.GetPriority())))
-		request.Header.Set("X-Resume-From", strconv.FormatUint(attempt.GetSkipEvents(), 10))
+		fields.Set("X-Priority", strconv.Itoa(int(attempt.GetPriority())))
+		fields.Set("X-Resume-From", strconv.FormatUint(attempt.GetSkipEvents(), 10))
+	}
+	if traceparent != "" {
+		fields.Set("Traceparent", traceparent)
 	}
-	request.SetBodyRaw(attempt.GetBody())
+	return fields
 }
 
 // cancel orders a model engine to stop an attempt; other engines do not support
@@ -131,50 +135,41 @@
 	if _, ok := target.(Model); !ok {
 		return
 	}
-	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
-	defer fasthttp.ReleaseRequest(request)
-	defer fasthttp.ReleaseResponse(response)
-	request.SetRequestURI(URL(target) + "/engine/cancel?id=" + ID(attempt.GetRequestId(), attempt.GetAttempt()))
-	request.Header.SetMethod(fasthttp.MethodPost)
 	// An engine that does not receive the order ends the stream when its connection
 	// closes.
-	_ = runner.client.DoTimeout(request, response, cancelTimeout)
+	_, _, _ = runner.query(cancelTimeout, call{
+		target: target, method: http.MethodPost, path: "/engine/cancel?id=" + url.QueryEscape(ID(attempt.GetRequestId(), attempt.GetAttempt())),
+	})
 }
 
 // classifyFailure distinguishes an engine that was never reached from one that
 // may have run the attempt.
 func classifyFailure(err error) Result {
-	var dial *net.OpError
-	if errors.Is(err, fasthttp.ErrDialTimeout) || errors.Is(err, fasthttp.ErrNoFreeConns) ||
-		(errors.As(err, &dial) && dial.Op == "dial") {
+	if errors.Is(err, conns.ErrNotSent) {
 		return Result{Outcome: wire.Outcome_OUTCOME_NOT_RUN, Err: err}
 	}
 	return Result{Outcome: wire.Outcome_OUTCOME_UNKNOWN, Err: err}
 }
 
-func copyBody(response *fasthttp.Response, sink Sink) error {
-	body := response.BodyStream()
-	if body == nil {
-		if chunk := response.Body(); len(chunk) > 0 {
-			sink.Data([][]byte{bytes.Clone(chunk)})
-		}
-		return nil
+// copyBody passes a body on and reports whether it was read to its end.
+func copyBody(response *http.Response, sink Sink) (bool, error) {
+	body := response.Body
+	if !strings.HasPrefix(response.Header.Get("Content-Type"), "text/event-stream") {
+		err := copyChunks(body, sink)
+		return err == nil, err
 	}
-	if bytes.HasPrefix(response.Header.ContentType(), []byte("text/event-stream")) {
-		reader, _ := readerPool.Get().(*bufio.Reader)
-		reader.Reset(body)
-		defer func() {
-			reader.Reset(nil)
-			readerPool.Put(reader)
-		}()
-		if err := copyEvents(reader, sink); err != nil {
-			return err
-		}
-		// fasthttp reuses a connection only when the response was read to the end.
-		_, _ = io.CopyN(io.Discard, reader, maxTrailingBytes)
-		return nil
+	reader, _ := readerPool.Get().(*bufio.Reader)
+	reader.Reset(body)
+	defer func() {
+		reader.Reset(nil)
+		readerPool.Put(reader)
+	}()
+	if err := copyEvents(reader, sink); err != nil {
+		return false, err
 	}
-	return copyChunks(body, sink)
+	// A connection is reused only when the response was read to its end.
+	_, err := io.CopyN(io.Discard, reader, maxTrailingBytes)
+	return errors.Is(err, io.EOF), nil
 }
 
 func copyChunks(body io.Reader, sink Sink) error {
@@ -182,7 +177,9 @@
 		chunk := make([]byte, maxBodyChunk)
 		count, err := body.Read(chunk)
 		if count > 0 {
-			sink.Data([][]byte{chunk[:count]})
+			if failure := sink.Data([][]byte{chunk[:count]}); failure != nil {
+				return failure
+			}
 		}
 		if errors.Is(err, io.EOF) {
 			return nil
@@ -199,19 +196,22 @@
 // buffered. A stream without its [DONE] event is incomplete.
 func copyEvents(reader *bufio.Reader, sink Sink) error {
 	var batch [][]byte
+	size := 0
 	for {
 		event, err := readEvent(reader)
 		if err != nil {
 			if len(batch) > 0 {
-				sink.Data(batch)
+				return errors.CombineErrors(err, sink.Data(batch))
 			}
 			return err
 		}
-		batch = append(batch, event)
+		batch, size = append(batch, event), size+len(event)
 		done := bytes.HasPrefix(event, doneEvent)
-		if done || reader.Buffered() == 0 || len(batch) >= maxEventsPerAnswer {
-			sink.Data(batch)
-			batch = nil
+		if done || reader.Buffered() == 0 || len(batch) >= maxEventsPerAnswer || size >= stream.MaxEventBytes {
+			if err := sink.Data(batch); err != nil {
+				return err
+			}
+			batch, size = nil, 0
 		}
 		if done {
 			return nil
@@ -225,6 +225,9 @@
 	for {
 		line, err := reader.ReadSlice('\n')
 		event = append(event, line...)
+		if len(event) > stream.MaxEventBytes {
+			return nil, errors.Newf("an event of the stream is longer than %d bytes", stream.MaxEventBytes)
+		}
 		if errors.Is(err, bufio.ErrBufferFull) {
 			continue
 		}
