endpt: hold a bounded part of an engine's answer

Cause: the buffer of an attempt's answers and an event of a stream had no bound, and nothing slowed the engine down.

--- a/internal/endpt/attempt.go
+++ b/internal/endpt/attempt.go
@@ -18,10 +18,18 @@
 	arrived clock.Millis
 
 	// mu guards the fields below. It is a leaf lock.
-	mu       sync.Mutex
-	state    wire.AttemptState
-	answers  []*wire.Answer
-	changed  chan struct{}
+	mu    sync.Mutex
+	state wire.AttemptState
+	// answers are those from the sequence number first on; those before sent were sent
+	// on a stream.
+	answers     []*wire.Answer
+	first, sent uint64
+	// held counts the bytes of answers, unsent of those that no stream has sent.
+	held, unsent int64
+	memory       *memory
+	changed      chan struct{}
+	// stopped is closed once a running attempt is not wanted any more.
+	stopped  <-chan struct{}
 	attached int
 	// idleSince is when the last stream detached.
 	idleSince clock.Millis
@@ -48,14 +56,28 @@
 	return run
 }
 
+// withMemory makes the attempt count the bytes that it holds.
+func (run *attempt) withMemory(memory *memory) *attempt {
+	run.memory = memory
+	return run
+}
+
 // Head records the status and headers of the engine's answer.
 func (run *attempt) Head(status int, contentType string, headers []*wire.Header) {
 	run.add(&wire.Answer{Kind: wire.AnswerKind_ANSWER_KIND_HEAD, Status: uint32(status), ContentType: contentType, Headers: headers})
 }
 
-// Data records a batch of events or a body chunk of the engine's answer.
+// Data records a batch of events or a body chunk of the engine's answer. It waits while
+// the attempt holds as much as it may, and returns an error once the attempt is not wanted
+// any more or its answer cannot be kept.
 func (run *attempt) Data(events [][]byte) error {
-	run.add(&wire.Answer{Kind: wire.AnswerKind_ANSWER_KIND_DATA, Events: events})
+	answer := &wire.Answer{Kind: wire.AnswerKind_ANSWER_KIND_DATA, Events: events}
+	run.mu.Lock()
+	defer run.mu.Unlock()
+	if err := run.awaitRoom(answerBytes(answer)); err != nil {
+		return err
+	}
+	run.addLocked(answer)
 	return nil
 }
 
@@ -68,12 +90,16 @@
 func (run *attempt) addLocked(answer *wire.Answer) {
 	answer.RequestId = run.request.GetRequestId()
 	answer.Attempt = run.request.GetAttempt()
-	answer.Sequence = uint64(len(run.answers))
+	answer.Sequence = run.nextLocked()
 	run.answers = append(run.answers, answer)
+	run.hold(answerBytes(answer))
 	run.produced += uint64(len(answer.GetEvents()))
 	run.wakeLocked()
 }
 
+// nextLocked returns the sequence number of the next answer.
+func (run *attempt) nextLocked() uint64 { return run.first + uint64(len(run.answers)) }
+
 // wakeLocked wakes the streams that wait for a change of the attempt.
 func (run *attempt) wakeLocked() {
 	close(run.changed)
@@ -81,14 +107,14 @@
 }
 
 // begin moves the attempt from queued to running, unless it was fenced.
-func (run *attempt) begin(cancel context.CancelFunc) bool {
+func (run *attempt) begin(ctx context.Context, cancel context.CancelFunc) bool {
 	run.mu.Lock()
 	defer run.mu.Unlock()
 	if run.state != wire.AttemptState_ATTEMPT_STATE_QUEUED {
 		return false
 	}
 	run.state = wire.AttemptState_ATTEMPT_STATE_RUNNING
-	run.cancel = cancel
+	run.cancel, run.stopped = cancel, ctx.Done()
 	run.started = run.clock.Now()
 	parent := run.request.GetTraceparent()
 	run.tracer.Record(parent, "queue", run.arrived, run.started)
@@ -137,15 +163,26 @@
 func (run *attempt) status() (wire.AttemptState, uint64) {
 	run.mu.Lock()
 	defer run.mu.Unlock()
-	return run.state, uint64(len(run.answers))
+	return run.state, run.nextLocked()
 }
 
 // answersFrom returns the answers from a sequence number on, and a channel that
-// is closed at the next change of the attempt.
-func (run *attempt) answersFrom(from uint64) ([]*wire.Answer, <-chan struct{}) {
+// is closed at the next change of the attempt. It returns errDropped if some of them are
+// no longer stored.
+func (run *attempt) answersFrom(from uint64) ([]*wire.Answer, <-chan struct{}, error) {
+	run.mu.Lock()
+	defer run.mu.Unlock()
+	if from < run.first {
+		return nil, nil, errDropped
+	}
+	return run.answers[min(from-run.first, uint64(len(run.answers))):], run.changed, nil
+}
+
+// nextChange returns a channel that is closed at the next change of the attempt.
+func (run *attempt) nextChange() <-chan struct{} {
 	run.mu.Lock()
 	defer run.mu.Unlock()
-	return run.answers[min(from, uint64(len(run.answers))):], run.changed
+	return run.changed
 }
 
 func (run *attempt) attach() {
--- a/internal/endpt/endpoint.go
+++ b/internal/endpt/endpoint.go
@@ -48,6 +48,7 @@
 	server      *link.Server
 	announcer   *member.Announcer
 	table       *table
+	memory      *memory
 	runner      *engine.Runner
 	lanes       map[string]*lane
 	leaving     atomic.Bool
@@ -87,7 +88,9 @@
 	if err != nil {
 		return nil, err
 	}
-	endpoint.guard = guard.New(guard.Machine(settings.Node), ticker, log)
+	bounds := guard.Machine(settings.Node)
+	endpoint.memory = newMemory(bounds.Bytes)
+	endpoint.guard = guard.New(bounds, ticker, log)
 	server.Bound(endpoint.guard, guard.PeersShare)
 	endpoint.server = server
 	if err := wire.DRPCRegisterRelay(server.Mux(), endpoint); err != nil {
@@ -146,6 +149,9 @@
 		for _, run := range endpoint.table.sweep(endpoint.clock.Now()) {
 			endpoint.stopAttempt(run)
 		}
+		if endpoint.memory.isShort() {
+			endpoint.table.trim()
+		}
 	}
 }
 
--- a/internal/endpt/lane.go
+++ b/internal/endpt/lane.go
@@ -160,7 +160,7 @@
 		return
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	if !run.begin(cancel) {
+	if !run.begin(ctx, cancel) {
 		cancel()
 		lane.work.Go(func() { lane.remove(id) })
 		return
--- a/internal/endpt/quarantine.go
+++ b/internal/endpt/quarantine.go
@@ -39,7 +39,7 @@
 	if endpoint.quarantine.holder != nil {
 		return nil, errQuarantine
 	}
-	run, added := endpoint.table.admit(newAttempt(request, endpoint.clock).withTracer(endpoint.tracer))
+	run, added := endpoint.table.admit(newAttempt(request, endpoint.clock).withTracer(endpoint.tracer).withMemory(endpoint.memory))
 	if added {
 		endpoint.lanes[request.GetEngine()].submit(run)
 	}
@@ -56,7 +56,7 @@
 	if endpoint.quarantine.holder != nil {
 		return nil, errQuarantine
 	}
-	run, added := endpoint.table.admit(newAttempt(request, endpoint.clock).withTracer(endpoint.tracer))
+	run, added := endpoint.table.admit(newAttempt(request, endpoint.clock).withTracer(endpoint.tracer).withMemory(endpoint.memory))
 	if added {
 		endpoint.quarantine.holder = run
 		endpoint.runs.Go(func() { endpoint.isolate(run) })
@@ -73,10 +73,9 @@
 			submitted = true
 			endpoint.lanes[run.request.GetEngine()].submit(run)
 		}
-		_, changed := run.answersFrom(0)
 		// The end of the holder closes the channel; the end of attempts on other
 		// lanes is found by polling.
-		_, _ = waitChange(endpoint.background, changed, quarantinePollInterval)
+		_, _ = waitChange(endpoint.background, run.nextChange(), quarantinePollInterval)
 		if endpoint.background.Err() != nil {
 			return
 		}
--- a/internal/endpt/relay.go
+++ b/internal/endpt/relay.go
@@ -91,7 +91,10 @@
 	defer run.detach()
 	startSent := false
 	for {
-		answers, changed := run.answersFrom(from)
+		answers, changed, err := run.answersFrom(from)
+		if err != nil {
+			return err
+		}
 		if !startSent && run.hasStarted() {
 			startSent = true
 			if err := stream.Send(progressAnswer(run, from)); err != nil {
@@ -101,6 +104,7 @@
 		if err := sendAll(stream, answers); err != nil {
 			return err
 		}
+		run.markSent(from + uint64(len(answers)))
 		if count := len(answers); count > 0 && answers[count-1].GetKind() == wire.AnswerKind_ANSWER_KIND_END {
 			run.markDelivered()
 			return nil
--- a/internal/endpt/silence.go
+++ b/internal/endpt/silence.go
@@ -45,15 +45,18 @@
 	}
 }
 
-// Data passes on and counts a batch of events or a body chunk.
+// Data passes on and counts a batch of events or a body chunk. While the sink waits for a
+// reader, the connection does not count as silent, because the count is locked.
 func (in *inbound) Data(events [][]byte) error {
 	in.mu.Lock()
 	defer in.mu.Unlock()
-	if in.last = in.clock.Now(); in.discarding {
+	if in.discarding {
 		return errEngineSilent
 	}
 	in.events += len(events)
-	return in.sink.Data(events)
+	err := in.sink.Data(events)
+	in.last = in.clock.Now()
+	return err
 }
 
 func (in *inbound) received() (int, clock.Millis) {
--- a/internal/endpt/table.go
+++ b/internal/endpt/table.go
@@ -106,6 +106,7 @@
 				table.ran[xxhash.Sum64String(id)] = struct{}{}
 			}
 			delete(table.attempts, id)
+			run.release()
 		case wire.AttemptState_ATTEMPT_STATE_FENCED:
 			table.fenced[xxhash.Sum64String(id)] = struct{}{}
 			delete(table.attempts, id)
@@ -116,6 +117,15 @@
 	return abandoned
 }
 
+// trim drops the answers that were sent to readers of idempotent work.
+func (table *table) trim() {
+	table.mu.Lock()
+	defer table.mu.Unlock()
+	for _, run := range table.attempts {
+		run.trim()
+	}
+}
+
 // detached reports whether no stream is attached to any attempt.
 func (table *table) detached() bool {
 	table.mu.Lock()
