--- a/internal/fake/backend.go
+++ b/internal/fake/backend.go
@@ -39,6 +39,8 @@
 	Kept string `json:"kept"`
 	// Then is close, reset or hang; any other value keeps the connection open.
 	Then string `json:"then"`
+	// Delay is the time before Text is written, in milliseconds.
+	Delay int `json:"delay"`
 	// Early is the number of bytes of the body that are read, in parts, after Text was
 	// written; each part is followed by one more byte of the response. The rest of the
 	// body is not read. 0 reads the whole body before Text.
@@ -150,6 +152,11 @@
 			text = step.Kept + text
 		}
 		text = strings.ReplaceAll(text, "{id}", request.Header.Get(idHeader))
+		select {
+		case <-time.After(time.Duration(step.Delay) * time.Millisecond):
+		case <-ctx.Done():
+			return
+		}
 		if _, err := fmt.Fprint(conn, text); err != nil {
 			return
 		}
--- a/internal/gate/attempt.go
+++ b/internal/gate/attempt.go
@@ -237,6 +237,7 @@
 
 func (forwarder *forwarder) logAnswered(status int) {
 	now := forwarder.gateway.clock.Now()
+	forwarder.gateway.recordAnswer(forwarder.call)
 	forwarder.gateway.answered.Add(kindNames[forwarder.route.Kind] + ".answered")
 	firstByte, longestPause := now-forwarder.arrived, clock.Millis(0)
 	if forwarder.stream == nil {
--- a/internal/gate/forward.go
+++ b/internal/gate/forward.go
@@ -6,8 +6,6 @@
 	"strconv"
 	"strings"
 
-	"github.com/cockroachdb/errors"
-
 	"github.com/hibiscuslug/hibiscuslug/internal/choose"
 	"github.com/hibiscuslug/hibiscuslug/internal/crash"
 	"github.com/hibiscuslug/hibiscuslug/internal/event"
@@ -262,7 +260,7 @@
 func (forwarder *forwarder) end(ctx context.Context, reason string) {
 	gateway := forwarder.gateway
 	switch {
-	case errors.Is(ctx.Err(), context.Canceled) && forwarder.stream == nil:
+	case isGone(ctx) && forwarder.stream == nil:
 		gateway.answered.Add(kindNames[forwarder.route.Kind] + ".callerGone")
 		gateway.log.Write(event.RequestEnded, "id", forwarder.task.ID, "outcome", "callerGone", "runs", forwarder.runs, "unrun", forwarder.notRunAttempts, "took", gateway.clock.Now()-forwarder.arrived)
 		panic(http.ErrAbortHandler)
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -23,6 +23,7 @@
 	"github.com/hibiscuslug/hibiscuslug/internal/event"
 	"github.com/hibiscuslug/hibiscuslug/internal/feed"
 	"github.com/hibiscuslug/hibiscuslug/internal/guard"
+	"github.com/hibiscuslug/hibiscuslug/internal/halt"
 	"github.com/hibiscuslug/hibiscuslug/internal/knee"
 	"github.com/hibiscuslug/hibiscuslug/internal/link"
 	"github.com/hibiscuslug/hibiscuslug/internal/meter"
@@ -110,6 +111,12 @@
 	// estimated holds the estimates that follow last logged.
 	estimated map[quota.Endpoint]knee.Estimate
 	loops     conc.WaitGroup
+	// running is the parent of the contexts of requests, which endRunning ends with a
+	// cause. endsAt is when it is called, in milliseconds of the clock; 0 while the gateway
+	// is not stopping.
+	running    context.Context //nolint:containedctx // the contexts of requests derive from it
+	endRunning context.CancelCauseFunc
+	endsAt     atomic.Int64
 
 	// mu guards the fields below. It is a leaf lock.
 	mu     sync.Mutex
@@ -148,6 +155,8 @@
 	// ID, and knees the estimates of the endpoints by service.
 	responses map[string][]response
 	knees     map[string]knee.Table
+	// durations holds how long answers took lately.
+	durations map[work]halt.Durations
 }
 
 // New starts a gateway.
@@ -157,8 +166,9 @@
 		random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), work: map[string]choose.Load{}, uses: map[use]int{}, demands: map[string]shed.Demand{}, callerWaits: map[string]repeat.Waits{},
 		windows: map[string]*retry.RatioBudget{}, stalls: map[string]stall{}, progress: map[string]progress{}, waits: map[string]wait.Estimate{},
 		evacuated: map[string]bool{}, coldLogged: map[quota.Endpoint]bool{}, coldDenied: map[string]int{},
-		responses: map[string][]response{}, knees: map[string]knee.Table{}, estimated: map[quota.Endpoint]knee.Estimate{},
+		durations: map[work]halt.Durations{}, responses: map[string][]response{}, knees: map[string]knee.Table{}, estimated: map[quota.Endpoint]knee.Estimate{},
 	}
+	gateway.running, gateway.endRunning = context.WithCancelCause(context.Background())
 	gateway.bound(guard.Machine(settings.Node))
 	gateway.share = quota.NewShare(gateway.random.Float64())
 	gateway.poller = poll.New(poll.Settings{
@@ -209,7 +219,7 @@
 	})
 	gateway.http = &http.Server{
 		Handler: gateway, MaxHeaderBytes: maxHeaderBytes, ReadHeaderTimeout: headerReadTimeout.Duration(), IdleTimeout: idleTimeout,
-		ConnContext: guard.Context, ConnState: guard.Follow,
+		BaseContext: gateway.baseContext, ConnContext: guard.Context, ConnState: guard.Follow,
 	}
 	gateway.serve(gateway.http, gateway.listener)
 	if gateway.settings.Gateway.ReadyListen == "" {
@@ -379,11 +389,14 @@
 	gateway.stopping.Store(true)
 	gateway.log.Write(event.Stopping)
 	grace := gateway.settings.Gateway.Grace
+	untilClose := grace - min(shutdownMargin, grace/3)
+	stopTimer := gateway.endRequests(max(untilClose-min(answerMargin, grace/8), 0))
+	defer stopTimer()
 	// The platform sends new connections until it detects the change of readiness.
 	if err := gateway.clock.Sleep(context.Background(), min(gateway.settings.Gateway.Rotation, grace/3)); err != nil {
 		gateway.log.Write(event.ServeFailed, "error", err)
 	}
-	remaining := grace - min(shutdownMargin, grace/3) - (gateway.clock.Now() - began)
+	remaining := untilClose - (gateway.clock.Now() - began)
 	ctx, cancel := context.WithTimeout(context.Background(), remaining.Duration())
 	defer cancel()
 	failure := gateway.http.Shutdown(ctx)
@@ -394,6 +407,7 @@
 	if gateway.ready != nil {
 		failure = errors.CombineErrors(failure, gateway.ready.Close())
 	}
+	gateway.endRunning(errStopping)
 	gateway.cancel()
 	gateway.poller.Close()
 	gateway.loops.Wait()
--- a/internal/gate/hold.go
+++ b/internal/gate/hold.go
@@ -4,8 +4,6 @@
 	"context"
 	"net/http"
 
-	"github.com/cockroachdb/errors"
-
 	"github.com/hibiscuslug/hibiscuslug/internal/event"
 	"github.com/hibiscuslug/hibiscuslug/internal/outage"
 	"github.com/hibiscuslug/hibiscuslug/internal/roster"
@@ -55,7 +53,7 @@
 		done = isDone()
 	}
 	gateway.log.Write(event.RequestHeld, "id", call.task.ID, "reason", reason, "limit", limit, "took", gateway.clock.Now()-began, "over", done)
-	if errors.Is(ctx.Err(), context.Canceled) {
+	if isGone(ctx) {
 		gateway.log.Write(event.RequestEnded, "id", call.task.ID, "outcome", "callerGone", "took", gateway.clock.Now()-call.arrived)
 		panic(http.ErrAbortHandler)
 	}
--- a/internal/gate/serve.go
+++ b/internal/gate/serve.go
@@ -60,6 +60,8 @@
 	// first.
 	urgency int
 	arrived clock.Millis
+	// complete is when the whole request had arrived.
+	complete clock.Millis
 	// used is how long the caller has waited in earlier attempts.
 	used clock.Millis
 	// deadline is the end of the caller's wait or of the route's timeout, whichever
@@ -94,6 +96,10 @@
 		gateway.refuse(w, call, *refused)
 		return
 	}
+	if refused := gateway.checkStopping(call); refused != nil {
+		gateway.refuse(w, call, *refused)
+		return
+	}
 	ctx, cancel := context.WithTimeout(request.Context(), (call.deadline - gateway.clock.Now()).Duration())
 	defer cancel()
 	gateway.forward(ctx, w, call)
@@ -225,7 +231,7 @@
 		restore()
 		call.countHeader()
 		call.run()
-		call.task.Body = body
+		call.task.Body, call.complete = body, gateway.clock.Now()
 		return nil
 	}
 	if errors.Is(err, errHeld) {
