--- a/internal/fake/backend.go
+++ b/internal/fake/backend.go
@@ -140,34 +140,10 @@
 			return
 		}
 		step := backend.step()
-		var body []byte
-		if step.Early == 0 {
-			if body, err = io.ReadAll(request.Body); err != nil {
-				return
-			}
-		}
-		disconnected := backend.record(request, body)
-		text := step.Text
-		if served > 0 {
-			text = step.Kept + text
-		}
-		text = strings.ReplaceAll(text, "{id}", request.Header.Get(idHeader))
-		select {
-		case <-time.After(time.Duration(step.Delay) * time.Millisecond):
-		case <-ctx.Done():
-			return
-		}
-		if _, err := fmt.Fprint(conn, text); err != nil {
+		disconnected, err := backend.respond(ctx, conn, request, step, served > 0, idHeader)
+		if err != nil {
 			return
 		}
-		for read := int64(0); read < step.Early; read += earlyPart {
-			if _, err := io.CopyN(io.Discard, request.Body, earlyPart); err != nil {
-				return
-			}
-			if _, err := fmt.Fprint(conn, "."); err != nil {
-				return
-			}
-		}
 		switch step.Then {
 		case "close":
 			return
@@ -185,6 +161,39 @@
 	}
 }
 
+// respond reads a request's body and writes the response of a step.
+func (backend *Backend) respond(ctx context.Context, conn net.Conn, request *http.Request, step Step, isKept bool, idHeader string) (chan struct{}, error) {
+	var body []byte
+	var err error
+	if step.Early == 0 {
+		if body, err = io.ReadAll(request.Body); err != nil {
+			return nil, err
+		}
+	}
+	disconnected := backend.record(request, body)
+	text := step.Text
+	if isKept {
+		text = step.Kept + text
+	}
+	select {
+	case <-time.After(time.Duration(step.Delay) * time.Millisecond):
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+	if _, err := fmt.Fprint(conn, strings.ReplaceAll(text, "{id}", request.Header.Get(idHeader))); err != nil {
+		return nil, err
+	}
+	for read := int64(0); read < step.Early; read += earlyPart {
+		if _, err := io.CopyN(io.Discard, request.Body, earlyPart); err != nil {
+			return nil, err
+		}
+		if _, err := fmt.Fprint(conn, "."); err != nil {
+			return nil, err
+		}
+	}
+	return disconnected, nil
+}
+
 // step returns the step of the next request.
 func (backend *Backend) step() Step {
 	backend.mu.Lock()
