gate: take a confirmation only for the plan it is of

Cause: a reply confirms the newest configuration received, and the age of that confirmation decided about keys of the plan in use, which is older until the new document is decoded.

Change: the plan in use keeps the last confirmation of its own version.

--- a/internal/feed/view.go
+++ b/internal/feed/view.go
@@ -123,6 +123,14 @@
 	return view.confirmed
 }
 
+// Confirmation returns the newest configuration received and the time at which control last
+// confirmed it.
+func (view *View) Confirmation() (*state.State, clock.Millis) {
+	view.mu.Lock()
+	defer view.mu.Unlock()
+	return view.state, view.confirmed
+}
+
 // Since returns the item that brings a watcher from a revision to the current
 // one, and a channel that is closed at the next revision.
 func (view *View) Since(revision uint64) (*wire.FeedItem, <-chan struct{}) {
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -117,6 +117,8 @@
 	running    context.Context //nolint:containedctx // the contexts of requests derive from it
 	endRunning context.CancelCauseFunc
 	endsAt     atomic.Int64
+	// confirmation is the last one of the plan in use.
+	confirmation atomic.Pointer[confirmation]
 
 	// mu guards the fields below. It is a leaf lock.
 	mu     sync.Mutex
@@ -354,11 +356,32 @@
 	return ready
 }
 
-// confirmed reports whether a control VM confirmed the configuration recently
-// enough for keys to be accepted.
-func (gateway *Gateway) confirmed() bool {
+// confirmation is when a control VM last confirmed a version of the configuration.
+type confirmation struct {
+	version uint64
+	at      clock.Millis
+}
+
+// confirmed reports whether a control VM confirmed a plan recently enough for its keys to
+// be accepted.
+func (gateway *Gateway) confirmed(config *plan.Plan) bool {
 	limit := gateway.settings.Gateway.RevokeLimit
-	return gateway.view.Age() <= limit-min(keyCheckMargin, limit/2)
+	return gateway.clock.Now()-gateway.confirmedAt(config) <= limit-min(keyCheckMargin, limit/2)
+}
+
+// confirmedAt returns when a control VM last confirmed a plan; 0 if it is not known. What
+// the view knows is the confirmation of the newest configuration received. While that one
+// is not decoded yet, the plan in use keeps the last confirmation of its own.
+func (gateway *Gateway) confirmedAt(config *plan.Plan) clock.Millis {
+	state, at := gateway.view.Confirmation()
+	if state.Deployment().GetVersion() == config.Version() {
+		gateway.confirmation.Store(&confirmation{version: config.Version(), at: at})
+		return at
+	}
+	if last := gateway.confirmation.Load(); last != nil && last.version == config.Version() {
+		return last.at
+	}
+	return 0
 }
 
 // isReady reports whether the gateway accepts requests, and the reason if not.
@@ -368,7 +391,7 @@
 		return false, "stopping"
 	case gateway.plan.Load() == nil:
 		return false, "no configuration"
-	case gateway.plan.Load().HasCustomers() && !gateway.confirmed():
+	case gateway.plan.Load().HasCustomers() && !gateway.confirmed(gateway.plan.Load()):
 		return false, "keys are not confirmed"
 	}
 	return true, ""
--- a/internal/gate/gate_test.go
+++ b/internal/gate/gate_test.go
@@ -25,6 +25,7 @@
 	"github.com/hibiscuslug/hibiscuslug/internal/opts"
 	"github.com/hibiscuslug/hibiscuslug/internal/ports"
 	"github.com/hibiscuslug/hibiscuslug/internal/roster"
+	"github.com/hibiscuslug/hibiscuslug/internal/task"
 	"github.com/hibiscuslug/hibiscuslug/pkg/clock"
 	"github.com/hibiscuslug/hibiscuslug/platform"
 )
@@ -127,6 +128,10 @@
 }
 
 func startGateway(name, control string, startWait clock.Millis) *gate.Gateway {
+	return startGatewayWith(platform.Dialect{}, name, control, startWait)
+}
+
+func startGatewayWith(dialect task.Dialect, name, control string, startWait clock.Millis) *gate.Gateway {
 	gateway, err := gate.New(gate.Settings{
 		Node: opts.Node{Name: name, Zone: "z1", Listen: control},
 		Gateway: opts.Gateway{
@@ -134,7 +139,7 @@
 			RetryRatio: 0.2, RetrySlack: 100, RetryWindow: 10 * clock.Second, StartWait: startWait,
 			ColdOver: coldOver, ColdSlack: coldSlack,
 		},
-		Dialect: platform.Dialect{},
+		Dialect: dialect,
 	}, clock.NewSystem(), event.Discard())
 	Expect(err).NotTo(HaveOccurred())
 	DeferCleanup(func() { _ = gateway.Close() })
--- a/internal/gate/hold.go
+++ b/internal/gate/hold.go
@@ -23,7 +23,7 @@
 	if gateway.started.Load() {
 		return false
 	}
-	if gateway.plan.Load() == nil || gateway.plan.Load().HasCustomers() && !gateway.confirmed() {
+	if gateway.plan.Load() == nil || gateway.plan.Load().HasCustomers() && !gateway.confirmed(gateway.plan.Load()) {
 		return true
 	}
 	gateway.started.Store(true)
--- a/internal/gate/serve.go
+++ b/internal/gate/serve.go
@@ -174,7 +174,7 @@
 // identify finds the customer by its key. Without a recent confirmation of the
 // configuration, keys are refused because they may have been revoked.
 func (gateway *Gateway) identify(call *call, config *plan.Plan) *refusal {
-	if !gateway.confirmed() {
+	if !gateway.confirmed(config) {
 		return &refusal{status: http.StatusServiceUnavailable, reason: "keys were not confirmed lately", retryAfter: clock.Second}
 	}
 	customer, ok := config.ByKey(call.task.Key)
