--- a/test/crowd/target_test.go
+++ b/test/crowd/target_test.go
@@ -83,7 +83,7 @@
 		defer GinkgoRecover()
 		for sequence := 1; ctx.Err() == nil; sequence++ {
 			ask(http.MethodPost, "http://"+api+"/Instances.Heartbeat/e1", fmt.Sprintf(
-				`{"service":"desk","address":%q,"zone":"z","slots":1000,"state":"ready","sequence":%d,"born":%d}`,
+				`{"service":"desk","address":%q,"zone":"z","version":"v1","slots":1000,"state":"ready","sequence":%d,"born":%d}`,
 				strings.TrimPrefix(server.URL, "http://"), sequence, born), nil)
 			select {
 			case <-ctx.Done():
--- a/test/soak/backend_test.go
+++ b/test/soak/backend_test.go
@@ -61,7 +61,7 @@
 	if !backend.leavesAt.IsZero() && time.Since(backend.leavesAt) > leavingTime {
 		backend.leavesAt, backend.started = time.Time{}, time.Now().UnixMilli()
 	}
-	return fmt.Sprintf(`{"service":"desk","address":%q,"zone":%q,"slots":8,"state":"ready","sequence":%d,"born":%d}`, address, backend.zone, backend.sequence, backend.started)
+	return fmt.Sprintf(`{"service":"desk","address":%q,"zone":%q,"version":"v1","slots":8,"state":"ready","sequence":%d,"born":%d}`, address, backend.zone, backend.sequence, backend.started)
 }
 
 // isLeaving reports whether the endpoint leaves, which it begins to do at random.
