quorum: keep voters spread over availability zones

Callers saw: after a zone had been cut off for 5.5 s, its voter was one of another zone.

Cause: the place of a silent voter went to whichever process asked first, and a voter that was removed while it was cut off did not ask to join again.

Change: members carry their zone; a candidate takes a place only if no zone gets more voters than the group can lose. After 30 s the place moves, and it moves back when a VM of its zone asks. A member without a leader for two election timeouts asks to join again. Followers without a leader use the one that polls name.

--- a/internal/ctrl/control.go
+++ b/internal/ctrl/control.go
@@ -49,6 +49,9 @@
 	// replaceAfter is how long a voter may be silent before a waiting process
 	// takes its place. It exceeds the duration of a restart, about a second.
 	replaceAfter = 3 * clock.Second
+	// relocateAfter is how long a voter may be silent before its place moves to another
+	// availability zone. It exceeds partitions, after which the voter is back.
+	relocateAfter = 30 * clock.Second
 	// seededCatchUpEntries is the number of log entries kept behind an image in a
 	// seeded group. It is small, because these entries are whole documents.
 	seededCatchUpEntries = 64
@@ -164,7 +167,7 @@
 	control.core = quorum.New(quorum.Settings{
 		Self: quorum.Peer{Name: control.self, DiskID: contents.DiskID}, Address: control.advertised(), InitialMembers: initialMembers,
 		JoinOnly: seeded && len(contents.Founders) == 0, Voters: voterCount(seeded, int(settings.Control.Tolerance)),
-		ReplaceAfter:    replaceAfter,
+		ReplaceAfter: replaceAfter, RelocateAfter: relocateAfter, Zone: settings.Node.Zone,
 		ElectionTimeout: settings.Control.ElectionTimeout, Seed: contents.DiskID,
 		CatchUpEntries: catchUpEntries(seeded), ImageChunkBytes: quorum.DefaultImageChunkBytes,
 	}, contents.Stored, ticker.Now())
--- a/internal/ctrl/fleet.go
+++ b/internal/ctrl/fleet.go
@@ -266,10 +266,8 @@
 	if status.Leader.Name != "" {
 		return addressOf(status.Members, status.Leader)
 	}
-	if len(status.Members) == 0 {
-		return control.poller.Leader()
-	}
-	return ""
+	// This process may be outside the group, also after it was removed from it.
+	return control.poller.Leader()
 }
 
 // Heard stores a record that an endpoint announced.
--- a/internal/ctrl/loop.go
+++ b/internal/ctrl/loop.go
@@ -64,12 +64,12 @@
 	}
 }
 
-// nameKnown tells the core which control VMs are known while it has no group. The settings
-// may name other seeds by then than at the start.
+// nameKnown tells the core which control VMs are known while it has no group, or no leader:
+// it may have been removed. The settings may name other seeds by then than at the start.
 func (control *Control) nameKnown(ctx context.Context) {
 	for control.clock.Sleep(ctx, control.settings.Control.ElectionTimeout) == nil {
-		if len(control.status.Load().Members) > 0 {
-			return
+		if control.status.Load().Leader.Name != "" {
+			continue
 		}
 		addresses := control.seeds()
 		for _, known := range control.poller.Controls() {
--- a/internal/quorum/core.go
+++ b/internal/quorum/core.go
@@ -87,7 +87,7 @@
 	// a leader; at first when the member became known.
 	heard map[Peer]clock.Millis
 	// heartbeatDue is when the leader sends the next heartbeat, or a member
-	// without a group the next join message.
+	// without a leader the next join message.
 	heartbeatDue clock.Millis
 	// round numbers the leader's heartbeats; roundSent has their send times.
 	round     uint64
@@ -215,8 +215,13 @@
 		core.tickJoin()
 	case core.role == Leader:
 		core.tickLeader()
-	case core.now >= core.electionDue:
-		core.campaign(true, false)
+	default:
+		if core.isForsaken() {
+			core.tickJoin()
+		}
+		if core.now >= core.electionDue {
+			core.campaign(true, false)
+		}
 	}
 }
 
--- a/internal/quorum/join.go
+++ b/internal/quorum/join.go
@@ -8,26 +8,40 @@
 	"github.com/hibiscuslug/hibiscuslug/pkg/wire"
 )
 
-// tickJoin sends join messages to the initial members and the known processes while
-// the member has no group.
+// forsakenTimeouts is the number of election timeouts without a leader after which a member
+// of an open group asks to join again: it may have been removed while it was cut off, and
+// nobody tells it.
+const forsakenTimeouts = 2
+
+func (core *Core) isForsaken() bool {
+	return core.settings.Voters > 0 && core.now-core.leaderContact > forsakenTimeouts*core.settings.ElectionTimeout
+}
+
+// tickJoin sends join messages to the members, the initial ones and the known processes
+// while this member has no group, or no leader. A member of a group discovers no others, so
+// that it never takes part in forming one.
 func (core *Core) tickJoin() {
 	if core.now < core.heartbeatDue {
 		return
 	}
 	core.heartbeatDue = core.now + core.settings.ElectionTimeout/heartbeatsPerTimeout + clock.Millis(1)
-	if core.settings.JoinOnly {
+	if core.settings.JoinOnly || core.inGroup() {
 		core.heartbeatDue = core.now + core.settings.ElectionTimeout
 	}
-	core.tryBootstrap()
-	if core.inGroup() {
-		return
+	var discovered *wire.MemberSet
+	if !core.inGroup() {
+		core.tryBootstrap()
+		if core.inGroup() {
+			return
+		}
+		discovered = &wire.MemberSet{Members: core.discoveredMembers()}
 	}
 	asked := map[string]bool{core.self.Name: true}
-	for _, other := range slices.Concat(core.settings.InitialMembers, core.known) {
+	for _, other := range slices.Concat(core.members, core.settings.InitialMembers, core.known) {
 		if name := other.GetName(); !asked[name] {
 			asked[name] = true
 			core.send(Peer{Name: other.GetName()}, other.GetAddress(), &wire.PeerMessage{
-				Type: wire.PeerMessage_TYPE_JOIN, Members: &wire.MemberSet{Members: core.discoveredMembers()},
+				Type: wire.PeerMessage_TYPE_JOIN, Members: discovered, Zone: core.settings.Zone,
 			}, true)
 		}
 	}
@@ -35,7 +49,7 @@
 
 // discoveredMembers lists this member and those it has discovered, by name.
 func (core *Core) discoveredMembers() []*wire.ControlMember {
-	list := []*wire.ControlMember{{Name: core.self.Name, Address: core.settings.Address, Disk: core.self.DiskID, Voter: true}}
+	list := []*wire.ControlMember{{Name: core.self.Name, Address: core.settings.Address, Disk: core.self.DiskID, Voter: true, Zone: core.settings.Zone}}
 	for _, member := range core.discovered {
 		list = append(list, member)
 	}
@@ -109,7 +123,7 @@
 	case findMember(core.members, peer) != nil && core.membersIndex == 1 && core.log.base == 0:
 		core.sendInitialMembers(peer, message.GetAddress())
 	case core.role == Leader:
-		core.addLearner(peer, message.GetAddress())
+		core.addLearner(&wire.ControlMember{Name: peer.Name, Disk: peer.DiskID, Address: message.GetAddress(), Zone: message.GetZone()})
 	default:
 		core.forwardJoin(message)
 	}
@@ -118,13 +132,13 @@
 // discover records an initial member that has no group either, with the members
 // that it has discovered. Of two disks with one name the later one counts.
 func (core *Core) discover(message *wire.PeerMessage, peer Peer) {
-	if !core.isInitialMember(peer.Name) || core.replacedDisks[peer] {
+	if !core.isInitialMember(peer.Name) || core.replacedDisks[peer] || findMember(message.GetMembers().GetMembers(), peer) == nil {
 		return
 	}
 	if earlier := core.discovered[peer.Name]; earlier != nil && peerOf(earlier) != peer {
 		core.replacedDisks[peerOf(earlier)] = true
 	}
-	core.discovered[peer.Name] = &wire.ControlMember{Name: peer.Name, Disk: peer.DiskID, Address: message.GetAddress(), Voter: true}
+	core.discovered[peer.Name] = &wire.ControlMember{Name: peer.Name, Disk: peer.DiskID, Address: message.GetAddress(), Voter: true, Zone: message.GetZone()}
 	core.peerLists[peer.Name] = message.GetMembers().GetMembers()
 	core.tryBootstrap()
 }
@@ -163,7 +177,8 @@
 // addLearner adds a new disk as a learner, in place of an earlier learner of the
 // same name. While the old disk still replies, two processes run with the same
 // name by mistake, and the one already in the group stays.
-func (core *Core) addLearner(peer Peer, address string) {
+func (core *Core) addLearner(learner *wire.ControlMember) {
+	peer := peerOf(learner)
 	if core.isResponding(peer.Name) {
 		return
 	}
@@ -171,10 +186,9 @@
 	if !core.membersSettled() || findMember(core.members, peer) != nil {
 		return
 	}
-	if !slices.ContainsFunc(core.members, sameName) && (hasLearner(core.members) || !core.isNeeded(core.admitAfter())) {
+	if !slices.ContainsFunc(core.members, sameName) && (hasLearner(core.members) || !core.hasPlaceFor(learner, core.admitAfter())) {
 		return
 	}
-	learner := &wire.ControlMember{Name: peer.Name, Disk: peer.DiskID, Address: address}
 	core.explain("learner admitted", learner)
 	kept := without(core.members, func(member *wire.ControlMember) bool { return sameName(member) && !member.GetVoter() })
 	core.setMembers(append(kept, learner), "")
@@ -188,7 +202,7 @@
 	}
 	forwarded := &wire.PeerMessage{
 		Type: message.GetType(), From: message.GetFrom(), FromDisk: message.GetFromDisk(), To: member.GetName(),
-		Address: message.GetAddress(), Members: message.GetMembers(),
+		Address: message.GetAddress(), Members: message.GetMembers(), Zone: message.GetZone(),
 	}
 	core.emit(Send{Message: forwarded, Address: member.GetAddress()})
 }
--- a/internal/quorum/member.go
+++ b/internal/quorum/member.go
@@ -154,12 +154,12 @@
 			core.setMembers(without(core.members, earlierDisk), "")
 			return
 		}
-		if core.settings.Voters > 0 && !core.isNeeded(core.settings.ReplaceAfter) {
+		if core.settings.Voters > 0 && !core.hasPlaceFor(member, core.settings.ReplaceAfter) {
 			continue
 		}
 		core.explain("learner promoted", member)
 		core.setMembers(replaceMember(core.members, member, &wire.ControlMember{
-			Name: member.GetName(), Disk: member.GetDisk(), Address: member.GetAddress(), Voter: true,
+			Name: member.GetName(), Disk: member.GetDisk(), Address: member.GetAddress(), Voter: true, Zone: member.GetZone(),
 		}), "")
 		return
 	}
--- a/internal/quorum/place.go
+++ b/internal/quorum/place.go
@@ -93,15 +93,42 @@
 	return follower != nil && core.now-follower.trackedSince > core.settings.ElectionTimeout && core.silence(member) > limit
 }
 
-// isNeeded reports whether an open group needs another voter, if voters that have been
-// silent for longer than a limit are lost.
-func (core *Core) isNeeded(limit clock.Millis) bool {
-	if core.settings.Voters == 0 {
-		return false
-	}
+// hasPlaceFor reports whether an open group needs a candidate as a voter, if voters that have
+// been silent for longer than a limit are lost. The candidate may take the place of a lost
+// voter if no availability zone gets more voters than the group can lose, or than it has.
+// A zone that stays away for RelocateAfter loses its place even so, and gets it back when a
+// VM of it asks and all voters reply.
+func (core *Core) hasPlaceFor(candidate *wire.ControlMember, limit clock.Millis) bool {
 	voters := votersOf(core.members)
-	lost := slices.ContainsFunc(voters, func(voter *wire.ControlMember) bool { return core.isSilent(voter, limit) })
-	return len(voters) < core.settings.Voters || len(voters) == core.settings.Voters && lost
+	if core.settings.Voters == 0 || len(voters) != core.settings.Voters {
+		return len(voters) < core.settings.Voters
+	}
+	allReply := !slices.ContainsFunc(voters, func(voter *wire.ControlMember) bool { return core.isSilent(voter, core.settings.ElectionTimeout) })
+	now, tolerated := widest(voters), (core.settings.Voters-1)/2
+	for at, lost := range voters {
+		then := widest(append(slices.Delete(slices.Clone(voters), at, at+1), candidate))
+		switch {
+		case core.isSilent(lost, limit) && then <= max(now, tolerated),
+			core.isSilent(lost, max(limit, core.settings.RelocateAfter)),
+			allReply && now > tolerated && then < now:
+			return true
+		}
+	}
+	return false
+}
+
+// widest returns the largest number of members in one availability zone. A member whose
+// zone is not known has one of its own.
+func widest(members []*wire.ControlMember) int {
+	counts := map[string]int{}
+	most := min(len(members), 1)
+	for _, member := range members {
+		if zone := member.GetZone(); zone != "" {
+			counts[zone]++
+			most = max(most, counts[zone])
+		}
+	}
+	return most
 }
 
 // fillPlaces makes the next change of the member set that is due, if any.
@@ -110,31 +137,52 @@
 	core.removeSurplus()
 }
 
-// removeSurplus removes a voter of an open group that has more than it needs, if one is
-// silent, and a learner that is silent or no longer needed.
+// removeSurplus removes a voter of an open group that has more than it needs, and a learner
+// that is silent or no longer needed.
 func (core *Core) removeSurplus() {
 	if core.settings.Voters == 0 || !core.membersSettled() {
 		return
 	}
-	surplus := len(votersOf(core.members)) > core.settings.Voters
+	if voters := votersOf(core.members); len(voters) > core.settings.Voters {
+		reason, surplus := core.surplus(voters)
+		core.remove(reason, surplus)
+		return
+	}
 	for _, member := range core.members {
-		var reason string
-		switch isSilent := core.isSilent(member, core.settings.ReplaceAfter); {
-		case member.GetVoter() && isSilent && surplus:
-			reason = "silent voter removed"
-		case !member.GetVoter() && isSilent:
-			reason = "silent learner removed"
-		case !member.GetVoter() && core.isIdle(member):
-			reason = "learner not needed"
-		default:
-			continue
+		switch {
+		case member.GetVoter():
+		case core.isSilent(member, core.settings.ReplaceAfter):
+			core.remove("silent learner removed", member)
+			return
+		case core.isIdle(member):
+			core.remove("learner not needed", member)
+			return
 		}
-		core.explain(reason, member)
-		core.setMembers(without(core.members, func(other *wire.ControlMember) bool { return other == member }), "")
-		return
 	}
 }
 
+// surplus picks the voter that a group with too many voters loses: one that is silent, or
+// else one of the availability zone with most of them, but not the leader.
+func (core *Core) surplus(voters []*wire.ControlMember) (string, *wire.ControlMember) {
+	var picked *wire.ControlMember
+	least := len(voters) + 1
+	for at, voter := range voters {
+		if core.isSilent(voter, core.settings.ReplaceAfter) {
+			return "silent voter removed", voter
+		}
+		left := widest(slices.Delete(slices.Clone(voters), at, at+1))
+		if peerOf(voter) != core.self && left < least {
+			picked, least = voter, left
+		}
+	}
+	return "voter of a full zone removed", picked
+}
+
+func (core *Core) remove(reason string, member *wire.ControlMember) {
+	core.explain(reason, member)
+	core.setMembers(without(core.members, func(other *wire.ControlMember) bool { return other == member }), "")
+}
+
 // explain reports why the member set changes.
 func (core *Core) explain(reason string, member *wire.ControlMember) {
 	longest := clock.Millis(0)
@@ -145,10 +193,10 @@
 }
 
 // isIdle reports whether a learner of an open group is not needed: it replaces no disk of
-// the same name, and all voters reply.
+// the same name, and there is no place for it.
 func (core *Core) isIdle(learner *wire.ControlMember) bool {
 	replaces := slices.ContainsFunc(core.members, func(other *wire.ControlMember) bool {
 		return other != learner && other.GetName() == learner.GetName()
 	})
-	return learner.GetDisk() != 0 && !replaces && !core.isNeeded(core.admitAfter())
+	return learner.GetDisk() != 0 && !replaces && !core.hasPlaceFor(learner, core.admitAfter())
 }
--- a/internal/quorum/places_test.go
+++ b/internal/quorum/places_test.go
@@ -128,6 +128,17 @@
 		if !places.runUntil(step.For, func() bool { return slices.Equal(places.agreed(), step.On) }) {
 			return fmt.Errorf("voters are %v after %s, not %v", places.agreed(), step.For, step.On)
 		}
+	case "zones":
+		zones := func() []string {
+			var list []string
+			for _, name := range places.agreed() {
+				list = append(list, name[:1])
+			}
+			return list
+		}
+		if !places.runUntil(step.For, func() bool { return slices.Equal(zones(), step.On) }) {
+			return fmt.Errorf("voters are %v after %s", places.agreed(), step.For)
+		}
 	case "keep":
 		var other []string
 		if places.runUntil(step.For, func() bool { other = places.agreed(); return other != nil && !slices.Equal(other, step.On) }) {
