--- a/internal/ctrl/control.go
+++ b/internal/ctrl/control.go
@@ -46,9 +46,14 @@
 	// handoverTimeout limits the wait for another leader at shutdown.
 	handoverTimeout      = clock.Second
 	handoverPollInterval = 5 * clock.Millis(1)
-	// replaceAfter is how long a voter may be silent before a waiting process
-	// takes its place. It exceeds the duration of a restart, about a second.
-	replaceAfter = 3 * clock.Second
+	// replaceEighths is the part of the time to catch up, in eighths, for which a voter may
+	// be silent before a waiting process takes its place. With the election and the changes
+	// of the member set before and after it, the place is filled within that time after a
+	// restart of all processes, and within half of it after the loss of one voter.
+	replaceEighths = 5
+	// minReplaceTimeouts is the same in election timeouts at least: a restart must not cost
+	// a voter its place.
+	minReplaceTimeouts = 3
 	// relocateAfter is how long a voter may be silent before its place moves to another
 	// availability zone. It exceeds partitions, after which the voter is back.
 	relocateAfter = 30 * clock.Second
@@ -167,7 +172,7 @@
 	control.core = quorum.New(quorum.Settings{
 		Self: quorum.Peer{Name: control.self, DiskID: contents.DiskID}, Address: control.advertised(), InitialMembers: initialMembers,
 		JoinOnly: seeded && len(contents.Founders) == 0, Voters: voterCount(seeded, int(settings.Control.Tolerance)),
-		ReplaceAfter: replaceAfter, RelocateAfter: relocateAfter, Zone: settings.Node.Zone,
+		ReplaceAfter: replaceAfter(settings.Control), RelocateAfter: relocateAfter, Zone: settings.Node.Zone,
 		ElectionTimeout: settings.Control.ElectionTimeout, Seed: contents.DiskID,
 		CatchUpEntries: catchUpEntries(seeded), ImageChunkBytes: quorum.DefaultImageChunkBytes,
 	}, contents.Stored, ticker.Now())
@@ -226,6 +231,12 @@
 	return quorum.DefaultCatchUpEntries
 }
 
+// replaceAfter returns how long a voter may be silent before another process takes its
+// place.
+func replaceAfter(settings opts.Control) clock.Millis {
+	return max(settings.CatchUp*replaceEighths/8, settings.ElectionTimeout*minReplaceTimeouts)
+}
+
 // voterCount returns the smallest group size that keeps a majority after the
 // loss of the tolerated number of members, or 0 for a group with listed members.
 func voterCount(seeded bool, tolerance int) int {
--- a/internal/opts/opts.go
+++ b/internal/opts/opts.go
@@ -100,6 +100,7 @@
 	Tolerance       bounds.Count `long:"tolerance" env:"HIB_TOLERANCE" description:"With --seed: number of control VMs that may fail at the same time; the group has twice as many voters plus one, in VMs (0 to 100)" default:"1"`
 	APIListen       string       `long:"api-listen" env:"HIB_API_LISTEN" description:"IP:port of the deployment's HTTP interface for operators and endpoints; off when empty"`
 	ElectionTimeout clock.Millis `long:"election-timeout" env:"HIB_ELECTION_TIMEOUT" description:"Time without a leader after which an election starts; the same on all control VMs (50ms to 1m)" default:"600ms"`
+	CatchUp         clock.Millis `long:"catch-up" env:"HIB_CATCH_UP" description:"With --seed: time after the start of a control VM's successor in which it must be a voter; a voter that is silent for five eighths of it loses its place to a process that waits (1s to 1h)" default:"4s"`
 	CommitLimit     clock.Millis `long:"commit-limit" env:"HIB_COMMIT_LIMIT" description:"Maximum wait for a change to be synced by a majority (100ms to 1m)" default:"2s"`
 	SnapshotBytes   int          `long:"snapshot-bytes" env:"HIB_SNAPSHOT_BYTES" description:"Growth of the log after which a snapshot is written, at least twice the last snapshot's size, in bytes (4096 to 1073741824)" default:"8388608"`
 	KnownZone       []string     `long:"known-zone" env:"HIB_KNOWN_ZONE" description:"Availability zone that may be evacuated; any when left out; may be repeated" env-delim:","`
@@ -114,6 +115,7 @@
 		bounds.Int("tolerance", int(set.Tolerance), 0, 100, "VMs"),
 		bounds.Optional(bounds.Listen, "api-listen", set.APIListen),
 		bounds.Span("election-timeout", set.ElectionTimeout, "50ms", "1m"),
+		bounds.Span("catch-up", set.CatchUp, "1s", "1h"),
 		bounds.Span("commit-limit", set.CommitLimit, "100ms", "1m"),
 		bounds.Int("snapshot-bytes", set.SnapshotBytes, 4096, 1073741824, "bytes"),
 		bounds.Span("evacuate-limit", set.EvacuateLimit, "100ms", "1h"),
--- a/internal/quorum/places_test.go
+++ b/internal/quorum/places_test.go
@@ -15,8 +15,13 @@
 	"github.com/hibiscuslug/hibiscuslug/pkg/wire"
 )
 
-// placeTarget is the number of voters of an open group in these scripts.
-const placeTarget = 3
+const (
+	// placeTarget is the number of voters of an open group in these scripts.
+	placeTarget = 3
+	// placeCatchUp is the default of the setting from which a control VM derives how long a
+	// voter may be silent.
+	placeCatchUp = 4 * clock.Second
+)
 
 // placeStep changes the VMs of an open group, or waits for its voters.
 type placeStep struct {
@@ -75,7 +80,7 @@
 		stored.Entries = slices.Clone(stored.Entries)
 		started.core = quorum.New(quorum.Settings{
 			Self: quorum.Peer{Name: name, DiskID: started.disk}, Address: name, Zone: started.zone, InitialMembers: places.founders,
-			JoinOnly: !founding, Voters: placeTarget, ReplaceAfter: 3 * clock.Second, RelocateAfter: 30 * clock.Second,
+			JoinOnly: !founding, Voters: placeTarget, ReplaceAfter: placeCatchUp * 5 / 8, RelocateAfter: 30 * clock.Second,
 			ElectionTimeout: lossTimeout, Seed: started.disk, CatchUpEntries: 100, ImageChunkBytes: 1 << 10,
 		}, stored, places.now)
 		places.tick(started)
