--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -158,7 +158,7 @@
 	responses map[string][]response
 	knees     map[string]knee.Table
 	// durations holds how long answers took lately.
-	durations map[work]halt.Durations
+	durations map[durationKey]halt.Durations
 }
 
 // New starts a gateway.
@@ -168,7 +168,7 @@
 		random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), work: map[string]choose.Load{}, uses: map[use]int{}, demands: map[string]shed.Demand{}, callerWaits: map[string]repeat.Waits{},
 		windows: map[string]*retry.RatioBudget{}, stalls: map[string]stall{}, progress: map[string]progress{}, waits: map[string]wait.Estimate{},
 		evacuated: map[string]bool{}, coldLogged: map[quota.Endpoint]bool{}, coldDenied: map[string]int{},
-		durations: map[work]halt.Durations{}, responses: map[string][]response{}, knees: map[string]knee.Table{}, estimated: map[quota.Endpoint]knee.Estimate{},
+		durations: map[durationKey]halt.Durations{}, responses: map[string][]response{}, knees: map[string]knee.Table{}, estimated: map[quota.Endpoint]knee.Estimate{},
 	}
 	gateway.running, gateway.endRunning = context.WithCancelCause(context.Background())
 	gateway.bound(guard.Machine(settings.Node))
--- a/internal/gate/halt.go
+++ b/internal/gate/halt.go
@@ -19,13 +19,15 @@
 // errStopping is the cause of the end of requests that run when the gateway stops.
 var errStopping = errors.New("the gateway stops")
 
-// work is what requests have in common that take about the same time.
-type work struct {
+// durationKey is what requests have in common that take about the same time.
+type durationKey struct {
 	service string
 	kind    plan.Kind
 }
 
-func workOf(call *call) work { return work{service: call.service.Name, kind: call.route.Kind} }
+func durationKeyOf(call *call) durationKey {
+	return durationKey{service: call.service.Name, kind: call.route.Kind}
+}
 
 // isGone reports whether a request ended because its caller disconnected.
 func isGone(ctx context.Context) bool {
@@ -51,7 +53,7 @@
 	}
 	now := gateway.clock.Now()
 	gateway.mu.Lock()
-	durations := gateway.durations[workOf(call)]
+	durations := gateway.durations[durationKeyOf(call)]
 	gateway.mu.Unlock()
 	if durations.Fits(now, endsAt-now) {
 		return nil
@@ -67,5 +69,6 @@
 	now := gateway.clock.Now()
 	gateway.mu.Lock()
 	defer gateway.mu.Unlock()
-	gateway.durations[workOf(call)] = gateway.durations[workOf(call)].With(now, now-call.complete)
+	key := durationKeyOf(call)
+	gateway.durations[key] = gateway.durations[key].With(now, now-call.complete)
 }
--- a/internal/quorum/core.go
+++ b/internal/quorum/core.go
@@ -216,7 +216,7 @@
 	case core.role == Leader:
 		core.tickLeader()
 	default:
-		if core.isForsaken() {
+		if core.isLeaderless() {
 			core.tickJoin()
 		}
 		if core.now >= core.electionDue {
--- a/internal/quorum/join.go
+++ b/internal/quorum/join.go
@@ -8,13 +8,13 @@
 	"github.com/hibiscuslug/hibiscuslug/pkg/wire"
 )
 
-// forsakenTimeouts is the number of election timeouts without a leader after which a member
+// leaderlessTimeouts is the number of election timeouts without a leader after which a member
 // of an open group asks to join again: it may have been removed while it was cut off, and
 // nobody tells it.
-const forsakenTimeouts = 2
+const leaderlessTimeouts = 2
 
-func (core *Core) isForsaken() bool {
-	return core.settings.Voters > 0 && core.now-core.leaderContact > forsakenTimeouts*core.settings.ElectionTimeout
+func (core *Core) isLeaderless() bool {
+	return core.settings.Voters > 0 && core.now-core.leaderContact > leaderlessTimeouts*core.settings.ElectionTimeout
 }
 
 // tickJoin sends join messages to the members, the initial ones and the known processes
