--- a/internal/quorum/elections_test.go
+++ b/internal/quorum/elections_test.go
@@ -24,6 +24,8 @@
 	// calmTime is the time before the leader is lost, lossLimit the limit for another one.
 	calmTime  = 5 * clock.Second
 	lossLimit = clock.Minute
+	// stallPoll is the time between two looks at a stalled disk.
+	stallPoll = 50 * clock.Millis(1)
 )
 
 // lossScript is a series of elections after the loss of the leader, one a seed.
@@ -75,8 +77,9 @@
 	zone string
 	// isSyncing is set while the disk syncs, isGone once the control VM is lost.
 	isSyncing, isGone bool
-	// isDeaf is set when it sends but does not receive.
+	// isDeaf is set when it sends but does not receive, isStalled while its disk syncs nothing.
 	isDeaf      bool
+	isStalled   bool
 	role        quorum.Role
 	confirmedAt clock.Millis
 }
@@ -168,22 +171,29 @@
 	}
 	batch := each.queue
 	each.queue, each.isSyncing = nil, true
-	group.after(group.between(group.script.Disk), func() {
-		each.isSyncing = false
-		if each.isGone {
-			return
-		}
-		for _, action := range batch {
-			each.persist(action, "")
-			switch action := action.(type) {
-			case quorum.Save:
-				group.feed(each, quorum.Synced{Sequence: action.Sequence})
-			case quorum.Send:
-				group.send(each, action.Message)
-			}
+	group.after(group.between(group.script.Disk), func() { group.syncBatch(each, batch) })
+}
+
+// syncBatch ends the sync of a batch once the disk is not stalled.
+func (group *group) syncBatch(each *voter, batch []quorum.Action) {
+	if each.isStalled && !each.isGone {
+		group.after(stallPoll, func() { group.syncBatch(each, batch) })
+		return
+	}
+	each.isSyncing = false
+	if each.isGone {
+		return
+	}
+	for _, action := range batch {
+		each.persist(action, "")
+		switch action := action.(type) {
+		case quorum.Save:
+			group.feed(each, quorum.Synced{Sequence: action.Sequence})
+		case quorum.Send:
+			group.send(each, action.Message)
 		}
-		group.sync(each)
-	})
+	}
+	group.sync(each)
 }
 
 func (group *group) send(from *voter, message *wire.PeerMessage) {
--- a/internal/quorum/places_test.go
+++ b/internal/quorum/places_test.go
@@ -45,6 +45,8 @@
 	*group
 	// cut is the availability zone that no message enters or leaves.
 	cut string
+	// stopped is the leader that a step stopped.
+	stopped string
 	// founders have formed the group.
 	founders []*wire.ControlMember
 }
@@ -123,6 +125,19 @@
 		places.start(step.On, false)
 	case "stop":
 		places.stop(step.On)
+	case "stopLeader":
+		if leader := places.leader(); leader != nil {
+			places.stopped = leader.name
+			places.stop([]string{leader.name})
+		}
+	case "startLeader":
+		places.start([]string{places.stopped}, false)
+	case "stall", "goOn":
+		for _, each := range places.voters {
+			if slices.Contains(step.On, each.name) {
+				each.isStalled = step.Do == "stall"
+			}
+		}
 	case "cut":
 		places.cut = step.On[0]
 	case "heal":
