endpt: a stream sends from a copy of the answers

Cause: two streams attached to one attempt shared the slice of its answers. When the newer one dropped what it had sent, a stalled one could send an empty message, which an entry VM drops.

Change: answersFrom returns a copy.

--- a/internal/endpt/attempt.go
+++ b/internal/endpt/attempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 
 	"github.com/hibiscuslug/hibiscuslug/internal/engine"
@@ -175,7 +176,8 @@
 	if from < run.first {
 		return nil, nil, errDropped
 	}
-	return run.answers[min(from-run.first, uint64(len(run.answers))):], run.changed, nil
+	// Another stream may drop answers meanwhile.
+	return slices.Clone(run.answers[min(from-run.first, uint64(len(run.answers))):]), run.changed, nil
 }
 
 // nextChange returns a channel that is closed at the next change of the attempt.
