quorum: record the zones of voters that joined without one

Cause: the zone of a member was taken from its join message only; a member without one counts as a zone of its own, so any candidate took its place.

Change: every message between control VMs names the zone of its sender, and the leader records a zone that differs from the member set.

--- a/internal/quorum/core.go
+++ b/internal/quorum/core.go
@@ -86,6 +86,8 @@
 	// heard is when each member last replied to this member or, as far as it is known, to
 	// a leader; at first when the member became known.
 	heard map[Peer]clock.Millis
+	// zones holds the availability zones that senders of messages told.
+	zones map[Peer]string
 	// heartbeatDue is when the leader sends the next heartbeat, or a member
 	// without a leader the next join message.
 	heartbeatDue clock.Millis
@@ -142,7 +144,7 @@
 func New(settings Settings, stored Stored, now clock.Millis) *Core {
 	core := &Core{
 		settings: settings, self: settings.Self, random: rand.New(rand.NewPCG(settings.Seed, settings.Self.DiskID)), now: now,
-		hard: stored.Hard, role: Follower, leaderContact: now, heard: map[Peer]clock.Millis{},
+		hard: stored.Hard, role: Follower, leaderContact: now, heard: map[Peer]clock.Millis{}, zones: map[Peer]string{settings.Self: settings.Zone},
 		discovered: map[string]*wire.ControlMember{}, peerLists: map[string][]*wire.ControlMember{}, replacedDisks: map[Peer]bool{},
 	}
 	if image := stored.Image; image != nil {
@@ -268,7 +270,7 @@
 func (core *Core) send(to Peer, address string, message *wire.PeerMessage, durable bool) {
 	message.From, message.FromDisk = core.self.Name, core.self.DiskID
 	message.To, message.ToDisk = to.Name, to.DiskID
-	message.Address = core.settings.Address
+	message.Address, message.Zone = core.settings.Address, core.settings.Zone
 	core.emit(Send{Message: message, Address: address, Durable: durable})
 }
 
--- a/internal/quorum/join.go
+++ b/internal/quorum/join.go
@@ -41,7 +41,7 @@
 		if name := other.GetName(); !asked[name] {
 			asked[name] = true
 			core.send(Peer{Name: other.GetName()}, other.GetAddress(), &wire.PeerMessage{
-				Type: wire.PeerMessage_TYPE_JOIN, Members: discovered, Zone: core.settings.Zone,
+				Type: wire.PeerMessage_TYPE_JOIN, Members: discovered,
 			}, true)
 		}
 	}
--- a/internal/quorum/member.go
+++ b/internal/quorum/member.go
@@ -158,13 +158,19 @@
 			continue
 		}
 		core.explain("learner promoted", member)
-		core.setMembers(replaceMember(core.members, member, &wire.ControlMember{
-			Name: member.GetName(), Disk: member.GetDisk(), Address: member.GetAddress(), Voter: true, Zone: member.GetZone(),
-		}), "")
+		voter := copyMember(member)
+		voter.Voter = true
+		core.setMembers(replaceMember(core.members, member, voter), "")
 		return
 	}
 }
 
+func copyMember(member *wire.ControlMember) *wire.ControlMember {
+	return &wire.ControlMember{
+		Name: member.GetName(), Disk: member.GetDisk(), Address: member.GetAddress(), Voter: member.GetVoter(), Zone: member.GetZone(),
+	}
+}
+
 func replaceMember(members []*wire.ControlMember, old, next *wire.ControlMember) []*wire.ControlMember {
 	list := slices.Clone(members)
 	list[slices.Index(list, old)] = next
--- a/internal/quorum/place.go
+++ b/internal/quorum/place.go
@@ -30,7 +30,8 @@
 // learner.
 func (core *Core) admitAfter() clock.Millis { return core.settings.ReplaceAfter / 2 }
 
-// trackSilence begins to count the silence of members that are new in the member set.
+// trackSilence begins to count the silence of members that are new in the member set, and
+// forgets what it knows of those that left.
 func (core *Core) trackSilence() {
 	for _, member := range core.members {
 		if peer := peerOf(member); core.heard[peer] == 0 {
@@ -40,12 +41,17 @@
 	for peer := range core.heard {
 		if findMember(core.members, peer) == nil {
 			delete(core.heard, peer)
+			delete(core.zones, peer)
 		}
 	}
 }
 
-// hear records a reply of a member. Requests are no proof that it receives anything.
+// hear records the availability zone of a member, and its reply. Requests are no proof that
+// it receives anything.
 func (core *Core) hear(message *wire.PeerMessage, from Peer) {
+	if zone := message.GetZone(); zone != "" && core.heard[from] != 0 {
+		core.zones[from] = zone
+	}
 	switch message.GetType() {
 	case wire.PeerMessage_TYPE_APPEND_REPLY, wire.PeerMessage_TYPE_SNAPSHOT_REPLY, wire.PeerMessage_TYPE_VOTE_REPLY, wire.PeerMessage_TYPE_PRE_VOTE_REPLY:
 		if core.heard[from] != 0 {
@@ -133,6 +139,7 @@
 
 // fillPlaces makes the next change of the member set that is due, if any.
 func (core *Core) fillPlaces() {
+	core.updateZones()
 	core.promoteLearner()
 	core.removeSurplus()
 }
@@ -178,6 +185,26 @@
 	return "voter of a full zone removed", picked
 }
 
+// updateZones records the zones of the members in the member set where it has no zone, since
+// an older version made it, or another one, since a VM was moved with its disk.
+func (core *Core) updateZones() {
+	if core.settings.Voters == 0 || !core.membersSettled() {
+		return
+	}
+	members, moved := slices.Clone(core.members), (*wire.ControlMember)(nil)
+	for at, member := range members {
+		if zone := core.zones[peerOf(member)]; zone != "" && zone != member.GetZone() {
+			moved = copyMember(member)
+			moved.Zone = zone
+			members[at] = moved
+		}
+	}
+	if moved != nil {
+		core.explain("zone of a member recorded", moved)
+		core.setMembers(members, "")
+	}
+}
+
 func (core *Core) remove(reason string, member *wire.ControlMember) {
 	core.explain(reason, member)
 	core.setMembers(without(core.members, func(other *wire.ControlMember) bool { return other == member }), "")
--- a/internal/quorum/places_test.go
+++ b/internal/quorum/places_test.go
@@ -49,6 +49,8 @@
 	stopped string
 	// founders have formed the group.
 	founders []*wire.ControlMember
+	// withoutZones is set while VMs that start do not know their availability zone.
+	withoutZones bool
 }
 
 func newPlaces(script placeScript, seed uint64) *places {
@@ -71,6 +73,10 @@
 	}
 	for _, name := range names {
 		started := &voter{node: node{name: name, disk: places.random.Uint64() | 1}, zone: name[:1]}
+		zone := started.zone
+		if places.withoutZones {
+			zone = ""
+		}
 		at := slices.IndexFunc(places.voters, func(each *voter) bool { return each.name == name })
 		if at < 0 {
 			places.voters = append(places.voters, started)
@@ -81,7 +87,7 @@
 		stored := started.stored
 		stored.Entries = slices.Clone(stored.Entries)
 		started.core = quorum.New(quorum.Settings{
-			Self: quorum.Peer{Name: name, DiskID: started.disk}, Address: name, Zone: started.zone, InitialMembers: places.founders,
+			Self: quorum.Peer{Name: name, DiskID: started.disk}, Address: name, Zone: zone, InitialMembers: places.founders,
 			JoinOnly: !founding, Voters: placeTarget, ReplaceAfter: placeCatchUp * 5 / 8, RelocateAfter: 30 * clock.Second,
 			ElectionTimeout: lossTimeout, Seed: started.disk, CatchUpEntries: 100, ImageChunkBytes: 1 << 10,
 		}, stored, places.now)
@@ -125,6 +131,8 @@
 		places.start(step.On, false)
 	case "stop":
 		places.stop(step.On)
+	case "noZones", "allZones":
+		places.withoutZones = step.Do == "noZones"
 	case "stopLeader":
 		if leader := places.leader(); leader != nil {
 			places.stopped = leader.name
