quorum: bound what waits for the disk of a control VM

Cause: a member took whatever the leader sent and left it to the writer. Nothing told the leader to stop.

Change: a member whose disk refuses writes, has more than 16 MiB waiting or, unless it leads, has not answered for an election timeout is paused. It takes no entries and images, still confirms rounds at once, and tells the leader, which sends it none and hands no leadership to it. A paused learner gives way to another candidate.

Full disks become a fault of the models: steps of places.json, a probability in cluster.json. test/control fills the disks of real processes by their limit on file size.

--- a/internal/ctrl/loop.go
+++ b/internal/ctrl/loop.go
@@ -282,7 +282,7 @@
 // compact makes an image of the state, and lets the core truncate the log, when
 // the log has grown enough since the last image.
 func (control *Control) compact(index uint64) {
-	if control.bytesSinceImage < max(control.settings.Control.SnapshotBytes, imageGrowthFactor*control.imageBytes) {
+	if control.bytesSinceImage < max(control.settings.Control.SnapshotBytes, imageGrowthFactor*control.imageBytes) || control.core.IsPaused() {
 		return
 	}
 	term, members := control.core.MembersAt(index)
--- a/internal/procs/group.go
+++ b/internal/procs/group.go
@@ -24,9 +24,13 @@
 type Group struct {
 	Pool    *link.Pool
 	members []*groupMember
-	// initial holds the --group arguments, which list the initial members.
+	// initial holds the arguments that list the initial members.
 	initial []string
 	extra   []string
+	// host is the loopback network of a group that is formed from seeds, whose members all
+	// listen on port and are named by address; it is empty for a group of listed members.
+	host string
+	port int
 }
 
 type groupMember struct {
@@ -34,6 +38,8 @@
 	address string
 	data    string
 	process *Process
+	// founds is set for a member that may form the group when its data folder is empty.
+	founds bool
 }
 
 // NewGroup prepares a group with data below a folder. The extra arguments are
@@ -51,8 +57,39 @@
 	return group, nil
 }
 
+// NewSeededGroup prepares a group that three members form from seeds, and spare control VMs
+// that may take the place of one of them. Every member has an availability zone of its own,
+// spares those of the members in turn. It starts no process.
+func NewSeededGroup(folder string, spares int, extra ...string) (*Group, error) {
+	address, err := FreeAddress()
+	if err != nil {
+		return nil, err
+	}
+	// Groups that run at the same time have different ports, so that their members may have
+	// the same addresses.
+	group := &Group{Pool: link.NewPool(), extra: extra, host: "127.0.1"}
+	if _, err := fmt.Sscanf(address, "127.0.0.1:%d", &group.port); err != nil {
+		return nil, errors.Wrapf(err, "port of %q", address)
+	}
+	for at := range zoneCount + spares {
+		if err := group.Add(filepath.Join(folder, fmt.Sprintf("control%d", at+1))); err != nil {
+			return nil, err
+		}
+		group.members[at].founds = at < zoneCount
+	}
+	for _, member := range group.members[:zoneCount] {
+		group.initial = append(group.initial, "--seed", member.address)
+	}
+	return group, nil
+}
+
 // Add prepares one more control VM, which is not among the initial members.
 func (group *Group) Add(data string) error {
+	if group.host != "" {
+		address := fmt.Sprintf("%s.%d:%d", group.host, 10+len(group.members), group.port)
+		group.members = append(group.members, &groupMember{name: address, address: address, data: data})
+		return nil
+	}
 	address, err := FreeAddress()
 	if err != nil {
 		return err
@@ -63,16 +100,37 @@
 
 // Start starts or restarts a member.
 func (group *Group) Start(at int) error {
-	member := group.members[at]
-	arguments := append([]string{"control", "--name", member.name, "--zone", "zone1", "--listen", member.address, "--data", member.data}, group.initial...)
-	process, err := Start(member.name, "hibiscuslug", append(arguments, group.extra...)...)
-	member.process = process
+	process, err := Start(group.members[at].name, "hibiscuslug", group.arguments(at)...)
+	group.members[at].process = process
 	return err
 }
 
-// StartAll starts every member.
+// StartFull starts or restarts a member whose disk is full. It does not wait until the member
+// is ready.
+func (group *Group) StartFull(at int) error {
+	process, err := StartFull(group.members[at].name, "hibiscuslug", group.arguments(at)...)
+	group.members[at].process = process
+	return err
+}
+
+func (group *Group) arguments(at int) []string {
+	member, zone := group.members[at], "zone1"
+	if group.host != "" {
+		zone = fmt.Sprintf("zone%d", at%zoneCount+1)
+	}
+	arguments := append([]string{"control", "--name", member.name, "--zone", zone, "--listen", member.address, "--data", member.data}, group.initial...)
+	if member.founds {
+		arguments = append(arguments, "--bootstrap")
+	}
+	return append(arguments, group.extra...)
+}
+
+// StartAll starts every member, but no spare one.
 func (group *Group) StartAll() error {
-	for at := range group.members {
+	for at, member := range group.members {
+		if group.host != "" && !member.founds {
+			continue
+		}
 		if err := group.Start(at); err != nil {
 			return err
 		}
@@ -89,8 +147,11 @@
 // Process returns a member's process.
 func (group *Group) Process(at int) *Process { return group.members[at].process }
 
-// EmptyData removes the data folder of a member.
-func (group *Group) EmptyData(at int) error { return os.RemoveAll(group.members[at].data) }
+// EmptyData removes the data folder of a member, which then only joins the group.
+func (group *Group) EmptyData(at int) error {
+	group.members[at].founds = false
+	return os.RemoveAll(group.members[at].data)
+}
 
 // Close kills all processes that still run.
 func (group *Group) Close() error {
@@ -113,6 +174,14 @@
 	return wire.NewDRPCOperateClient(group.Pool.Conn(ctx, group.Address(at))).Execute(ctx, &wire.Command{Id: id, Text: text})
 }
 
+// Deploy stores a document as the configuration of a version, through a member.
+func (group *Group) Deploy(at int, id string, version uint64, document []byte) (*wire.CommandReply, error) {
+	deployment := &wire.Change{Body: &wire.Change_Deployment{Deployment: &wire.Deployment{Version: version, Document: document}}}
+	ctx, cancel := context.WithTimeout(context.Background(), callLimit)
+	defer cancel()
+	return wire.NewDRPCOperateClient(group.Pool.Conn(ctx, group.Address(at))).Execute(ctx, &wire.Command{Id: id, Change: deployment})
+}
+
 // Rows returns a member's table of the group; each row maps columns to cells.
 func (group *Group) Rows(at int) ([]map[string]string, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), callLimit)
--- a/internal/procs/process.go
+++ b/internal/procs/process.go
@@ -12,6 +12,7 @@
 	"os/exec"
 	"path/filepath"
 	"runtime"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -19,6 +20,7 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/sourcegraph/conc"
+	"golang.org/x/sys/unix"
 )
 
 const (
@@ -64,15 +66,37 @@
 
 // Start starts a program and waits for its ready line.
 func Start(name, program string, arguments ...string) (*Process, error) {
-	command := exec.CommandContext(context.Background(), Binary(program), arguments...)
+	process, ready, err := run(name, Binary(program), arguments)
+	if err != nil {
+		return nil, err
+	}
+	select {
+	case line := <-ready:
+		return process, process.parse(line)
+	case <-time.After(readyLimit):
+		return nil, errors.CombineErrors(errors.Newf("%s is not ready after %s", name, readyLimit), process.Kill())
+	}
+}
+
+// StartFull starts a program that can write no file until FreeDisk, and does not wait for its
+// ready line.
+func StartFull(name, program string, arguments ...string) (*Process, error) {
+	process, _, err := run(name, "/bin/sh", append([]string{"-c", `ulimit -S -f 0 && exec "$0" "$@"`, Binary(program)}, arguments...))
+	return process, err
+}
+
+// run starts a program. The channel returns its ready line or, if it ends before that, its
+// last line.
+func run(name, path string, arguments []string) (*Process, <-chan string, error) {
+	command := exec.CommandContext(context.Background(), path, arguments...)
 	process := &Process{Name: name, command: command, done: make(chan error, 1), log: &output{}}
 	command.Stderr = process.log
 	out, err := command.StdoutPipe()
 	if err != nil {
-		return nil, err
+		return nil, nil, err
 	}
 	if err := command.Start(); err != nil {
-		return nil, errors.Wrapf(err, "start %s (run make build first)", name)
+		return nil, nil, errors.Wrapf(err, "start %s (run make build first)", name)
 	}
 	ready := make(chan string, 1)
 	go func() {
@@ -80,12 +104,39 @@
 		process.rest.Wait()
 		process.done <- command.Wait()
 	}()
-	select {
-	case line := <-ready:
-		return process, process.parse(line)
-	case <-time.After(readyLimit):
-		return nil, errors.CombineErrors(errors.Newf("%s is not ready after %s", name, readyLimit), process.Kill())
+	return process, ready, nil
+}
+
+// FillDisk makes all writes of the process to files fail, or those that end behind a number of
+// bytes in a file, as on a full disk. Its output and its connections are not affected.
+func (process *Process) FillDisk(bytes uint64) error { return process.limitFiles(bytes) }
+
+// FreeDisk ends the effect of FillDisk.
+func (process *Process) FreeDisk() error { return process.limitFiles(unix.RLIM_INFINITY) }
+
+// limitFiles sets the soft limit of the size of files, in bytes.
+func (process *Process) limitFiles(bytes uint64) error {
+	var limit unix.Rlimit
+	if err := unix.Prlimit(process.ID(), unix.RLIMIT_FSIZE, nil, &limit); err != nil {
+		return errors.Wrapf(err, "read the limits of %s", process.Name)
+	}
+	limit.Cur = bytes
+	return errors.Wrapf(unix.Prlimit(process.ID(), unix.RLIMIT_FSIZE, &limit, nil), "limit the files of %s", process.Name)
+}
+
+// PeakMemory returns the largest resident memory of the process so far, in MiB.
+func (process *Process) PeakMemory() (int, error) {
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", process.ID()))
+	if err != nil {
+		return 0, err
+	}
+	for line := range strings.Lines(string(text)) {
+		if value, ok := strings.CutPrefix(line, "VmHWM:"); ok {
+			kibibytes, err := strconv.Atoi(strings.Fields(value)[0])
+			return kibibytes >> 10, err
+		}
 	}
+	return 0, errors.Newf("the system tells no peak of the resident memory of %s", process.Name)
 }
 
 // follow returns the ready line of standard output or, if the output ends before
--- a/internal/quorum/check_test.go
+++ b/internal/quorum/check_test.go
@@ -95,7 +95,7 @@
 
 // settle ends all faults and checks that every member applies a new entry.
 func (run *cluster) settle() {
-	run.blocked, run.isolated = map[string]bool{}, nil
+	run.blocked, run.isolated, run.full = map[string]bool{}, nil, nil
 	run.script.Loss, run.script.Delay, run.script.Flush, run.script.Propose = 0, 1, 1, 0
 	target := uint64(0)
 	for range maxSettleSteps {
--- a/internal/quorum/cluster_test.go
+++ b/internal/quorum/cluster_test.go
@@ -15,6 +15,8 @@
 	electionTimeout = 200 * clock.Millis(1)
 	// maxSettleSteps is the limit for agreement after all faults have ended.
 	maxSettleSteps = 3000
+	// fullSteps is the longest time for which a disk is full.
+	fullSteps = 600
 )
 
 // script is a schedule of faults. Fractions are probabilities per step and node
@@ -36,7 +38,10 @@
 	Empty     float64 `json:"empty"`
 	Resign    float64 `json:"resign"`
 	Damage    float64 `json:"damage"`
-	Isolate   bool    `json:"isolate"`
+	// Full is the probability that a disk is full from then on, for up to fullSteps steps and
+	// never two disks at once.
+	Full    float64 `json:"full"`
+	Isolate bool    `json:"isolate"`
 	// Voters makes the group an open one with that many voters, which the first nodes form.
 	Voters int `json:"voters"`
 }
@@ -54,6 +59,8 @@
 	queue   []quorum.Action
 	applied uint64
 	hash    uint64
+	// refused is set once the disk refused a write, until it takes one.
+	refused bool
 }
 
 // transit is a message on its way, to be delivered at a step.
@@ -93,7 +100,11 @@
 	// diskLosses counts disks that were emptied or damaged.
 	diskLosses int
 	isolated   *node
-	failure    error
+	// full is the node whose disk is full until the step roomAt, if any.
+	full    *node
+	roomAt  int
+	fulls   int
+	failure error
 }
 
 func newCluster(script script, fault string, seed uint64) *cluster {
@@ -137,7 +148,7 @@
 			initial = append(initial, &wire.ControlMember{Name: other.name, Address: other.name})
 		}
 	}
-	each.queue = nil
+	each.queue, each.refused = nil, false
 	each.applied, each.hash = each.stored.Image.GetIndex(), each.stored.Image.GetSettings().GetRevision()
 	stored := each.stored
 	stored.Entries = append([]*wire.Entry(nil), stored.Entries...)
@@ -168,7 +179,7 @@
 
 // crash restarts a node. A random prefix of its unsynced saves survives.
 func (run *cluster) crash(each *node) {
-	for len(each.queue) > 0 && run.chance(0.5) {
+	for len(each.queue) > 0 && run.chance(0.5) && run.full != each {
 		each.persist(each.queue[0], run.fault)
 		each.queue = each.queue[1:]
 	}
@@ -239,6 +250,14 @@
 
 // flush syncs all queued saves, then sends the messages that waited for them.
 func (run *cluster) flush(each *node) {
+	if run.full == each {
+		run.refuse(each)
+		return
+	}
+	if each.refused {
+		each.refused = false
+		run.feed(each, quorum.DiskHealth{})
+	}
 	queue := each.queue
 	each.queue = nil
 	for _, action := range queue {
@@ -256,6 +275,33 @@
 	}
 }
 
+// refuse fails the first queued save. Messages before it are sent.
+func (run *cluster) refuse(each *node) {
+	for len(each.queue) > 0 {
+		send, ok := each.queue[0].(quorum.Send)
+		if !ok {
+			break
+		}
+		each.queue = each.queue[1:]
+		run.send(send.Message)
+	}
+	if len(each.queue) > 0 && !each.refused {
+		each.refused = true
+		run.feed(each, quorum.DiskHealth{Failing: true})
+	}
+}
+
+// fill fills the disk of a node, and frees the one that is full when its time is over.
+func (run *cluster) fill(each *node) {
+	switch {
+	case run.full != nil && run.step >= run.roomAt:
+		run.full = nil
+	case run.full == nil && run.chance(run.script.Full):
+		run.full, run.roomAt = each, run.step+1+run.random.IntN(fullSteps)
+		run.fulls++
+	}
+}
+
 func (run *cluster) send(message *wire.PeerMessage) {
 	// A receiver must not share memory with the sender, so messages are copied.
 	encoded, err := message.MarshalVT()
@@ -375,14 +421,17 @@
 // injectFaults applies the faults of the script to randomly chosen nodes.
 func (run *cluster) injectFaults() {
 	each := run.nodes[run.random.IntN(len(run.nodes))]
+	if run.script.Full > 0 {
+		run.fill(each)
+	}
 	if run.chance(run.script.Crash) {
 		run.crash(each)
 	}
-	if run.chance(run.script.Empty) && run.repaired() {
+	if run.chance(run.script.Empty) && run.full == nil && run.repaired() {
 		run.diskLosses++
 		run.empty(each)
 	}
-	if run.chance(run.script.Damage) && run.caughtUp() {
+	if run.chance(run.script.Damage) && run.full == nil && run.caughtUp() {
 		run.diskLosses++
 		run.damage(each)
 	}
--- a/internal/quorum/core.go
+++ b/internal/quorum/core.go
@@ -22,6 +22,8 @@
 	// electionSpreadTenths is the width of the random wait before an election, in tenths of
 	// the election timeout. It covers the messages and syncs of an election.
 	electionSpreadTenths = 7
+	// maxUnsyncedBytes bounds the entries and images that wait for the disk of a member.
+	maxUnsyncedBytes = 16 << 20
 	// maxRecoveryTimeouts is the number of election timeouts after which a
 	// member with a damaged log takes part in elections again, even if no leader
 	// has brought it up to date. Without this limit, a group whose disks were all
@@ -59,8 +61,9 @@
 	baseMembers []*wire.ControlMember
 
 	// lastSave is the sequence number of the newest save.
-	lastSave uint64
-	unsynced []pendingSave
+	lastSave      uint64
+	unsynced      []pendingSave
+	unsyncedBytes int
 	// syncedIndex is the index up to which the log is on disk.
 	syncedIndex uint64
 	diskFailing bool
@@ -116,6 +119,8 @@
 type pendingSave struct {
 	sequence uint64
 	last     uint64
+	bytes    int
+	since    clock.Millis
 }
 
 // progress is the leader's replication state for another member.
@@ -138,6 +143,8 @@
 	lastReply clock.Millis
 	// trackedSince is when the leader began to track the peer.
 	trackedSince clock.Millis
+	// paused is set while the peer takes no entries and images.
+	paused bool
 }
 
 // New returns a member that starts from the contents of its disk.
@@ -282,7 +289,12 @@
 func (core *Core) save(save Save) {
 	core.lastSave++
 	save.Sequence = core.lastSave
-	core.unsynced = append(core.unsynced, pendingSave{core.lastSave, core.log.last()})
+	bytes := len(save.Image)
+	for _, entry := range save.Entries {
+		bytes += entry.SizeVT()
+	}
+	core.unsynced = append(core.unsynced, pendingSave{sequence: core.lastSave, last: core.log.last(), bytes: bytes, since: core.now})
+	core.unsyncedBytes += bytes
 	core.emit(save)
 }
 
@@ -294,6 +306,7 @@
 func (core *Core) markSynced(sequence uint64) {
 	for len(core.unsynced) > 0 && core.unsynced[0].sequence <= sequence {
 		core.syncedIndex = max(core.syncedIndex, core.unsynced[0].last)
+		core.unsyncedBytes -= core.unsynced[0].bytes
 		core.unsynced = core.unsynced[1:]
 	}
 	if core.role == Leader {
--- a/internal/quorum/election.go
+++ b/internal/quorum/election.go
@@ -174,7 +174,7 @@
 	var best *wire.ControlMember
 	for _, member := range core.members {
 		follower := core.progress[peerOf(member)]
-		if follower == nil || !member.GetVoter() || follower.probing {
+		if follower == nil || !member.GetVoter() || follower.probing || follower.paused {
 			continue
 		}
 		if best == nil || follower.match > core.progress[peerOf(best)].match {
--- a/internal/quorum/elections_test.go
+++ b/internal/quorum/elections_test.go
@@ -26,6 +26,8 @@
 	lossLimit = clock.Minute
 	// stallPoll is the time between two looks at a stalled disk.
 	stallPoll = 50 * clock.Millis(1)
+	// writeRetry is the time after which a control VM repeats a write that a full disk refused.
+	writeRetry = 100 * clock.Millis(1)
 )
 
 // lossScript is a series of elections after the loss of the leader, one a seed.
@@ -77,11 +79,17 @@
 	zone string
 	// isSyncing is set while the disk syncs, isGone once the control VM is lost.
 	isSyncing, isGone bool
-	// isDeaf is set when it sends but does not receive, isStalled while its disk syncs nothing.
-	isDeaf      bool
-	isStalled   bool
+	// isDeaf is set when it sends but does not receive, isStalled while its disk syncs nothing,
+	// isFull while its disk refuses writes.
+	isDeaf    bool
+	isStalled bool
+	isFull    bool
+	// isRefused is set once a write was refused, until one succeeds.
+	isRefused   bool
 	role        quorum.Role
 	confirmedAt clock.Millis
+	// imageIndex is the index of the newest image that was made.
+	imageIndex uint64
 }
 
 // group runs voters in virtual time.
@@ -94,6 +102,10 @@
 	voters []*voter
 	// isCut reports whether no message gets from one VM to another; nil for none.
 	isCut func(from, to *voter) bool
+	// imageEvery is the number of entries after which a VM makes an image; 0 for never.
+	imageEvery uint64
+	// change is the operator's change that is not answered yet, if any.
+	change change
 }
 
 func newGroup(script lossScript, seed uint64) *group {
@@ -145,13 +157,30 @@
 			}
 		case quorum.RoleChanged:
 			each.role = action.Role
+		case quorum.Apply:
+			each.applied = action.Entries[len(action.Entries)-1].GetIndex()
+		case quorum.Restore:
+			each.applied = action.Image.GetIndex()
+		case quorum.Accepted:
+			group.change = group.change.WithIndex(action.Index, action.Term)
 		case quorum.LeaseConfirmed:
 			each.confirmedAt = group.now - action.Age
 		}
 	}
+	if group.imageEvery > 0 && each.applied >= each.imageIndex+group.imageEvery {
+		each.imageIndex = each.applied
+		group.compact(each)
+	}
 	group.sync(each)
 }
 
+func (group *group) compact(each *voter) {
+	term, members := each.core.MembersAt(each.applied)
+	encoded, err := (&wire.Image{Index: each.applied, Term: term, Members: members}).MarshalVT()
+	Expect(err).NotTo(HaveOccurred())
+	group.feed(each, quorum.Compact{Index: each.applied, Encoded: encoded})
+}
+
 // sync starts to write what is queued, if the disk is free. Messages without a write before
 // them leave at once.
 func (group *group) sync(each *voter) {
@@ -180,10 +209,20 @@
 		group.after(stallPoll, func() { group.syncBatch(each, batch) })
 		return
 	}
+	if each.isFull && !each.isGone {
+		each.isRefused = true
+		group.feed(each, quorum.DiskHealth{Failing: true})
+		group.after(writeRetry, func() { group.syncBatch(each, batch) })
+		return
+	}
 	each.isSyncing = false
 	if each.isGone {
 		return
 	}
+	if each.isRefused {
+		each.isRefused = false
+		group.feed(each, quorum.DiskHealth{})
+	}
 	for _, action := range batch {
 		each.persist(action, "")
 		switch action := action.(type) {
@@ -226,6 +265,7 @@
 			return true
 		}
 	}
+	group.now = end
 	return false
 }
 
--- a/internal/quorum/image.go
+++ b/internal/quorum/image.go
@@ -16,7 +16,7 @@
 // CatchUpEntries entries that it covers.
 func (core *Core) compact(event Compact) {
 	term, ok := core.log.term(event.Index)
-	if !ok || event.Index <= core.imageIndex || event.Index > core.applied {
+	if !ok || event.Index <= core.imageIndex || event.Index > core.applied || core.IsPaused() {
 		return
 	}
 	core.image, core.imageIndex, core.imageTerm = event.Encoded, event.Index, term
@@ -34,11 +34,15 @@
 	return term, &wire.MemberSet{Members: core.membersAt(index)}
 }
 
-// sendImage sends the next chunk of the image that a member needs.
+// sendImage sends the next chunk of the image that a member needs, or an empty one to a
+// member that is paused.
 func (core *Core) sendImage(peer Peer, follower *progress) {
 	follower.probing = true
 	follower.offset = min(follower.offset, uint64(len(core.image)))
 	end := min(follower.offset+core.settings.ImageChunkBytes, uint64(len(core.image)))
+	if follower.paused {
+		end = follower.offset
+	}
 	core.send(peer, follower.address, &wire.PeerMessage{
 		Type: wire.PeerMessage_TYPE_SNAPSHOT, Term: core.hard.Term, Index: core.imageIndex, LogTerm: core.imageTerm,
 		Round: core.round, Snapshot: core.image[follower.offset:end], Offset: follower.offset, Size: uint64(len(core.image)),
@@ -49,6 +53,10 @@
 	if !core.acceptLeader(message, from, wire.PeerMessage_TYPE_SNAPSHOT_REPLY) {
 		return
 	}
+	if core.IsPaused() {
+		core.replyPaused(message, core.commit)
+		return
+	}
 	if message.GetIndex() <= core.commit {
 		core.reply(message, &wire.PeerMessage{
 			Type: wire.PeerMessage_TYPE_APPEND_REPLY, Term: core.hard.Term, Index: core.commit, Round: message.GetRound(),
@@ -105,6 +113,7 @@
 		return
 	}
 	core.confirmRound(follower, message.GetRound())
+	follower.paused = message.GetPaused()
 	if message.GetIndex() != core.imageIndex || message.GetLogTerm() != core.imageTerm {
 		follower.offset = 0
 		return
--- a/internal/quorum/join.go
+++ b/internal/quorum/join.go
@@ -20,8 +20,9 @@
 // tickJoin sends join messages to the members, the initial ones and the known processes
 // while this member has no group, or no leader. A member of a group discovers no others, so
 // that it never takes part in forming one.
+// A member whose disk does not keep up does not ask, since it could not take the log.
 func (core *Core) tickJoin() {
-	if core.now < core.heartbeatDue {
+	if core.now < core.heartbeatDue || core.IsPaused() {
 		return
 	}
 	core.heartbeatDue = core.now + core.settings.ElectionTimeout/heartbeatsPerTimeout + clock.Millis(1)
@@ -175,7 +176,7 @@
 }
 
 // addLearner adds a new disk as a learner, in place of an earlier learner of the
-// same name. While the old disk still replies, two processes run with the same
+// same name or of one that is paused. While the old disk still replies, two processes run with the same
 // name by mistake, and the one already in the group stays.
 func (core *Core) addLearner(learner *wire.ControlMember) {
 	peer := peerOf(learner)
@@ -186,11 +187,14 @@
 	if !core.membersSettled() || findMember(core.members, peer) != nil {
 		return
 	}
-	if !slices.ContainsFunc(core.members, sameName) && (hasLearner(core.members) || !core.hasPlaceFor(learner, core.admitAfter())) {
+	isReplaced := func(member *wire.ControlMember) bool {
+		return !member.GetVoter() && (sameName(member) || core.isPausedMember(member))
+	}
+	kept := without(core.members, isReplaced)
+	if !slices.ContainsFunc(core.members, sameName) && (hasLearner(kept) || !core.hasPlaceFor(learner, core.admitAfter())) {
 		return
 	}
 	core.explain("learner admitted", learner)
-	kept := without(core.members, func(member *wire.ControlMember) bool { return sameName(member) && !member.GetVoter() })
 	core.setMembers(append(kept, learner), "")
 }
 
--- a/internal/quorum/places_test.go
+++ b/internal/quorum/places_test.go
@@ -21,6 +21,9 @@
 	// placeCatchUp is the default of the setting from which a control VM derives how long a
 	// voter may be silent.
 	placeCatchUp = 4 * clock.Second
+	// placeCatchUpEntries and placeImageEvery let a VM that was away need an image.
+	placeCatchUpEntries = 5
+	placeImageEvery     = 5
 )
 
 // placeStep changes the VMs of an open group, or waits for its voters.
@@ -56,6 +59,7 @@
 func newPlaces(script placeScript, seed uint64) *places {
 	made := &places{group: &group{
 		script: lossScript{Disk: script.Disk, Link: script.Link}, random: rand.New(rand.NewPCG(seed, 13)), now: clock.Minute,
+		imageEvery: placeImageEvery,
 	}}
 	made.isCut = func(from, to *voter) bool {
 		return from.zone != to.zone && (from.zone == made.cut || to.zone == made.cut)
@@ -81,7 +85,8 @@
 		if at < 0 {
 			places.voters = append(places.voters, started)
 		} else {
-			started.disk, started.stored = places.voters[at].disk, places.voters[at].stored
+			started.disk, started.stored, started.isFull = places.voters[at].disk, places.voters[at].stored, places.voters[at].isFull
+			started.applied, started.imageIndex = started.stored.Image.GetIndex(), started.stored.Image.GetIndex()
 			places.voters[at] = started
 		}
 		stored := started.stored
@@ -89,7 +94,7 @@
 		started.core = quorum.New(quorum.Settings{
 			Self: quorum.Peer{Name: name, DiskID: started.disk}, Address: name, Zone: zone, InitialMembers: places.founders,
 			JoinOnly: !founding, Voters: placeTarget, ReplaceAfter: placeCatchUp * 5 / 8, RelocateAfter: 30 * clock.Second,
-			ElectionTimeout: lossTimeout, Seed: started.disk, CatchUpEntries: 100, ImageChunkBytes: 1 << 10,
+			ElectionTimeout: lossTimeout, Seed: started.disk, CatchUpEntries: placeCatchUpEntries, ImageChunkBytes: 1 << 10,
 		}, stored, places.now)
 		places.tick(started)
 	}
@@ -146,6 +151,16 @@
 				each.isStalled = step.Do == "stall"
 			}
 		}
+	case "full", "room":
+		for _, each := range places.voters {
+			if slices.Contains(step.On, each.name) {
+				each.isFull = step.Do == "full"
+			}
+		}
+	case "change":
+		return places.answer(step.For)
+	case "fullInTurn":
+		return places.fillInTurn(step)
 	case "cut":
 		places.cut = step.On[0]
 	case "heal":
--- a/internal/quorum/quorum_test.go
+++ b/internal/quorum/quorum_test.go
@@ -41,15 +41,16 @@
 	// stale reads, and groups that do not recover from faults.
 	for _, script := range append(all.Runs, all.Isolation) {
 		It("stays correct: "+script.Name, func() {
-			committed, diskLosses := 0, 0
+			committed, diskLosses, fulls := 0, 0, 0
 			for seed := range script.Seeds {
 				run := newCluster(script, "", seed)
 				Expect(run.run()).To(Succeed(), "seed %d", seed)
-				committed, diskLosses = committed+len(run.history), diskLosses+run.diskLosses
+				committed, diskLosses, fulls = committed+len(run.history), diskLosses+run.diskLosses, fulls+run.fulls
 			}
-			AddReportEntry(fmt.Sprintf("%d entries committed, %d disks emptied or damaged", committed, diskLosses))
+			AddReportEntry(fmt.Sprintf("%d entries committed, %d disks emptied or damaged, %d full", committed, diskLosses, fulls))
 			Expect(committed).To(BeNumerically(">", 0))
 			Expect(diskLosses > 0).To(Equal(script.Empty+script.Damage > 0))
+			Expect(fulls > 0).To(Equal(script.Full > 0))
 		})
 	}
 
--- a/internal/quorum/replicate.go
+++ b/internal/quorum/replicate.go
@@ -24,7 +24,7 @@
 	switch {
 	case core.role != Leader:
 		return ErrNotLeader
-	case core.diskFailing:
+	case core.isOverloaded():
 		return ErrDisk
 	case core.log.last()-core.commit > maxUncommitted:
 		return ErrBusy
@@ -32,10 +32,10 @@
 	return nil
 }
 
-// replicate sends new entries to the members that are not being probed.
+// replicate sends new entries to the members that take them and are not being probed.
 func (core *Core) replicate() {
 	for peer, follower := range core.allProgress() {
-		if !follower.probing && follower.next <= core.log.last() {
+		if !follower.probing && !follower.paused && follower.next <= core.log.last() {
 			core.sendAppend(peer, follower, false)
 		}
 	}
@@ -51,7 +51,7 @@
 		return
 	}
 	var entries []*wire.Entry
-	if !follower.probing {
+	if !follower.probing && !follower.paused {
 		entries = limitBatch(core.log.slice(follower.next, core.log.last()))
 	}
 	if len(entries) == 0 && !heartbeat {
@@ -69,6 +69,10 @@
 		return
 	}
 	core.learnSilences(message.GetMembers().GetMembers())
+	if core.IsPaused() {
+		core.onAppendPaused(message)
+		return
+	}
 	response := &wire.PeerMessage{Type: wire.PeerMessage_TYPE_APPEND_REPLY, Term: core.hard.Term, Round: message.GetRound()}
 	prev, entries := message.GetIndex(), message.GetEntries()
 	if prev < core.commit {
@@ -85,9 +89,7 @@
 	core.mergeEntries(entries)
 	response.Index = prev + uint64(len(entries))
 	core.setCommit(min(message.GetCommit(), response.GetIndex()))
-	if message.GetLeaseAge() > 0 && core.applied >= message.GetCommit() {
-		core.emit(LeaseConfirmed{Age: clock.Millis(message.GetLeaseAge() - 1)})
-	}
+	core.confirmLeaderLease(message)
 	// A leader with a lease has committed an entry of its own term, and with it
 	// every entry that an earlier leader committed.
 	if message.GetLeaseAge() > 0 && response.GetIndex() >= message.GetCommit() {
@@ -97,6 +99,14 @@
 	core.reply(message, response)
 }
 
+// confirmLeaderLease reports that the applied state is current, if the leader's lease and the
+// commit index in its append say so.
+func (core *Core) confirmLeaderLease(message *wire.PeerMessage) {
+	if message.GetLeaseAge() > 0 && core.applied >= message.GetCommit() {
+		core.emit(LeaseConfirmed{Age: clock.Millis(message.GetLeaseAge() - 1)})
+	}
+}
+
 // ackRound acknowledges the leader's round without waiting for the disk, so that
 // a slow sync does not let the leader's lease expire.
 func (core *Core) ackRound(message *wire.PeerMessage, agreed uint64) {
@@ -149,6 +159,7 @@
 		return
 	}
 	core.confirmRound(follower, message.GetRound())
+	follower.paused = message.GetPaused()
 	if message.GetReject() {
 		core.onAppendRejected(from, follower, message)
 		return
@@ -158,7 +169,7 @@
 		follower.match = message.GetIndex()
 		core.advanceCommit()
 	}
-	if core.role != Leader {
+	if core.role != Leader || follower.paused {
 		return
 	}
 	follower.next = max(follower.next, follower.match+1)
--- a/test/control/control_test.go
+++ b/test/control/control_test.go
@@ -40,7 +40,11 @@
 	Name string `json:"name"`
 	// Arguments are added to every control VM's command line.
 	Arguments []string `json:"arguments"`
-	Steps     []string `json:"steps"`
+	// Seeded makes a group from seeds instead of listed members, with Spares control VMs
+	// beside it that are not started.
+	Seeded bool     `json:"seeded"`
+	Spares int      `json:"spares"`
+	Steps  []string `json:"steps"`
 }
 
 // runner runs a scenario on a control group and keeps the replies to its commands.
@@ -75,12 +79,12 @@
 	script := load()
 	for _, scenario := range script.Scenarios {
 		It(scenario.Name, func() {
-			group, err := procs.NewGroup(GinkgoT().TempDir(), 3, scenario.Arguments...)
+			group, err := scenario.newGroup()
 			Expect(err).NotTo(HaveOccurred())
 			DeferCleanup(group.Close)
 			Expect(group.StartAll()).To(Succeed())
 			runner := &runner{
-				group: group, random: rand.New(rand.NewPCG(script.Seed, script.Seed)), up: []bool{true, true, true},
+				group: group, random: rand.New(rand.NewPCG(script.Seed, script.Seed)), up: append([]bool{true, true, true}, make([]bool, scenario.Spares)...),
 				replies: map[string]*wire.CommandReply{}, texts: map[string]string{},
 			}
 			for _, step := range scenario.Steps {
@@ -92,6 +96,13 @@
 	}
 })
 
+func (scenario *scenario) newGroup() (*procs.Group, error) {
+	if scenario.Seeded {
+		return procs.NewSeededGroup(GinkgoT().TempDir(), scenario.Spares, scenario.Arguments...)
+	}
+	return procs.NewGroup(GinkgoT().TempDir(), 3, scenario.Arguments...)
+}
+
 func (runner *runner) run(word, rest string) {
 	switch word {
 	case "change":
@@ -134,7 +145,7 @@
 		runner.changeMembers("remove", "remove control "+runner.group.Name(runner.victim))
 		runner.up[runner.victim] = false
 	default:
-		Fail("unknown step " + word)
+		runner.runDisk(word, rest)
 	}
 }
 
@@ -206,16 +217,19 @@
 		}
 		return
 	}
-	runner.victim = runner.leader()
-	if whom == "follower" {
-		leader := runner.victim
-		for _, at := range runner.running() {
-			if at != leader {
-				runner.victim = at
-			}
+	runner.pick(whom)
+	runner.haltOne(how)
+}
+
+// other returns a running member besides one.
+func (runner *runner) other(than int) int {
+	found := than
+	for _, at := range runner.running() {
+		if at != than {
+			found = at
 		}
 	}
-	runner.haltOne(how)
+	return found
 }
 
 func (runner *runner) haltOne(how string) {
@@ -231,10 +245,10 @@
 	}
 }
 
-// resume restarts or continues the victim, a named member or all members.
+// resume restarts or continues the victim, a member with a name or number, or all members.
 func (runner *runner) resume(how, whom string) {
 	for at, up := range runner.up {
-		selected := whom == "all" || whom == "victim" && at == runner.victim || whom == runner.group.Name(at)
+		selected := whom == "all" || whom == "victim" && at == runner.victim || whom == runner.group.Name(at) || whom == strconv.Itoa(at+1)
 		if up || !selected {
 			continue
 		}
--- a/test/crowd/crowd_test.go
+++ b/test/crowd/crowd_test.go
@@ -144,17 +144,9 @@
 
 // peakMemory returns the largest resident memory of a process so far, in MiB.
 func peakMemory(process *procs.Process) int {
-	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", process.ID()))
+	peak, err := process.PeakMemory()
 	Expect(err).NotTo(HaveOccurred())
-	for line := range strings.Lines(string(text)) {
-		if value, ok := strings.CutPrefix(line, "VmHWM:"); ok {
-			kibibytes, err := strconv.Atoi(strings.Fields(value)[0])
-			Expect(err).NotTo(HaveOccurred())
-			return kibibytes >> 10
-		}
-	}
-	Fail("the system tells no peak of the resident memory")
-	return 0
+	return peak
 }
 
 // openDescriptors returns the number of descriptors that a process has open.
