ctrl: wait for room when the disk is full at the start

Operators saw: a control VM with an empty data folder that starts on a full disk ends with "no space left on device", and comes back only if something starts it again.

Cause: the write of the disk id ended the process, while a running process waits for room.

The process does not listen meanwhile.

--- a/internal/ctrl/control.go
+++ b/internal/ctrl/control.go
@@ -131,24 +131,14 @@
 	if err != nil {
 		return nil, err
 	}
-	server, err := link.Listen(settings.Node.Listen)
-	if err != nil {
-		return nil, err
-	}
 	seeded := len(settings.Control.Seed) > 0
-	self, seeds := settings.Node.Name, []string(nil)
-	if seeded {
-		self = advertised(settings.Node, server)
-		if seeds, err = ParseSeeds(settings.Control.Seed, self); err != nil {
-			return nil, errors.CombineErrors(err, server.Close())
-		}
-	}
-	opened, contents, err := store.Open(settings.Control.Data, settings.Disk, founders(settings.Control, seeds))
+	start, err := awaitRoom(settings, ticker, log)
 	if err != nil {
-		return nil, errors.CombineErrors(err, server.Close())
+		return nil, err
 	}
+	server, opened, contents := start.server, start.store, start.contents
 	if seeded {
-		initialMembers = membersByAddress(seeds)
+		initialMembers = membersByAddress(start.seeds)
 		if len(contents.Founders) > 0 {
 			initialMembers = membersByAddress(contents.Founders)
 		}
@@ -158,7 +148,7 @@
 	control := &Control{
 		settings: settings, diskID: contents.DiskID, clock: ticker, log: log, view: feed.NewView(ticker), pool: link.NewPool(), server: server,
 		inbox: make(chan input, inboxSize), waiters: map[uint64]waiter{}, pendingProposals: map[uint64][]chan<- outcome{},
-		machine: state.NewMachine(), claims: claim.NewTable(), self: self,
+		machine: state.NewMachine(), claims: claim.NewTable(), self: start.self,
 		incarnation: rand.Uint64(), startedAt: ticker.Now(), reports: map[string]loadReport{}, board: board.New(ticker, log),
 		spread: evac.New(settings.Control.EvacuateLimit), guard: bounds,
 	}
--- a/internal/ctrl/control_test.go
+++ b/internal/ctrl/control_test.go
@@ -105,6 +105,40 @@
 	})
 })
 
+// Guards against a control VM that ends because its disk is full when it starts, or that does
+// not serve afterwards.
+var _ = It("a control VM that starts on a full disk goes on once there is room", func() {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	address := listener.Addr().String()
+	Expect(listener.Close()).To(Succeed())
+	disk := fake.NewDisk()
+	disk.SetRoom(3)
+	started := make(chan *ctrl.Control)
+	folder := GinkgoT().TempDir()
+	go func() {
+		defer GinkgoRecover()
+		defer close(started)
+		control, err := ctrl.New(ctrl.Settings{
+			Node:    opts.Node{Name: "control1", Zone: "zone1", Listen: address},
+			Control: opts.Control{Data: folder, ElectionTimeout: 200, CommitLimit: 500, SnapshotBytes: 4096},
+			Disk:    disk,
+		}, clock.NewSystem(), event.Discard())
+		Expect(err).NotTo(HaveOccurred())
+		started <- control
+	}()
+	Consistently(started).ShouldNot(Receive())
+	disk.SetRoom(-1)
+	var control *ctrl.Control
+	Eventually(started).WithTimeout(limit).Should(Receive(&control))
+	DeferCleanup(control.Close)
+	Eventually(func() string {
+		reply, err := control.Execute(context.Background(), &wire.Command{Id: "c", Text: "create customer c tier paid"})
+		Expect(err).NotTo(HaveOccurred())
+		return reply.GetCode()
+	}).WithTimeout(limit).Should(BeEmpty())
+})
+
 // Guards against a group that refuses changes because the disk of the leader
 // alone is full.
 var _ = It("a group moves leadership away from a full disk", func() {
--- a/internal/fake/disk.go
+++ b/internal/fake/disk.go
@@ -3,6 +3,7 @@
 import (
 	"os"
 	"sync"
+	"syscall"
 
 	"github.com/cockroachdb/errors"
 
@@ -11,7 +12,7 @@
 
 // Errors of a Disk.
 var (
-	ErrFull    = errors.New("no space left on device")
+	ErrFull    = error(syscall.ENOSPC)
 	ErrCrashed = errors.New("the machine has crashed")
 )
 
--- a/internal/store/filesystem.go
+++ b/internal/store/filesystem.go
@@ -3,10 +3,21 @@
 import (
 	"io"
 	"os"
+	"slices"
+	"syscall"
 
 	"github.com/cockroachdb/errors"
 )
 
+// refusals are the errors with which a disk refuses writes until it has room or answers again.
+var refusals = []error{syscall.ENOSPC, syscall.EDQUOT, syscall.EFBIG, syscall.EIO}
+
+// IsRefused reports whether an error means that the disk refuses writes, which may pass, in
+// contrast to a folder that cannot be used.
+func IsRefused(err error) bool {
+	return slices.ContainsFunc(refusals, func(refusal error) bool { return errors.Is(err, refusal) })
+}
+
 // File is an open file in a data folder.
 type File interface {
 	io.ReadWriteSeeker
