quorum: hand over a full disk's leadership until it succeeds

Operators saw: a leader whose disk is full keeps the lead and refuses every change for as long as it is full, while the other control VMs are sound.

Cause: the leader handed over once, at the first refused write. Right after an election it knows no voter whose log agrees, so there is nobody to hand over to, and its heartbeats kept the others from an election.

Change: it tries again with each heartbeat. The model reports a full disk once, as the writer does; it reported it at each try, which hid the fault.

--- a/internal/quorum/elections_test.go
+++ b/internal/quorum/elections_test.go
@@ -210,8 +210,10 @@
 		return
 	}
 	if each.isFull && !each.isGone {
-		each.isRefused = true
-		group.feed(each, quorum.DiskHealth{Failing: true})
+		if !each.isRefused {
+			each.isRefused = true
+			group.feed(each, quorum.DiskHealth{Failing: true})
+		}
 		group.after(writeRetry, func() { group.syncBatch(each, batch) })
 		return
 	}
--- a/internal/quorum/full_test.go
+++ b/internal/quorum/full_test.go
@@ -66,6 +66,18 @@
 	return fmt.Errorf("change %d is not accepted after %s", group.change.number, limit)
 }
 
+// fillNext has the leader hand over, and fills the disk of the next one when it is elected.
+func (places *places) fillNext(limit clock.Millis) error {
+	if leader := places.leader(); leader != nil {
+		places.feed(leader, quorum.Resign{})
+	}
+	if !places.runUntil(limit, func() bool { return places.leader() != nil }) {
+		return fmt.Errorf("no next leader after %s", limit)
+	}
+	places.leader().isFull = true
+	return nil
+}
+
 // pass lets time pass.
 func (group *group) pass(time clock.Millis) {
 	group.runUntil(time, func() bool { return false })
--- a/internal/quorum/lease.go
+++ b/internal/quorum/lease.go
@@ -33,6 +33,13 @@
 		return
 	}
 	if core.now >= core.heartbeatDue {
+		if core.isOverloaded() {
+			// There may have been nobody to hand over to before.
+			core.resign()
+			if core.role != Leader {
+				return
+			}
+		}
 		core.heartbeat()
 		core.fillPlaces()
 	}
--- a/internal/quorum/places_test.go
+++ b/internal/quorum/places_test.go
@@ -157,6 +157,8 @@
 				each.isFull = step.Do == "full"
 			}
 		}
+	case "fullNext":
+		return places.fillNext(step.For)
 	case "change":
 		return places.answer(step.For)
 	case "fullInTurn":
