quorum: drop messages that have waited too long for the disk

Operators see nothing of it: a control VM whose disk was full sends, when it has room again, all votes and replies that waited, however old.

Cause: messages had no time after which they are of no use, and the queue of the writer had no bound.

Change: a message that waits for the disk expires after an election timeout. The writer's queue drops messages from 4,096 actions on.

--- a/internal/ctrl/writer.go
+++ b/internal/ctrl/writer.go
@@ -10,11 +10,18 @@
 	"github.com/hibiscuslug/hibiscuslug/pkg/clock"
 )
 
-// writeRetryDelay is the pause after a failed write, for example on a full disk.
-const writeRetryDelay = 100 * clock.Millis(1)
+const (
+	// writeRetryDelay is the pause after a failed write, for example on a full disk.
+	writeRetryDelay = 100 * clock.Millis(1)
+	// maxQueuedActions is the length of the queue from which on messages are dropped, which
+	// the protocol tolerates like packet loss. A member whose disk does not keep up makes few
+	// saves.
+	maxQueuedActions = 4096
+)
 
 // writer writes saves to disk in order. Saves that arrive during a sync share
-// the next one, and messages are sent only after the saves queued before them.
+// the next one, and messages are sent only after the saves queued before them,
+// unless they are too old by then.
 type writer struct {
 	store *store.Store
 	clock *clock.Clock
@@ -34,7 +41,9 @@
 
 func (writer *writer) add(action quorum.Action) {
 	writer.mu.Lock()
-	writer.queue = append(writer.queue, action)
+	if _, isMessage := action.(quorum.Send); !isMessage || len(writer.queue) < maxQueuedActions {
+		writer.queue = append(writer.queue, action)
+	}
 	writer.mu.Unlock()
 	select {
 	case writer.wake <- struct{}{}:
@@ -68,7 +77,7 @@
 		return
 	}
 	for _, action := range actions {
-		if send, ok := action.(quorum.Send); ok {
+		if send, ok := action.(quorum.Send); ok && writer.clock.Now() <= send.Expires {
 			writer.peers.send(send)
 		}
 	}
--- a/internal/quorum/cluster_test.go
+++ b/internal/quorum/cluster_test.go
@@ -264,7 +264,7 @@
 		each.persist(action, run.fault)
 	}
 	for _, action := range queue {
-		if send, ok := action.(quorum.Send); ok {
+		if send, ok := action.(quorum.Send); ok && run.now(each) <= send.Expires {
 			run.send(send.Message)
 		}
 	}
--- a/internal/quorum/core.go
+++ b/internal/quorum/core.go
@@ -278,7 +278,7 @@
 	message.From, message.FromDisk = core.self.Name, core.self.DiskID
 	message.To, message.ToDisk = to.Name, to.DiskID
 	message.Address, message.Zone = core.settings.Address, core.settings.Zone
-	core.emit(Send{Message: message, Address: address, Durable: durable})
+	core.emit(Send{Message: message, Address: address, Durable: durable, Expires: core.now + core.settings.ElectionTimeout})
 }
 
 // reply sends a response to a message once every save so far is on disk.
--- a/internal/quorum/elections_test.go
+++ b/internal/quorum/elections_test.go
@@ -104,12 +104,16 @@
 	isCut func(from, to *voter) bool
 	// imageEvery is the number of entries after which a VM makes an image; 0 for never.
 	imageEvery uint64
+	// emitted is when a message that waits for a disk was made, oldest the age of the oldest
+	// one that was sent.
+	emitted map[*wire.PeerMessage]clock.Millis
+	oldest  clock.Millis
 	// change is the operator's change that is not answered yet, if any.
 	change change
 }
 
 func newGroup(script lossScript, seed uint64) *group {
-	made := &group{script: script, random: rand.New(rand.NewPCG(seed, 11)), now: clock.Minute}
+	made := &group{script: script, random: rand.New(rand.NewPCG(seed, 11)), now: clock.Minute, emitted: map[*wire.PeerMessage]clock.Millis{}}
 	var members []*wire.ControlMember
 	for at := range script.Voters {
 		made.voters = append(made.voters, &voter{node: node{name: fmt.Sprintf("control%d", at+1), disk: made.random.Uint64()}})
@@ -151,6 +155,7 @@
 			each.queue = append(each.queue, action)
 		case quorum.Send:
 			if action.Durable {
+				group.emitted[action.Message] = group.now
 				each.queue = append(each.queue, action)
 			} else {
 				group.send(each, action.Message)
@@ -192,7 +197,7 @@
 		if !ok {
 			break
 		}
-		group.send(each, send.Message)
+		group.sendDurable(each, send)
 		each.queue = each.queue[1:]
 	}
 	if len(each.queue) == 0 {
@@ -231,12 +236,22 @@
 		case quorum.Save:
 			group.feed(each, quorum.Synced{Sequence: action.Sequence})
 		case quorum.Send:
-			group.send(each, action.Message)
+			group.sendDurable(each, action)
 		}
 	}
 	group.sync(each)
 }
 
+// sendDurable sends a message that has waited for the disk, unless it is too old.
+func (group *group) sendDurable(from *voter, send quorum.Send) {
+	if group.now > send.Expires {
+		return
+	}
+	group.oldest = max(group.oldest, group.now-group.emitted[send.Message])
+	delete(group.emitted, send.Message)
+	group.send(from, send.Message)
+}
+
 func (group *group) send(from *voter, message *wire.PeerMessage) {
 	// A receiver must not share memory with the sender.
 	encoded, err := message.MarshalVT()
--- a/internal/quorum/places_test.go
+++ b/internal/quorum/places_test.go
@@ -59,7 +59,7 @@
 func newPlaces(script placeScript, seed uint64) *places {
 	made := &places{group: &group{
 		script: lossScript{Disk: script.Disk, Link: script.Link}, random: rand.New(rand.NewPCG(seed, 13)), now: clock.Minute,
-		imageEvery: placeImageEvery,
+		imageEvery: placeImageEvery, emitted: map[*wire.PeerMessage]clock.Millis{},
 	}}
 	made.isCut = func(from, to *voter) bool {
 		return from.zone != to.zone && (from.zone == made.cut || to.zone == made.cut)
@@ -157,6 +157,10 @@
 				each.isFull = step.Do == "full"
 			}
 		}
+	case "sentWithin":
+		if places.oldest > step.For {
+			return fmt.Errorf("a message was sent %s after it was made", places.oldest)
+		}
 	case "fullNext":
 		return places.fillNext(step.For)
 	case "change":
--- a/internal/quorum/quorum.go
+++ b/internal/quorum/quorum.go
@@ -167,11 +167,13 @@
 }
 
 // Send is a message to another member. If Durable is set, it must not be sent
-// before every earlier Save is synced.
+// before every earlier Save is synced, nor after the time Expires: its receiver
+// no longer waits for it, and heartbeats and elections repeat what it says.
 type Send struct {
 	Message *wire.PeerMessage
 	Address string
 	Durable bool
+	Expires clock.Millis
 }
 
 // Apply holds committed entries, each exactly once and in order.
