--- a/internal/ctrl/control_test.go
+++ b/internal/ctrl/control_test.go
@@ -25,7 +25,13 @@
 	RunSpecs(t, "Control")
 }
 
-const limit = 30 * time.Second
+const (
+	limit = 30 * time.Second
+	// roomForChanges is room in bytes for changesBeyondSnapshot changes, after some of which a
+	// snapshot of 4096 bytes or more is due, but not for both.
+	roomForChanges        = 8000
+	changesBeyondSnapshot = 100
+)
 
 // command is an operator's command with the expected reply.
 type command struct {
@@ -81,6 +87,26 @@
 		}
 	})
 
+	// Guards against changes that are refused although the disk has room for them, because a
+	// snapshot does not fit.
+	It("takes changes while the disk has room for them, but not for a snapshot", func() {
+		control := start()
+		Expect(execute(control, "first", "create customer first tier paid").GetCode()).To(BeEmpty())
+		disk.SetRoom(roomForChanges)
+		accepted := 0
+		for number := range changesBeyondSnapshot {
+			id := fmt.Sprintf("c%d", number)
+			reply := execute(control, id, "create customer "+id+" tier paid")
+			Expect(reply.GetCode()).To(BeEmpty(), "%s: %s", id, reply.GetError())
+			accepted++
+		}
+		Expect(control.Close()).To(Succeed())
+		disk.SetRoom(-1)
+		control = start()
+		Expect(execute(control, "last", "create customer last tier paid").GetRevision()).To(Equal(uint64(accepted + 2)))
+		Expect(control.Close()).To(Succeed())
+	})
+
 	// Guards against changes that are accepted while the disk is full, and against
 	// a control VM that stops serving queries or does not recover.
 	It("refuses changes on a full disk, answers queries and recovers", func() {
--- a/internal/ctrl/writer.go
+++ b/internal/ctrl/writer.go
@@ -87,7 +87,9 @@
 }
 
 // write retries until all saves are on disk or the process stops, and reports
-// whether all are on disk.
+// whether all are on disk. A snapshot of this VM's own log that does not fit is
+// given up: the log that it would replace is still on disk, and what waits behind
+// it may need less room.
 func (writer *writer) write(ctx context.Context, saves []quorum.Save) bool {
 	failed := false
 	for len(saves) > 0 {
@@ -96,6 +98,11 @@
 		if err == nil {
 			break
 		}
+		if saves[0].Image != nil && !saves[0].Reset {
+			writer.log.Write(event.SnapshotRefused, "index", saves[0].ImageIndex, "bytes", len(saves[0].Image), "error", err)
+			saves = saves[1:]
+			continue
+		}
 		if !failed {
 			writer.log.Write(event.DiskRefused, "error", err)
 			writer.report(ctx, quorum.DiskHealth{Failing: true})
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -86,6 +86,7 @@
 	EvacuationHeld     = Event{422, "all gateways know of the evacuation of a zone"}
 	EvacuationLate     = Event{423, "gateways do not know of the evacuation of a zone"}
 	MembersProposed    = Event{424, "change of the control group's members proposed"}
+	SnapshotRefused    = Event{425, "snapshot could not be written"}
 	EngineUnreachable  = Event{501, "engine does not answer"}
 	InstructionRefused = Event{502, "instruction with an old fencing number refused"}
 	RankOrdered        = Event{601, "order to a rank's engine"}
--- a/internal/fake/disk.go
+++ b/internal/fake/disk.go
@@ -70,7 +70,7 @@
 	return !disk.isDark
 }
 
-// SetRoom limits the bytes that can be written from now on; a negative number
+// SetRoom limits the bytes by which files can grow from now on; a negative number
 // removes the limit.
 func (disk *Disk) SetRoom(freeBytes int) {
 	disk.mu.Lock()
@@ -109,15 +109,35 @@
 	return fits
 }
 
+// sizeOf returns the size of a file, or 0 if there is none.
+func sizeOf(path string) int64 {
+	found, err := os.Stat(path)
+	if err != nil {
+		return 0
+	}
+	return found.Size()
+}
+
+// release gives back bytes that a file no longer takes.
+func (disk *Disk) release(bytes int64) {
+	disk.mu.Lock()
+	defer disk.mu.Unlock()
+	if disk.freeBytes >= 0 {
+		disk.freeBytes += int(max(bytes, 0))
+	}
+}
+
 // Open opens a file whose writes are subject to the disk's faults.
 func (disk *Disk) Open(path string, flag int) (store.File, error) {
 	if err := disk.countOperation(); err != nil {
 		return nil, err
 	}
+	before := sizeOf(path)
 	opened, err := disk.system.Open(path, flag)
 	if err != nil {
 		return nil, err
 	}
+	disk.release(before - sizeOf(path))
 	disk.mu.Lock()
 	_, known := disk.synced[path]
 	disk.mu.Unlock()
@@ -140,6 +160,7 @@
 		delete(disk.synced, from)
 	}
 	disk.mu.Unlock()
+	disk.release(sizeOf(to))
 	return disk.system.Rename(from, to)
 }
 
@@ -151,6 +172,7 @@
 	disk.mu.Lock()
 	delete(disk.synced, path)
 	disk.mu.Unlock()
+	disk.release(sizeOf(path))
 	return disk.system.Remove(path)
 }
 
@@ -203,5 +225,6 @@
 	if err := file.disk.countOperation(); err != nil {
 		return err
 	}
+	file.disk.release(sizeOf(file.path) - size)
 	return file.File.Truncate(size)
 }
--- a/internal/store/file.go
+++ b/internal/store/file.go
@@ -31,7 +31,8 @@
 		err = file.Sync()
 	}
 	if err = errors.CombineErrors(err, file.Close()); err != nil {
-		return errors.Wrapf(err, "write %s", temporary)
+		// The part that was written takes room that other writes need.
+		return errors.CombineErrors(errors.Wrapf(err, "write %s", temporary), store.disk.Remove(temporary))
 	}
 	if err := store.disk.Rename(temporary, path); err != nil {
 		return errors.Wrapf(err, "rename %s", temporary)
