soak: full disks, beside the other faults and alone

The soak fills the disks of control VMs one after another by the limit on file size of their processes, entirely or up to some bytes a file, beside its other faults.

The soak waits until it listens.

--- a/test/soak/deployment_test.go
+++ b/test/soak/deployment_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"net"
 	"os"
 	"path/filepath"
 	"strings"
@@ -41,6 +42,8 @@
 	mu      sync.Mutex
 	process *procs.Process
 	busy    bool
+	// isFull is set while the disk refuses writes, also those of a process that is started.
+	isFull bool
 	// logs holds the output of processes that have ended.
 	logs strings.Builder
 }
@@ -128,16 +131,36 @@
 	if bootstrap && node.folder != "" {
 		arguments = append(arguments[:len(arguments):len(arguments)], "--bootstrap")
 	}
-	process, err := procs.Start(node.name, "hibiscuslug", arguments...)
+	process, err := node.launch(arguments)
 	if err != nil {
 		return err
 	}
 	node.mu.Lock()
 	node.process = process
+	if !node.isFull {
+		// The disk may have been freed since the start. A process that has ended needs no room.
+		_ = process.FreeDisk()
+	}
 	node.mu.Unlock()
+	// A process that starts on a full disk may listen only once there is room.
+	Eventually(func() error {
+		conn, err := net.DialTimeout("tcp", node.target, time.Second)
+		if err != nil {
+			return err
+		}
+		return conn.Close()
+	}).WithTimeout(startLimit).Should(Succeed(), "%s listens", node.name)
 	return node.proxy.Retarget(node.target)
 }
 
+// launch starts the program, on a full disk without waiting until it is ready.
+func (node *node) launch(arguments []string) (*procs.Process, error) {
+	if node.hasFullDisk() {
+		return procs.StartFull(node.name, "hibiscuslug", arguments...)
+	}
+	return procs.Start(node.name, "hibiscuslug", arguments...)
+}
+
 // reserve reserves a node for one fault. It reports false if another fault uses
 // the node.
 func (node *node) reserve() bool {
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -41,6 +41,34 @@
 type plan struct {
 	Seeds   []uint64 `json:"seeds"`
 	Seconds int      `json:"seconds"`
+	// Disks and DiskSeconds are the same for the soak of full disks.
+	Disks       []uint64 `json:"disks"`
+	DiskSeconds int      `json:"diskSeconds"`
+}
+
+func loadPlan() plan {
+	text, err := os.ReadFile("testdata/seeds.json")
+	if err != nil {
+		panic(err)
+	}
+	var plan plan
+	if err := json.Unmarshal(text, &plan); err != nil {
+		panic(err)
+	}
+	// HIB_SOAK_SEEDS replaces the seeds by that many consecutive ones, starting
+	// with HIB_SOAK_FIRST or, if that is not set, with the current time.
+	if count, err := strconv.Atoi(os.Getenv("HIB_SOAK_SEEDS")); err == nil {
+		first, err := strconv.ParseUint(os.Getenv("HIB_SOAK_FIRST"), 10, 64)
+		if err != nil {
+			first = uint64(time.Now().UnixNano())
+		}
+		plan.Seeds = nil
+		for at := range uint64(count) {
+			plan.Seeds = append(plan.Seeds, first+at)
+		}
+		plan.Disks = plan.Seeds
+	}
+	return plan
 }
 
 // injector injects random faults into a deployment.
@@ -139,8 +167,13 @@
 	loading.Go(func() { deployment.runEvacuations(load, seed, held) })
 	loading.Go(func() { deployment.runReader(load, seed) })
 	loading.Go(func() { deployment.runCrowds(load, seed) })
+	filling, stopFilling := context.WithCancel(ctx)
+	var disks conc.WaitGroup
+	disks.Go(func() { deployment.fillDisks(filling, seed, false) })
 	injector := &injector{deployment: deployment, random: random}
 	injector.run(time.Now().Add(span))
+	stopFilling()
+	disks.Wait()
 	for _, node := range deployment.nodes {
 		node.proxy.Heal()
 	}
@@ -182,26 +215,7 @@
 // Guards against lost, repeated, mixed-up or unauthorized requests, lost
 // configurations and gateways that stay unavailable after faults.
 var _ = Describe("a deployment under faults", func() {
-	text, err := os.ReadFile("testdata/seeds.json")
-	if err != nil {
-		panic(err)
-	}
-	var plan plan
-	if err := json.Unmarshal(text, &plan); err != nil {
-		panic(err)
-	}
-	// HIB_SOAK_SEEDS replaces the seeds by that many consecutive ones, starting
-	// with HIB_SOAK_FIRST or, if that is not set, with the current time.
-	if count, err := strconv.Atoi(os.Getenv("HIB_SOAK_SEEDS")); err == nil {
-		first, err := strconv.ParseUint(os.Getenv("HIB_SOAK_FIRST"), 10, 64)
-		if err != nil {
-			first = uint64(time.Now().UnixNano())
-		}
-		plan.Seeds = nil
-		for at := range uint64(count) {
-			plan.Seeds = append(plan.Seeds, first+at)
-		}
-	}
+	plan := loadPlan()
 	for _, seed := range plan.Seeds {
 		It(fmt.Sprintf("keeps its guarantees with seed %d", seed), func() {
 			runSoak(seed, time.Duration(plan.Seconds)*time.Second)
