quorum: the listed states of full disks as scripts of the model

A voter that is lost while its disk is full and comes back, a successor whose disk is full while it joins, a voter that needs an image and starts on a full disk, a restart of all VMs with one full, minutes of a full disk beside VMs outside the group, and slow disks that are full in turn.

--- a/internal/quorum/full_test.go
+++ b/internal/quorum/full_test.go
@@ -78,6 +78,29 @@
 	return nil
 }
 
+// answerUntil sends changes until a time.
+func (places *places) answerUntil(end clock.Millis) error {
+	for places.now < end {
+		if err := places.answer(answerLimit); err != nil {
+			return err
+		}
+		places.pass(places.between([2]int64{0, 500}))
+	}
+	return nil
+}
+
+// isLevel reports whether all voters that run have applied what the leader has committed.
+func (places *places) isLevel() bool {
+	leader := places.leader()
+	if leader == nil {
+		return false
+	}
+	status := leader.core.Status()
+	return status.Commit == status.Last && !slices.ContainsFunc(places.voters, func(each *voter) bool {
+		return !each.isGone && each.core.Status().Role != quorum.Learner && each.applied < status.Commit
+	})
+}
+
 // pass lets time pass.
 func (group *group) pass(time clock.Millis) {
 	group.runUntil(time, func() bool { return false })
--- a/internal/quorum/places_test.go
+++ b/internal/quorum/places_test.go
@@ -161,6 +161,12 @@
 		if places.oldest > step.For {
 			return fmt.Errorf("a message was sent %s after it was made", places.oldest)
 		}
+	case "level":
+		if !places.runUntil(step.For, places.isLevel) {
+			return fmt.Errorf("not all voters have applied all changes after %s", step.For)
+		}
+	case "changes":
+		return places.answerUntil(places.now + step.For)
 	case "fullNext":
 		return places.fillNext(step.For)
 	case "change":
