--- a/internal/procs/group.go
+++ b/internal/procs/group.go
@@ -31,6 +31,8 @@
 	// listen on port and are named by address; it is empty for a group of listed members.
 	host string
 	port int
+	// entry is an entry VM of the group, if it has one.
+	entry *Process
 }
 
 type groupMember struct {
@@ -147,6 +149,17 @@
 // Process returns a member's process.
 func (group *Group) Process(at int) *Process { return group.members[at].process }
 
+// StartEntry starts an entry VM that knows the members of the group.
+func (group *Group) StartEntry() error {
+	arguments := []string{"entry", "--name", "entry", "--zone", "zone1", "--http-listen", "127.0.0.1:0"}
+	for _, member := range group.members {
+		arguments = append(arguments, "--control", member.address)
+	}
+	process, err := Start("entry", "hibiscuslug", arguments...)
+	group.entry = process
+	return err
+}
+
 // EmptyData removes the data folder of a member, which then only joins the group.
 func (group *Group) EmptyData(at int) error {
 	group.members[at].founds = false
@@ -156,6 +169,9 @@
 // Close kills all processes that still run.
 func (group *Group) Close() error {
 	var failure error
+	if group.entry != nil {
+		failure = group.entry.Kill()
+	}
 	for _, member := range group.members {
 		if member.process == nil {
 			continue
@@ -169,17 +185,24 @@
 
 // Execute sends a command to a member.
 func (group *Group) Execute(at int, id, text string) (*wire.CommandReply, error) {
+	return group.send(group.Address(at), &wire.Command{Id: id, Text: text})
+}
+
+// ExecuteAtEntry sends a command to the entry VM.
+func (group *Group) ExecuteAtEntry(id, text string) (*wire.CommandReply, error) {
+	return group.send(group.entry.Address, &wire.Command{Id: id, Text: text})
+}
+
+func (group *Group) send(address string, command *wire.Command) (*wire.CommandReply, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), callLimit)
 	defer cancel()
-	return wire.NewDRPCOperateClient(group.Pool.Conn(ctx, group.Address(at))).Execute(ctx, &wire.Command{Id: id, Text: text})
+	return wire.NewDRPCOperateClient(group.Pool.Conn(ctx, address)).Execute(ctx, command)
 }
 
 // Deploy stores a document as the configuration of a version, through a member.
 func (group *Group) Deploy(at int, id string, version uint64, document []byte) (*wire.CommandReply, error) {
 	deployment := &wire.Change{Body: &wire.Change_Deployment{Deployment: &wire.Deployment{Version: version, Document: document}}}
-	ctx, cancel := context.WithTimeout(context.Background(), callLimit)
-	defer cancel()
-	return wire.NewDRPCOperateClient(group.Pool.Conn(ctx, group.Address(at))).Execute(ctx, &wire.Command{Id: id, Change: deployment})
+	return group.send(group.Address(at), &wire.Command{Id: id, Change: deployment})
 }
 
 // Rows returns a member's table of the group; each row maps columns to cells.
--- a/test/control/disk_test.go
+++ b/test/control/disk_test.go
@@ -45,11 +45,25 @@
 			Should(BeFalse(), "%s ended: %s", runner.group.Name(runner.victim), runner.group.Process(runner.victim).Log())
 	case "answered":
 		for range number(rest) {
-			runner.expectAnswered("", nil)
+			runner.expectAnswered(func(id string) (*wire.CommandReply, error) {
+				return runner.group.Execute(runner.randomRunning(), id, runner.texts[id])
+			})
+		}
+	case "entry":
+		Expect(runner.group.StartEntry()).To(Succeed())
+	case "answeredAtEntry":
+		for range number(rest) {
+			runner.expectAnswered(func(id string) (*wire.CommandReply, error) {
+				return runner.group.ExecuteAtEntry(id, runner.texts[id])
+			})
 		}
 	case "deploy":
 		for range number(rest) {
-			runner.expectAnswered("deploy", randomDocument(len(runner.replies)))
+			version := len(runner.replies) + 1
+			document := randomDocument(version)
+			runner.expectAnswered(func(id string) (*wire.CommandReply, error) {
+				return runner.group.Deploy(runner.randomRunning(), id, uint64(version), document)
+			})
 		}
 	case "peak":
 		peak, err := runner.group.Process(runner.victim).PeakMemory()
@@ -85,30 +99,23 @@
 	return document
 }
 
-// expectAnswered sends a change with one id to random members until it is accepted, which
-// must be within answerLimit.
-func (runner *runner) expectAnswered(kind string, document []byte) {
+// expectAnswered sends a change with one id until it is accepted, which must be within
+// answerLimit.
+func (runner *runner) expectAnswered(send func(id string) (*wire.CommandReply, error)) {
 	id := fmt.Sprintf("c%d", len(runner.replies)+1)
 	runner.texts[id] = "create customer " + id + " tier paid"
-	began := time.Now()
-	var last string
-	for {
-		var reply *wire.CommandReply
-		var err error
-		if kind == "deploy" {
-			reply, err = runner.group.Deploy(runner.randomRunning(), id, uint64(len(runner.replies)+1), document)
-		} else {
-			reply, err = runner.group.Execute(runner.randomRunning(), id, runner.texts[id])
-		}
+	began, refusal := time.Now(), ""
+	for runner.replies[id] == nil {
+		reply, err := send(id)
 		if err == nil && reply.GetCode() == "" {
 			runner.replies[id] = reply
-			Expect(reply.GetRevision()).To(Equal(uint64(len(runner.replies))), "each change increments the revision by one")
 			break
 		}
-		last = fmt.Sprint(reply.GetCode(), " ", reply.GetError(), " ", err)
-		Expect(time.Since(began)).To(BeNumerically("<", answerLimit), "change %s, last answer: %s", id, last)
+		refusal = fmt.Sprint(reply.GetCode(), " ", reply.GetError(), " ", err)
+		Expect(time.Since(began)).To(BeNumerically("<", answerLimit), "change %s, last refusal: %s", id, refusal)
 		time.Sleep(answerPause)
 	}
-	Expect(time.Since(began)).To(BeNumerically("<", answerLimit), "change %s, last refusal: %s", id, last)
+	Expect(time.Since(began)).To(BeNumerically("<", answerLimit), "change %s, last refusal: %s", id, refusal)
+	Expect(runner.replies[id].GetRevision()).To(Equal(uint64(len(runner.replies))), "each change increments the revision by one")
 	time.Sleep(answerPause)
 }
