--- a/internal/quorum/full_test.go
+++ b/internal/quorum/full_test.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"slices"
 
+	. "github.com/onsi/ginkgo/v2"
+
 	"github.com/hibiscuslug/hibiscuslug/internal/quorum"
 	"github.com/hibiscuslug/hibiscuslug/pkg/clock"
 	"github.com/hibiscuslug/hibiscuslug/pkg/wire"
@@ -66,6 +68,37 @@
 	return fmt.Errorf("change %d is not accepted after %s", group.change.number, limit)
 }
 
+// doDisk runs a step about full disks, and changes beside them.
+func (places *places) doDisk(step placeStep) error {
+	switch step.Do {
+	case "full", "room":
+		for _, each := range places.voters {
+			if slices.Contains(step.On, each.name) {
+				each.isFull = step.Do == "full"
+			}
+		}
+	case "sentWithin":
+		if places.oldest > step.For {
+			return fmt.Errorf("a message was sent %s after it was made", places.oldest)
+		}
+	case "level":
+		if !places.runUntil(step.For, places.isLevel) {
+			return fmt.Errorf("not all voters have applied all changes after %s", step.For)
+		}
+	case "changes":
+		return places.answerUntil(places.now + step.For)
+	case "fullNext":
+		return places.fillNext(step.For)
+	case "change":
+		return places.answer(step.For)
+	case "fullInTurn":
+		return places.fillInTurn(step)
+	default:
+		Fail("no step " + step.Do)
+	}
+	return nil
+}
+
 // fillNext has the leader hand over, and fills the disk of the next one when it is elected.
 func (places *places) fillNext(limit clock.Millis) error {
 	if leader := places.leader(); leader != nil {
--- a/internal/quorum/places_test.go
+++ b/internal/quorum/places_test.go
@@ -151,28 +151,6 @@
 				each.isStalled = step.Do == "stall"
 			}
 		}
-	case "full", "room":
-		for _, each := range places.voters {
-			if slices.Contains(step.On, each.name) {
-				each.isFull = step.Do == "full"
-			}
-		}
-	case "sentWithin":
-		if places.oldest > step.For {
-			return fmt.Errorf("a message was sent %s after it was made", places.oldest)
-		}
-	case "level":
-		if !places.runUntil(step.For, places.isLevel) {
-			return fmt.Errorf("not all voters have applied all changes after %s", step.For)
-		}
-	case "changes":
-		return places.answerUntil(places.now + step.For)
-	case "fullNext":
-		return places.fillNext(step.For)
-	case "change":
-		return places.answer(step.For)
-	case "fullInTurn":
-		return places.fillInTurn(step)
 	case "cut":
 		places.cut = step.On[0]
 	case "heal":
@@ -200,7 +178,7 @@
 			return fmt.Errorf("voters are %v, not %v", other, step.On)
 		}
 	default:
-		Fail("no step " + step.Do)
+		return places.doDisk(step)
 	}
 	return nil
 }
