--- a/internal/ctrl/control.go
+++ b/internal/ctrl/control.go
@@ -132,13 +132,13 @@
 		return nil, err
 	}
 	seeded := len(settings.Control.Seed) > 0
-	start, err := awaitRoom(settings, ticker, log)
+	opening, err := awaitRoom(settings, ticker, log)
 	if err != nil {
 		return nil, err
 	}
-	server, opened, contents := start.server, start.store, start.contents
+	server, opened, contents := opening.server, opening.store, opening.contents
 	if seeded {
-		initialMembers = membersByAddress(start.seeds)
+		initialMembers = membersByAddress(opening.seeds)
 		if len(contents.Founders) > 0 {
 			initialMembers = membersByAddress(contents.Founders)
 		}
@@ -148,7 +148,7 @@
 	control := &Control{
 		settings: settings, diskID: contents.DiskID, clock: ticker, log: log, view: feed.NewView(ticker), pool: link.NewPool(), server: server,
 		inbox: make(chan input, inboxSize), waiters: map[uint64]waiter{}, pendingProposals: map[uint64][]chan<- outcome{},
-		machine: state.NewMachine(), claims: claim.NewTable(), self: start.self,
+		machine: state.NewMachine(), claims: claim.NewTable(), self: opening.self,
 		incarnation: rand.Uint64(), startedAt: ticker.Now(), reports: map[string]loadReport{}, board: board.New(ticker, log),
 		spread: evac.New(settings.Control.EvacuateLimit), guard: bounds,
 	}
--- a/internal/ctrl/start.go
+++ b/internal/ctrl/start.go
@@ -11,8 +11,8 @@
 	"github.com/hibiscuslug/hibiscuslug/pkg/clock"
 )
 
-// start is what a control process has before it knows its group.
-type start struct {
+// startup is what a control process opens before it takes part in a group.
+type startup struct {
 	server *link.Server
 	// self is the name of the member, and seeds are the addresses in the settings.
 	self     string
@@ -21,13 +21,13 @@
 	contents *store.Contents
 }
 
-// newStart opens the listening socket and the data folder.
-func newStart(settings Settings) (*start, error) {
+// newStartup opens the listening socket and the data folder.
+func newStartup(settings Settings) (*startup, error) {
 	server, err := link.Listen(settings.Node.Listen)
 	if err != nil {
 		return nil, err
 	}
-	made := &start{server: server, self: settings.Node.Name}
+	made := &startup{server: server, self: settings.Node.Name}
 	if len(settings.Control.Seed) > 0 {
 		made.self = advertised(settings.Node, server)
 		if made.seeds, err = ParseSeeds(settings.Control.Seed, made.self); err != nil {
@@ -41,11 +41,11 @@
 	return made, nil
 }
 
-// awaitRoom returns the start of a control process, once the disk takes the writes of a start.
+// awaitRoom opens the socket and the data folder once the disk takes the writes that this needs.
 // Meanwhile the process does not listen, so that others go to another control VM at once.
-func awaitRoom(settings Settings, ticker *clock.Clock, log *event.Log) (*start, error) {
+func awaitRoom(settings Settings, ticker *clock.Clock, log *event.Log) (*startup, error) {
 	for refused := false; ; refused = true {
-		made, err := newStart(settings)
+		made, err := newStartup(settings)
 		switch {
 		case err == nil && refused:
 			log.Write(event.DiskRecovered)
--- a/internal/procs/process.go
+++ b/internal/procs/process.go
@@ -107,20 +107,20 @@
 	return process, ready, nil
 }
 
-// FillDisk makes all writes of the process to files fail, or those that end behind a number of
-// bytes in a file, as on a full disk. Its output and its connections are not affected.
-func (process *Process) FillDisk(bytes uint64) error { return process.limitFiles(bytes) }
+// FillDisk makes the writes of the process fail that end behind an offset in a file, in bytes,
+// as on a full disk; 0 fails all. Its output and its connections are not affected.
+func (process *Process) FillDisk(offset uint64) error { return process.limitFiles(offset) }
 
 // FreeDisk ends the effect of FillDisk.
 func (process *Process) FreeDisk() error { return process.limitFiles(unix.RLIM_INFINITY) }
 
 // limitFiles sets the soft limit of the size of files, in bytes.
-func (process *Process) limitFiles(bytes uint64) error {
+func (process *Process) limitFiles(size uint64) error {
 	var limit unix.Rlimit
 	if err := unix.Prlimit(process.ID(), unix.RLIMIT_FSIZE, nil, &limit); err != nil {
 		return errors.Wrapf(err, "read the limits of %s", process.Name)
 	}
-	limit.Cur = bytes
+	limit.Cur = size
 	return errors.Wrapf(unix.Prlimit(process.ID(), unix.RLIMIT_FSIZE, &limit, nil), "limit the files of %s", process.Name)
 }
 
--- a/internal/quorum/join.go
+++ b/internal/quorum/join.go
@@ -176,8 +176,8 @@
 }
 
 // addLearner adds a new disk as a learner, in place of an earlier learner of the
-// same name or of one that is paused. While the old disk still replies, two processes run with the same
-// name by mistake, and the one already in the group stays.
+// same name or of one that is paused. While the old disk still replies, two
+// processes run with the same name by mistake, and the one already in the group stays.
 func (core *Core) addLearner(learner *wire.ControlMember) {
 	peer := peerOf(learner)
 	if core.isResponding(peer.Name) {
--- a/internal/quorum/pause.go
+++ b/internal/quorum/pause.go
@@ -16,7 +16,7 @@
 
 // IsPaused reports whether the disk does not keep up, so that the caller makes no image. A
 // member that does not lead is also paused while its disk has not answered for an election
-// timeout; a leader goes on as long as a majority of the others has disks that do.
+// timeout. A leader goes on then, because the disks of a majority of the others suffice.
 func (core *Core) IsPaused() bool {
 	stalled := len(core.unsynced) > 0 && core.now-core.unsynced[0].since > core.settings.ElectionTimeout
 	return core.isOverloaded() || stalled && core.role != Leader
--- a/test/soak/disks_test.go
+++ b/test/soak/disks_test.go
@@ -16,7 +16,7 @@
 	// acceptLimit is the time in which a change must be accepted while no more than one disk is
 	// full: the users' bound for acks.
 	acceptLimit = 4 * time.Second
-	// maxPartBytes bounds the size of a file up to which a full disk still takes writes, so
+	// maxPartBytes bounds the size of a file up to which a full disk takes writes, so
 	// that some writes end in the middle of a record.
 	maxPartBytes = 4096
 )
@@ -27,13 +27,13 @@
 	return node.isFull
 }
 
-// fill makes the disk refuse writes, or those that end behind a number of bytes in a file.
-func (node *node) fill(bytes uint64) {
+// fill makes the disk refuse writes, or those that end behind an offset in a file, in bytes.
+func (node *node) fill(offset uint64) {
 	node.mu.Lock()
 	defer node.mu.Unlock()
 	node.isFull = true
 	// The process may have ended; the next one starts on the full disk.
-	_ = node.process.FillDisk(bytes)
+	_ = node.process.FillDisk(offset)
 }
 
 func (node *node) free() {
@@ -59,13 +59,13 @@
 	random := rand.New(rand.NewPCG(seed, 81))
 	for ctx.Err() == nil {
 		node := deployment.nodes[random.IntN(controls)]
-		bytes := uint64(0)
+		offset := uint64(0)
 		if random.IntN(3) == 0 {
-			bytes = uint64(random.IntN(maxPartBytes))
+			offset = uint64(random.IntN(maxPartBytes))
 		}
 		span := time.Duration(400+random.IntN(5500)) * time.Millisecond
-		GinkgoWriter.Println(time.Now().Format(time.StampMilli), "disk of", node.name, "takes", bytes, "bytes a file for", span)
-		node.fill(bytes)
+		GinkgoWriter.Println(time.Now().Format(time.StampMilli), "disk of", node.name, "takes", offset, "bytes a file for", span)
+		node.fill(offset)
 		if restarts && random.IntN(2) == 0 && node.reserve() {
 			sleep(ctx, span/3)
 			node.end(false)
