quorum: remove a silent voter before its successor votes

Operators would see: a voter is lost, a VM of its zone is about to take its place, and the zone is cut off. One zone is lost, but the other two elect no leader until the cut ends.

Cause: the successor became a voter first. With four voters the group needs three, and two of the four are in the zone.

Change: the silent voter is removed first. A place that moves to another zone is filled first, as before.

--- a/internal/quorum/core.go
+++ b/internal/quorum/core.go
@@ -89,6 +89,9 @@
 	// heard is when each member last replied to this member or, as far as it is known, to
 	// a leader; at first when the member became known.
 	heard map[Peer]clock.Millis
+	// vacantSince is when the member set began to have fewer voters than an open group needs;
+	// 0 while it has all.
+	vacantSince clock.Millis
 	// zones holds the availability zones that senders of messages told.
 	zones map[Peer]string
 	// heartbeatDue is when the leader sends the next heartbeat, or a member
--- a/internal/quorum/member.go
+++ b/internal/quorum/member.go
@@ -135,8 +135,8 @@
 }
 
 // promoteLearner makes a learner that has caught up a voter, in an open group only when
-// one is needed. An earlier disk of the same name is removed first, in a separate
-// membership change.
+// one is needed. An earlier disk of the same name, or the silent voter that it replaces, is
+// removed first, in a separate membership change.
 func (core *Core) promoteLearner() {
 	if !core.membersSettled() {
 		return
@@ -157,6 +157,10 @@
 		if core.settings.Voters > 0 && !core.hasPlaceFor(member, core.settings.ReplaceAfter) {
 			continue
 		}
+		if lost := core.replacedBy(member); lost != nil {
+			core.remove("silent voter removed", lost)
+			return
+		}
 		core.explain("learner promoted", member)
 		voter := copyMember(member)
 		voter.Voter = true
--- a/internal/quorum/place.go
+++ b/internal/quorum/place.go
@@ -12,8 +12,12 @@
 //
 //  1. A process that asks to join becomes a learner once a voter has been silent for half
 //     of ReplaceAfter. It copies the log meanwhile.
-//  2. The learner becomes a voter once that voter has been silent for ReplaceAfter.
-//  3. The silent voter is removed as soon as this is committed.
+//  2. The silent voter is removed once it has been silent for ReplaceAfter.
+//  3. The learner becomes a voter as soon as this is committed.
+//
+// The silent voter goes first, because it is often in the same availability zone as the
+// learner: with both as voters, a cut of that zone would take half of them. A place that moves
+// to another zone is filled before the voter that had it goes.
 //
 // How long a member has been silent outlives the leader: the leader tells it in its
 // appends, and a member that starts counts from its start.
@@ -31,8 +35,14 @@
 func (core *Core) admitAfter() clock.Millis { return core.settings.ReplaceAfter / 2 }
 
 // trackSilence begins to count the silence of members that are new in the member set, and
-// forgets what it knows of those that left.
+// since when a place is vacant, and forgets what it knows of members that left.
 func (core *Core) trackSilence() {
+	switch {
+	case len(votersOf(core.members)) >= core.settings.Voters:
+		core.vacantSince = 0
+	case core.vacantSince == 0:
+		core.vacantSince = core.now
+	}
 	for _, member := range core.members {
 		if peer := peerOf(member); core.heard[peer] == 0 {
 			core.heard[peer] = core.now
@@ -106,8 +116,11 @@
 // VM of it asks and all voters reply.
 func (core *Core) hasPlaceFor(candidate *wire.ControlMember, limit clock.Millis) bool {
 	voters := votersOf(core.members)
-	if core.settings.Voters == 0 || len(voters) != core.settings.Voters {
-		return len(voters) < core.settings.Voters
+	if len(voters) < core.settings.Voters {
+		return core.mayFillVacancy(voters, candidate)
+	}
+	if core.settings.Voters == 0 || len(voters) > core.settings.Voters {
+		return false
 	}
 	allReply := !slices.ContainsFunc(voters, func(voter *wire.ControlMember) bool { return core.isSilent(voter, core.settings.ElectionTimeout) })
 	now, tolerated := widest(voters), (core.settings.Voters-1)/2
@@ -123,6 +136,31 @@
 	return false
 }
 
+// mayFillVacancy reports whether a candidate may take a place that no voter has. It must not
+// give one availability zone more voters than the group can lose, unless one has more already
+// or the place has been vacant for RelocateAfter.
+func (core *Core) mayFillVacancy(voters []*wire.ControlMember, candidate *wire.ControlMember) bool {
+	tolerated := (core.settings.Voters - 1) / 2
+	return widest(append(slices.Clone(voters), candidate)) <= tolerated || widest(voters) > tolerated ||
+		core.now-core.vacantSince > core.settings.RelocateAfter
+}
+
+// replacedBy returns the silent voter whose place a caught-up learner takes, or nil if there
+// is none or the place moves to another zone that then has too many.
+func (core *Core) replacedBy(learner *wire.ControlMember) *wire.ControlMember {
+	voters := votersOf(core.members)
+	if core.settings.Voters == 0 || len(voters) != core.settings.Voters {
+		return nil
+	}
+	for at, lost := range voters {
+		then := widest(append(slices.Delete(slices.Clone(voters), at, at+1), learner))
+		if core.isSilent(lost, core.settings.ReplaceAfter) && then <= (core.settings.Voters-1)/2 {
+			return lost
+		}
+	}
+	return nil
+}
+
 // widest returns the largest number of members in one availability zone. A member whose
 // zone is not known has one of its own.
 func widest(members []*wire.ControlMember) int {
--- a/internal/quorum/places_test.go
+++ b/internal/quorum/places_test.go
@@ -31,8 +31,10 @@
 	Do string `json:"do"`
 	// On lists VMs by name. The first letter of a name is its availability zone.
 	On []string `json:"on"`
-	// For is a time in milliseconds: how long the step lasts, or the limit of a wait.
-	For clock.Millis `json:"for"`
+	// For is a time in milliseconds: how long the step lasts, or the limit of a wait. The step
+	// pass lasts a time drawn by lot between From and For.
+	For  clock.Millis `json:"for"`
+	From clock.Millis `json:"from"`
 }
 
 type placeScript struct {
@@ -128,6 +130,18 @@
 	return names
 }
 
+// votersOf lists the names of the voters among members, in order.
+func votersOf(members []*wire.ControlMember) []string {
+	var names []string
+	for _, member := range members {
+		if member.GetVoter() {
+			names = append(names, member.GetName())
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
 func (places *places) do(step placeStep) error {
 	switch step.Do {
 	case "found":
@@ -155,6 +169,16 @@
 		places.cut = step.On[0]
 	case "heal":
 		places.cut = ""
+	case "pass":
+		places.pass(places.between([2]int64{int64(step.From), int64(step.For)}))
+	case "vacant":
+		isVacant := func() bool {
+			leader := places.leader()
+			return leader != nil && slices.Equal(votersOf(leader.core.Status().Members), step.On)
+		}
+		if !places.runUntil(step.For, isVacant) {
+			return fmt.Errorf("no place is vacant after %s", step.For)
+		}
 	case "run":
 		places.runUntil(step.For, func() bool { return false })
 	case "voters":
