--- a/review/trial/crash.go
+++ b/review/trial/crash.go
@@ -77,7 +77,7 @@
 
 func (site *crashSite) play() (verdict, error) {
 	fleet := site.fleet
-	if err := fleet.start(3); err != nil {
+	if err := fleet.start(); err != nil {
 		return verdict{}, err
 	}
 	for number := range crashEngines {
--- a/review/trial/fleet.go
+++ b/review/trial/fleet.go
@@ -106,9 +106,9 @@
 
 func (fleet *fleet) at(ip string, port int) string { return fmt.Sprintf("%s:%d", ip, fleet.port+port) }
 
-// start starts three control processes and a number of gateways, one zone after the other.
-func (fleet *fleet) start(gateways int) error {
-	fleet.place(gateways)
+// start starts a control process and a gateway in each zone.
+func (fleet *fleet) start() error {
+	fleet.place()
 	for at, machine := range fleet.machines() {
 		if err := fleet.writeSettings(machine, zones[at%len(zones)], true); err != nil {
 			return err
@@ -121,13 +121,12 @@
 }
 
 // place gives machines their names and addresses.
-func (fleet *fleet) place(gateways int) {
+func (fleet *fleet) place() {
 	for number, zone := range zones {
 		fleet.controls = append(fleet.controls, &machine{role: "control", name: "core-" + zone + "-1", ip: fmt.Sprintf("%s.%d", fleet.network, 10+number)})
 	}
-	for number := range gateways {
-		name := fmt.Sprintf("front-%s-%d", zones[number%len(zones)], 1+number/len(zones))
-		fleet.gateways = append(fleet.gateways, &machine{role: "gateway", name: name, ip: fmt.Sprintf("%s.%d", fleet.network, 20+number)})
+	for number, zone := range zones {
+		fleet.gateways = append(fleet.gateways, &machine{role: "gateway", name: "front-" + zone + "-1", ip: fmt.Sprintf("%s.%d", fleet.network, 20+number)})
 	}
 }
 
@@ -302,7 +301,7 @@
 		`"tenants":[{"name":"hule930","apiKeys":[%q],"priority":1}]}`, routes, strings.Join(list, ","), key)
 }
 
-// counts counts events by name. It is safe for concurrent use.
+// counts holds numbers of events by name. It is safe for concurrent use.
 type counts struct {
 	mu     sync.Mutex
 	values map[string]int
--- a/review/trial/late.go
+++ b/review/trial/late.go
@@ -23,7 +23,7 @@
 // playLate starts an engine whose liveness reports arrive late, so that its deregistration is
 // the first that the system hears of it.
 func playLate(fleet *fleet, trouble bool) (verdict, error) {
-	if err := fleet.start(3); err != nil {
+	if err := fleet.start(); err != nil {
 		return verdict{}, err
 	}
 	var mu sync.Mutex
--- a/review/trial/leave.go
+++ b/review/trial/leave.go
@@ -51,7 +51,7 @@
 // control process.
 func playLeave(fleet *fleet, trouble bool) (verdict, error) {
 	site := &leaveSite{fleet: fleet, trouble: trouble, sentAt: map[string]time.Time{}}
-	if err := fleet.start(3); err != nil {
+	if err := fleet.start(); err != nil {
 		return verdict{}, err
 	}
 	for number := range leaveEngines {
--- a/review/trial/refusal.go
+++ b/review/trial/refusal.go
@@ -19,7 +19,7 @@
 // playRefusal lets one of three engines fail a part of the bookings that it has run, with a
 // 503 that does not say that the request was not executed.
 func playRefusal(fleet *fleet, trouble bool) (verdict, error) {
-	if err := fleet.start(3); err != nil {
+	if err := fleet.start(); err != nil {
 		return verdict{}, err
 	}
 	var mu sync.Mutex
