ctrl tests: remove data folders after the processes that write to them

Cause: the folders of a seeded group were registered for removal after the clean-up that ends its processes, so they were removed first.

Change: the folders lie in one that is created before that clean-up is registered. The checks are unchanged.

--- a/internal/ctrl/seeds_test.go
+++ b/internal/ctrl/seeds_test.go
@@ -60,6 +60,8 @@
 	// zones is the setting of the known zones of VMs that start.
 	zones   []string
 	running map[int]*ctrl.Control
+	// root holds the data folders.
+	root    string
 	folders map[int]string
 	disks   map[int]*fake.Disk
 }
@@ -69,7 +71,9 @@
 	listener, err := ports.Listen()
 	Expect(err).NotTo(HaveOccurred())
 	Expect(listener.Close()).To(Succeed())
-	group := &seeded{script: script, running: map[int]*ctrl.Control{}, folders: map[int]string{}, disks: map[int]*fake.Disk{}}
+	// Created before the clean-up below, so that it is removed after the processes ended.
+	root := GinkgoT().TempDir()
+	group := &seeded{script: script, running: map[int]*ctrl.Control{}, root: root, folders: map[int]string{}, disks: map[int]*fake.Disk{}}
 	_, err = fmt.Sscanf(listener.Addr().String(), "127.0.0.1:%d", &group.port)
 	Expect(err).NotTo(HaveOccurred())
 	for number := range min(script.VMs, 3) {
@@ -90,7 +94,9 @@
 
 func (group *seeded) start(number int, bootstrap bool) {
 	if group.folders[number] == "" {
-		group.folders[number] = GinkgoT().TempDir()
+		folder, err := os.MkdirTemp(group.root, "")
+		Expect(err).NotTo(HaveOccurred())
+		group.folders[number] = folder
 	}
 	group.disks[number] = fake.NewDisk()
 	control, err := ctrl.New(ctrl.Settings{
