roster: a deregistration ends every start before it, also unknown ones

Cause: a deregistration names no start and got that of the known record, or 0 without one. Any heartbeat that names a start was newer, also one that was sent before the deregistration and arrived after it.

Change: such a deregistration ends every start up to its receipt (EndedAt, a Unix time as the starts are, sent between processes). A later start is usable at once.

--- a/internal/poll/poll.go
+++ b/internal/poll/poll.go
@@ -371,7 +371,7 @@
 	merged, _ := poller.table.Get(record.ID)
 	poller.log.Write(event.EndpointChanged, "endpoint", merged.ID, "service", merged.Service, "address", merged.Address,
 		"draining", merged.Draining, "gone", merged.Gone, "epoch", merged.Group.Epoch, "broken", merged.Group.Broken,
-		"sequence", merged.Sequence, "age", poller.clock.Now()-merged.ReceivedAt)
+		"born", merged.Born, "endedAt", merged.EndedAt, "sequence", merged.Sequence, "age", poller.clock.Now()-merged.ReceivedAt)
 	close(poller.changed)
 	poller.changed = make(chan struct{})
 }
--- a/internal/roster/codec.go
+++ b/internal/roster/codec.go
@@ -18,7 +18,7 @@
 	}
 	return &wire.EndpointRecord{
 		Id: record.ID, Service: record.Service, Address: record.Address, Zone: record.Zone,
-		Born: int64(record.Born), Sequence: record.Sequence, Draining: record.Draining, Gone: record.Gone,
+		Born: int64(record.Born), Sequence: record.Sequence, Draining: record.Draining, Gone: record.Gone, EndedAt: int64(record.EndedAt),
 		Slots: uint32(max(record.Slots, 0)), Age: int64(now - record.ReceivedAt),
 		Group: record.Group.Name, Epoch: record.Group.Epoch, Rank: uint32(max(record.Group.Rank, 0)),
 		Size: uint32(max(record.Group.Size, 0)), Broken: record.Group.Broken, Cold: int64(cold),
@@ -31,7 +31,8 @@
 	return Record{
 		ID: message.GetId(), Service: message.GetService(), Address: message.GetAddress(), Zone: message.GetZone(),
 		Born: clock.Millis(message.GetBorn()), Sequence: message.GetSequence(), Draining: message.GetDraining(), Gone: message.GetGone(),
-		Slots: int(message.GetSlots()), ReceivedAt: sent - clock.Millis(message.GetAge()), ColdUntil: sent + max(clock.Millis(message.GetCold()), 0),
+		EndedAt: clock.Millis(message.GetEndedAt()),
+		Slots:   int(message.GetSlots()), ReceivedAt: sent - clock.Millis(message.GetAge()), ColdUntil: sent + max(clock.Millis(message.GetCold()), 0),
 		ColdUnstated: message.GetCold() < 0,
 		Group: Group{
 			Name: message.GetGroup(), Epoch: message.GetEpoch(), Rank: int(message.GetRank()), Size: int(message.GetSize()), Broken: message.GetBroken(),
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -33,8 +33,11 @@
 	// Draining and Gone stay set for the rest of the incarnation.
 	Draining bool
 	Gone     bool
-	Slots    int
-	Group    Group
+	// EndedAt is set when the endpoint deregistered without naming its start: no start up
+	// to this Unix time is usable.
+	EndedAt clock.Millis
+	Slots   int
+	Group   Group
 	// ReceivedAt is the time at which a control VM received the message.
 	ReceivedAt clock.Millis
 	// ColdUntil is the time at which the endpoint reaches full speed after its start.
@@ -109,18 +112,23 @@
 // later owns it.
 func (table *Table) Put(record Record) Update {
 	current, ok := table.records[record.ID]
-	if ok && record.Gone && record.Born == 0 {
-		// A final message may lack the incarnation, and then applies to the current one.
-		record.Born, record.Sequence = current.Born, current.Sequence
+	if !ok {
+		current = &entry{}
+	}
+	if record.Gone && record.Born == 0 && record.EndedAt == 0 {
+		// The message names no incarnation, so it ends every start before its receipt, also
+		// one whose heartbeats are still on their way. Starts and receipts are Unix times.
+		record.EndedAt = max(record.ReceivedAt-1, current.Born)
 	}
 	if ok && !newer(record, current.Record) {
 		return Stale
 	}
+	if record.Gone && record.Born < current.Born {
+		record = current.withEnd(record)
+	}
 	record.FirstAt = record.ReceivedAt
 	if ok && current.Born == record.Born {
 		record.FirstAt = current.FirstAt
-	}
-	if ok && current.Born == record.Born {
 		record.Draining = record.Draining || current.Draining
 		record.Gone = record.Gone || current.Gone
 		if record.Address == "" {
@@ -140,6 +148,13 @@
 	return Changed
 }
 
+// withEnd returns the record after a final message whose sender knew only earlier starts of
+// the endpoint, or none.
+func (record Record) withEnd(final Record) Record {
+	record.Gone, record.EndedAt, record.ReceivedAt = true, final.EndedAt, final.ReceivedAt
+	return record
+}
+
 // takeAddress assigns the address to the record and marks its previous owner as gone.
 // If that owner started later and is not gone, it keeps the address and the record is
 // marked as gone instead. takeAddress reports whether no later owner keeps the address.
@@ -164,11 +179,14 @@
 	return true
 }
 
+// last returns the latest start of the endpoint that the record covers.
+func (record Record) last() clock.Millis { return max(record.Born, record.EndedAt) }
+
 // newer reports whether a record supersedes the current one.
 func newer(record, current Record) bool {
 	switch {
-	case record.Born != current.Born:
-		return record.Born > current.Born
+	case record.last() != current.last():
+		return record.last() > current.last()
 	case record.Gone != current.Gone:
 		return record.Gone
 	}
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -24,7 +24,9 @@
 	Sequence uint64       `json:"sequence"`
 	Draining bool         `json:"draining"`
 	Gone     bool         `json:"gone"`
-	Update   string       `json:"update"`
+	// ReceivedAt is when a control VM received the message.
+	ReceivedAt clock.Millis `json:"receivedAt"`
+	Update     string       `json:"update"`
 }
 
 type script struct {
@@ -48,13 +50,7 @@
 		It(script.Name, func() {
 			table := roster.New()
 			for _, message := range script.Messages {
-				record := roster.Record{
-					ID: message.ID, Address: message.Address, Born: message.Born, Sequence: message.Sequence, Draining: message.Draining, Gone: message.Gone,
-				}
-				if !message.Gone {
-					record.Service = "desk"
-				}
-				Expect(table.Put(record)).To(Equal(updates[message.Update]), "message %+v", message)
+				Expect(table.Put(message.record())).To(Equal(updates[message.Update]), "message %+v", message)
 			}
 			usable := []string{}
 			for _, record := range table.Usable("desk") {
@@ -79,7 +75,7 @@
 	// differ.
 	It("keeps a record's age between two clocks", func() {
 		sent := roster.Record{
-			ID: "e1", Service: "desk", Address: "10.0.0.1:80", Zone: "z1", Born: 5, Sequence: 2, Slots: 12, ReceivedAt: 900, ColdUntil: 1500,
+			ID: "e1", Service: "desk", Address: "10.0.0.1:80", Zone: "z1", Born: 5, Sequence: 2, Slots: 12, ReceivedAt: 900, ColdUntil: 1500, EndedAt: 4,
 			Group: roster.Group{Name: "g", Epoch: 3, Rank: 1, Size: 12},
 		}
 		got := roster.FromMessage(sent.Message(1000), 51_000)
