roster: an address stays with its latest start, also when that start has ended

Callers would see: an endpoint takes over the address of another one and leaves; a late heartbeat of the earlier one then makes the address usable again, for an endpoint that is not there.

Cause: a heartbeat lost against the owner of its address only while that owner was not gone. A process that knew the owner's end without its address had no owner.

Change: the latest start at an address keeps it. The record of an endpoint that is gone brings its address with it, and replaces one without an address.

Measured: two specs fail before, "a heartbeat held back by a partition does not take the address of a later start that has left" and "another endpoint that takes the address and leaves" (order taken, leave, first).

--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -137,7 +137,8 @@
 			record.ColdUntil, record.ColdUnstated = current.ColdUntil, current.ColdUnstated
 		}
 	}
-	if !table.takeAddress(&record) && !ok {
+	isFinal := record.Gone
+	if !table.takeAddress(&record) && !ok && !isFinal {
 		return Stale
 	}
 	table.position++
@@ -156,17 +157,19 @@
 }
 
 // takeAddress assigns the address to the record and marks its previous owner as gone.
-// If that owner started later and is not gone, it keeps the address and the record is
-// marked as gone instead. takeAddress reports whether no later owner keeps the address.
+// If that owner started later, it keeps the address, also when it is gone itself, and the
+// record is marked as gone instead. takeAddress reports whether no later owner keeps the
+// address.
 func (table *Table) takeAddress(record *Record) bool {
+	if record.Address == "" {
+		return true
+	}
 	holder, ok := table.records[table.byAddress[record.Address]]
-	if record.Address == "" || record.Gone || !ok || holder.ID == record.ID {
-		if record.Address != "" && !record.Gone {
-			table.byAddress[record.Address] = record.ID
-		}
+	if !ok || holder.ID == record.ID {
+		table.byAddress[record.Address] = record.ID
 		return true
 	}
-	if holder.Born > record.Born && !holder.Gone {
+	if holder.Born > record.Born || record.Gone && holder.Born == record.Born {
 		record.Gone = true
 		return false
 	}
@@ -189,6 +192,9 @@
 		return record.last() > current.last()
 	case record.Gone != current.Gone:
 		return record.Gone
+	case record.Gone:
+		// Another process knows where the endpoint was.
+		return record.Address != "" && current.Address == ""
 	}
 	return record.Sequence > current.Sequence
 }
