ctrl: copy the end of an endpoint to other control VMs before acknowledging it

Cause: a deregistration or drain was acknowledged from the memory of the process that got it. Others learned of it by their next poll, and an endpoint that has left sends nothing more.

Change: the first message of an end is sent to all other control VMs and acknowledged when as many of them hold it as may fail together, or all that are in contact (decision 0095). Heartbeats and repetitions wait for nobody.

--- a/internal/ctrl/control.go
+++ b/internal/ctrl/control.go
@@ -76,6 +76,8 @@
 	peers    *peers
 	poller   *poll.Poller
 	board    *board.Board
+	// replicator keeps what other control VMs hold.
+	replicator *replicator
 	// incarnation distinguishes this start of the process from earlier ones.
 	incarnation uint64
 	startedAt   clock.Millis
@@ -150,7 +152,8 @@
 		inbox: make(chan input, inboxSize), waiters: map[uint64]waiter{}, pendingProposals: map[uint64][]chan<- outcome{},
 		machine: state.NewMachine(), claims: claim.NewTable(), self: opening.self,
 		incarnation: rand.Uint64(), startedAt: ticker.Now(), reports: map[string]loadReport{}, board: board.New(ticker, log),
-		spread: evac.New(settings.Control.EvacuateLimit), guard: bounds,
+		replicator: newReplicator(),
+		spread:     evac.New(settings.Control.EvacuateLimit), guard: bounds,
 	}
 	control.poller = newPoller(control, control.seeds)
 	if contents.TruncatedBytes > 0 {
@@ -283,6 +286,7 @@
 	control.handOver()
 	failure := control.server.Close()
 	control.poller.Close()
+	control.replicator.Close()
 	control.cancel()
 	control.loops.Wait()
 	control.peers.wait()
--- a/internal/ctrl/fleet.go
+++ b/internal/ctrl/fleet.go
@@ -270,9 +270,6 @@
 	return control.poller.Leader()
 }
 
-// Heard stores a record that an endpoint announced.
-func (control *Control) Heard(record roster.Record) { control.poller.PutEndpoint(record) }
-
 // Endpoints returns the endpoints of a service that are not marked as gone.
 func (control *Control) Endpoints(service string) []roster.Record {
 	return control.poller.Present(service)
--- a/internal/ctrl/seeds_test.go
+++ b/internal/ctrl/seeds_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"os"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -180,14 +181,16 @@
 	case "heartbeat":
 		for _, number := range step.On {
 			control := group.running[number]
-			control.Heard(roster.Record{
+			Expect(control.Heard(context.Background(), roster.Record{
 				ID: fmt.Sprintf("e%d", step.Version), Service: "s", Address: "10.0.0.1:80", Born: 1, Sequence: step.Version, ReceivedAt: control.Now(),
-			})
+			})).To(Succeed())
 		}
 	case "knows":
 		for _, number := range step.On {
 			Eventually(func() int { return len(group.running[number].Endpoints("s")) }).WithTimeout(seedLimit).Should(BeNumerically(">", 0), "VM %d", number)
 		}
+	case "join", "leave", "drain", "leaveAlone":
+		group.doEndpoints(step)
 	case "seeds", "exchange", "voters", "member", "outside":
 		group.doMembers(step)
 	default:
@@ -223,6 +226,56 @@
 	}
 }
 
+// endpointRecord returns a heartbeat of an endpoint of the service s.
+func endpointRecord(number uint64, sequence uint64, now clock.Millis) roster.Record {
+	return roster.Record{
+		ID: fmt.Sprintf("i%d", number), Service: "s", Address: fmt.Sprintf("10.1.0.%d:80", number), Born: 1, Sequence: sequence, ReceivedAt: now,
+	}
+}
+
+// doEndpoints runs a step about endpoints, the number of which is the step's version. They
+// send their messages to the first VM of the step.
+func (group *seeded) doEndpoints(step seedStep) {
+	ctx, control := context.Background(), group.running[step.On[0]]
+	switch step.Do {
+	case "join":
+		for number := range step.Version {
+			Expect(control.Heard(ctx, endpointRecord(number, 1, control.Now()))).To(Succeed())
+		}
+		for number, other := range group.running {
+			Eventually(func() int { return len(other.Endpoints("s")) }).WithTimeout(seedLimit).Should(Equal(int(step.Version)), "VM %d", number)
+		}
+	case "leave", "drain":
+		for number := range step.Version {
+			record := endpointRecord(number, 2, control.Now())
+			record.Draining = step.Do == "drain"
+			if step.Do == "leave" {
+				record = roster.Record{ID: record.ID, Gone: true, ReceivedAt: control.Now()}
+			}
+			Expect(control.Heard(ctx, record)).To(Succeed())
+			Expect(group.holders(record.ID)).To(BeNumerically(">", group.script.Tolerance), "VMs that hold the end of endpoint %d at its acknowledgement", number)
+		}
+	case "leaveAlone":
+		// The others were heard from a moment ago, so the first call may be refused.
+		Eventually(func() error {
+			return control.Heard(ctx, roster.Record{ID: fmt.Sprintf("i%d", step.Version), Gone: true, ReceivedAt: control.Now()})
+		}).WithTimeout(seedLimit).Should(Succeed())
+		Expect(control.Heard(ctx, endpointRecord(step.Version+1, 9, control.Now()))).To(Succeed())
+	}
+}
+
+// holders counts the VMs that know that an endpoint drains or is gone.
+func (group *seeded) holders(id string) int {
+	count := 0
+	for _, control := range group.running {
+		isUsed := slices.ContainsFunc(control.Endpoints("s"), func(record roster.Record) bool { return record.ID == id && record.Usable() })
+		if !isUsed {
+			count++
+		}
+	}
+	return count
+}
+
 // doZone runs a step about a zone.
 func (group *seeded) doZone(step seedStep) {
 	switch step.Do {
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -61,6 +61,7 @@
 	EndpointCold       = Event{311, "endpoint is cold"}
 	EndpointWarm       = Event{312, "endpoint is no longer cold"}
 	EstimateChanged    = Event{313, "estimate of an endpoint changed"}
+	CopiesMissing      = Event{314, "end of an endpoint without copies at other control VMs"}
 	PaceNoticed        = Event{315, "endpoint is slower than usual or no longer so"}
 	RevisionApplied    = Event{401, "configuration revision applied"}
 	RevisionRefused    = Event{402, "configuration revision refused"}
--- a/internal/gate/cold_test.go
+++ b/internal/gate/cold_test.go
@@ -65,7 +65,7 @@
 	record.ReceivedAt = made.control.Now()
 	record.ColdUntil = record.ReceivedAt + remaining
 	made.records[id] = record
-	made.control.Heard(record)
+	Expect(made.control.Heard(context.Background(), record)).To(Succeed())
 	for _, gateway := range made.gateways {
 		Eventually(func() uint64 { return sequenceOf(gateway, id) }).WithTimeout(limit).Should(BeNumerically(">=", record.Sequence))
 	}
--- a/internal/gate/crash_test.go
+++ b/internal/gate/crash_test.go
@@ -1,6 +1,7 @@
 package gate_test
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"time"
@@ -39,9 +40,9 @@
 		Header: "Hibiscuslug-Prompt-Prefix", Deadly: deadlyPart, IDHeader: idHeader, Partition: isPartition,
 		AnswerHeader: map[string]string{"Hibiscuslug-Response-Seal": "s", "Content-Type": "text/event-stream"},
 		Started: func(number int, address string, incarnation int) {
-			made.control.Heard(roster.Record{
+			Expect(made.control.Heard(context.Background(), roster.Record{
 				ID: fmt.Sprintf("e%d", number), Service: "desk", Address: address, Born: clock.Millis(incarnation), Sequence: 1, Slots: 6, ReceivedAt: made.control.Now(),
-			})
+			})).To(Succeed())
 		},
 	}, endpoints)
 	Expect(err).NotTo(HaveOccurred())
--- a/internal/gate/gate_test.go
+++ b/internal/gate/gate_test.go
@@ -153,9 +153,9 @@
 	Expect(err).NotTo(HaveOccurred())
 	DeferCleanup(backend.Close)
 	for number, address := range backend.Addresses() {
-		site.control.Heard(roster.Record{
+		Expect(site.control.Heard(context.Background(), roster.Record{
 			ID: fmt.Sprintf("e%d", number), Service: "desk", Address: address, Born: 1, Sequence: 1, Slots: 6, ReceivedAt: site.control.Now(),
-		})
+		})).To(Succeed())
 	}
 	Eventually(func() int { return len(site.gateway.Endpoints("desk")) }).WithTimeout(limit).Should(Equal(count))
 	Eventually(site.gateway.Ready).WithTimeout(limit).Should(BeTrue())
--- a/internal/gate/hold_test.go
+++ b/internal/gate/hold_test.go
@@ -66,10 +66,10 @@
 	backend, err := fake.NewBackend(idHeader, []fake.Step{{Text: missingRank}, {Text: missingRank}, {Text: okResponse}}, 1)
 	Expect(err).NotTo(HaveOccurred())
 	DeferCleanup(backend.Close)
-	site.control.Heard(roster.Record{
+	Expect(site.control.Heard(context.Background(), roster.Record{
 		ID: "e0", Service: "desk", Address: backend.Addresses()[0], Born: 1, Sequence: 1, Slots: 6, ReceivedAt: site.control.Now(),
 		Group: roster.Group{Name: "g", Epoch: 1, Size: 2},
-	})
+	})).To(Succeed())
 	Eventually(func() int { return len(site.gateway.Endpoints("desk")) }).WithTimeout(limit).Should(Equal(1))
 	Eventually(site.gateway.Ready).WithTimeout(limit).Should(BeTrue())
 	return site, backend
--- a/internal/gate/kept_test.go
+++ b/internal/gate/kept_test.go
@@ -1,6 +1,7 @@
 package gate_test
 
 import (
+	"context"
 	"encoding/json"
 	"net/http"
 	"os"
@@ -37,10 +38,10 @@
 	site := newSite()
 	backend := site.startBackend(script.Steps, 1)
 	if script.Group {
-		site.control.Heard(roster.Record{
+		Expect(site.control.Heard(context.Background(), roster.Record{
 			ID: "e0", Service: "desk", Address: backend.Addresses()[0], Born: 1, Sequence: 2, Slots: 6, ReceivedAt: site.control.Now(),
 			Group: roster.Group{Name: "g", Epoch: 1, Size: 2},
-		})
+		})).To(Succeed())
 		Eventually(func() string { return site.gateway.Endpoints("desk")[0].Group.Name }).WithTimeout(limit).Should(Equal("g"))
 	}
 	for at, send := range script.Sends {
--- a/internal/gate/limit_test.go
+++ b/internal/gate/limit_test.go
@@ -1,6 +1,7 @@
 package gate_test
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"time"
@@ -47,7 +48,7 @@
 	backend, err := fake.NewBackend(idHeader, []fake.Step{{Text: response}}, 1)
 	Expect(err).NotTo(HaveOccurred())
 	DeferCleanup(backend.Close)
-	made.control.Heard(roster.Record{ID: id, Service: "desk", Address: backend.Addresses()[0], Born: 1, Sequence: 1, Slots: 6, ReceivedAt: made.control.Now()})
+	Expect(made.control.Heard(context.Background(), roster.Record{ID: id, Service: "desk", Address: backend.Addresses()[0], Born: 1, Sequence: 1, Slots: 6, ReceivedAt: made.control.Now()})).To(Succeed())
 	return backend
 }
 
--- a/internal/gate/notice_test.go
+++ b/internal/gate/notice_test.go
@@ -66,7 +66,9 @@
 	}
 }
 
-func (made *noticeSite) hear(number int, born uint64) { made.control.Heard(made.record(number, born)) }
+func (made *noticeSite) hear(number int, born uint64) {
+	Expect(made.control.Heard(context.Background(), made.record(number, born))).To(Succeed())
+}
 
 // look sends an idempotent request through a gateway.
 func (made *noticeSite) look(gateway int) *http.Response {
--- a/internal/gate/record_test.go
+++ b/internal/gate/record_test.go
@@ -60,7 +60,7 @@
 	for _, record := range made.records {
 		if made.control != nil {
 			record.ReceivedAt = made.control.Now()
-			made.control.Heard(record)
+			Expect(made.control.Heard(context.Background(), record)).To(Succeed())
 		}
 	}
 }
--- a/internal/gate/source_test.go
+++ b/internal/gate/source_test.go
@@ -69,7 +69,7 @@
 	}
 	Expect(site.control.Close()).To(Succeed())
 	site.control = startControl(address, "z2", folder, 2, `"k2"`)
-	site.control.Heard(roster.Record{ID: "e0", Service: "desk", Address: backend.Addresses()[0], Born: 1, Sequence: 2, Slots: 6, ReceivedAt: site.control.Now()})
+	Expect(site.control.Heard(context.Background(), roster.Record{ID: "e0", Service: "desk", Address: backend.Addresses()[0], Born: 1, Sequence: 2, Slots: 6, ReceivedAt: site.control.Now()})).To(Succeed())
 	Eventually(func() int {
 		asked := request(script{Method: "POST", Path: "/look/1", Send: "p"})
 		asked.Header.Set("Hibiscuslug-Key", "k2")
--- a/internal/gate/zone_test.go
+++ b/internal/gate/zone_test.go
@@ -17,9 +17,9 @@
 	backend, err := fake.NewBackend(idHeader, []fake.Step{{Text: okResponse}}, 1)
 	Expect(err).NotTo(HaveOccurred())
 	DeferCleanup(backend.Close)
-	site.control.Heard(roster.Record{
+	Expect(site.control.Heard(context.Background(), roster.Record{
 		ID: "e" + zone, Service: "desk", Address: backend.Addresses()[0], Zone: zone, Born: 1, Sequence: 1, Slots: 6, ReceivedAt: site.control.Now(),
-	})
+	})).To(Succeed())
 	return backend
 }
 
--- a/internal/poll/poll.go
+++ b/internal/poll/poll.go
@@ -376,11 +376,13 @@
 	poller.changed = make(chan struct{})
 }
 
-// PutEndpoint merges a record that an endpoint sent to this process.
-func (poller *Poller) PutEndpoint(record roster.Record) {
+// PutEndpoint merges a record that was sent to this process, and returns what is then known
+// of its endpoint, if anything.
+func (poller *Poller) PutEndpoint(record roster.Record) (roster.Record, bool) {
 	poller.mu.Lock()
 	defer poller.mu.Unlock()
 	poller.put(record)
+	return poller.table.Get(record.ID)
 }
 
 // AddMember adds a control VM that polled this one.
--- a/internal/poll/poll_test.go
+++ b/internal/poll/poll_test.go
@@ -84,6 +84,10 @@
 	return &wire.PermitReply{}, nil
 }
 
+func (source) Replicate(context.Context, *wire.ReplicateRequest) (*wire.ReplicateReply, error) {
+	return &wire.ReplicateReply{}, nil
+}
+
 func startPoller(seeds ...string) (*poll.Poller, *feed.View) {
 	return startPollerWith(board.New(clock.NewSystem(), event.Discard()), seeds...)
 }
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -185,6 +185,12 @@
 // last returns the latest start of the endpoint that the record covers.
 func (record Record) last() clock.Millis { return max(record.Born, record.EndedAt) }
 
+// Covers reports whether the record tells the end of all starts that another record of the
+// endpoint tells the end of.
+func (record Record) Covers(other Record) bool {
+	return record.last() >= other.last() && (record.Gone || record.Draining && !other.Gone)
+}
+
 // newer reports whether a record supersedes the current one.
 func newer(record, current Record) bool {
 	switch {
