gate, front: pass on no status that promises "not run" unless nothing ran

Cause: an endpoint's 408, 421, 429 or 503 was returned unchanged, also without its statement that the request did not run. Responses below 500, large ones and those read when memory was short were streamed; entry VMs passed such statuses on too.

Change: the gateway drops such a response and counts the attempt as one that ran and failed, so that requests that may run twice are tried again and others end with 502. The entry VM answers 502 with the engine's body and the outcome "failed".

--- a/internal/front/answer.go
+++ b/internal/front/answer.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"io"
+	"slices"
 	"strings"
 	"sync"
 
@@ -11,6 +12,7 @@
 	"github.com/gofiber/fiber/v2"
 	"github.com/valyala/fasthttp"
 
+	"github.com/hibiscuslug/hibiscuslug/internal/answer"
 	"github.com/hibiscuslug/hibiscuslug/internal/call"
 	"github.com/hibiscuslug/hibiscuslug/internal/route"
 	"github.com/hibiscuslug/hibiscuslug/pkg/wire"
@@ -60,8 +62,16 @@
 // Headers sets the headers of a plain service's answer. It is called before Head.
 func (response *response) Headers(headers []*wire.Header) { response.headers = headers }
 
-// Head sets the status and content type of the answer.
+// Head sets the status and content type of the answer. An engine's status that promises that
+// the request did not run becomes 502, since the engine got the request: outcomes alone tell
+// callers what did not run.
 func (response *response) Head(status int, contentType string) {
+	if answer.PromisesNotRun(status) {
+		status = fasthttp.StatusBadGateway
+		response.headers = slices.DeleteFunc(slices.Clone(response.headers), func(header *wire.Header) bool {
+			return strings.EqualFold(header.GetName(), fiber.HeaderRetryAfter)
+		})
+	}
 	response.status, response.contentType = status, contentType
 	response.headOnce.Do(func() { close(response.headReady) })
 }
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"os"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -70,6 +71,17 @@
 		sink.Head(200, map[bool]string{true: "text/event-stream", false: "text/plain"}[request.Stream])
 		_ = sink.Data([][]byte{[]byte("data: one\n\n"), []byte("part")})
 		return route.Result{Outcome: wire.Outcome_OUTCOME_UNKNOWN, Err: errors.New("lost")}
+	case "408", "421", "429", "500", "503":
+		status, err := strconv.Atoi(request.Model + request.Service)
+		if err != nil {
+			return route.Result{Outcome: wire.Outcome_OUTCOME_UNKNOWN, Err: err}
+		}
+		if headerSink, ok := sink.(route.HeaderSink); ok {
+			headerSink.Headers([]*wire.Header{{Name: "Retry-After", Value: "1"}})
+		}
+		sink.Head(status, "text/plain")
+		_ = sink.Data([][]byte{[]byte("the engine's text")})
+		return route.Result{Outcome: wire.Outcome_OUTCOME_FAILED, Err: errors.Newf("engine responded with status %d", status)}
 	case "stock":
 		headerSink, _ := sink.(route.HeaderSink)
 		headerSink.Headers([]*wire.Header{{Name: "Etag", Value: `"8"`}})
--- a/internal/gate/attempt.go
+++ b/internal/gate/attempt.go
@@ -8,6 +8,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/hibiscuslug/hibiscuslug/internal/answer"
 	"github.com/hibiscuslug/hibiscuslug/internal/choose"
 	"github.com/hibiscuslug/hibiscuslug/internal/conns"
 	"github.com/hibiscuslug/hibiscuslug/internal/event"
@@ -159,9 +160,22 @@
 	if forwarder.stream != nil {
 		return unknown, false, errors.Newf("status %d instead of the continuation of the stream", response.StatusCode)
 	}
+	if answer.PromisesNotRun(response.StatusCode) {
+		return dropPromise(response, facts)
+	}
 	return forwarder.bufferResponse(response, facts)
 }
 
+// dropPromise reads a response whose status promises that the request did not run, although
+// the endpoint does not state that. The request may have run, so the caller must not get it.
+func dropPromise(response *http.Response, facts task.Answer) (result, bool, error) {
+	failure := errors.Newf("status %d without the endpoint's statement that the request did not run", response.StatusCode)
+	if isWhole := discard(response); !isWhole || !facts.Sealed {
+		return unknown, isWhole, failure
+	}
+	return failed, true, failure
+}
+
 // discard reads the rest of a response, so that its connection can be reused. It
 // reports whether the body was read to its end, which a body that goes on and on is
 // not.
--- a/internal/gate/forward.go
+++ b/internal/gate/forward.go
@@ -44,7 +44,8 @@
 	notRun
 	// unknown attempts may have run and returned no complete response.
 	unknown
-	// failed attempts ran and returned an error response, which is kept.
+	// failed attempts ran and returned an error response, which is kept unless its status
+	// promises that they did not run.
 	failed
 	// callerGone attempts ended because the caller disconnected or its time ran out.
 	callerGone
