crash, gate: an answer that began proves nothing yet

Cause: an attempt that broke after its first event was not reported as a suspect, and the first event cleared the request and the parts of its prompt.

Change: a request whose answer began less than a second before its endpoint broke is a suspect that counts half. A whole answer clears a request. A part is cleared for such crashes by an answer that goes on for half a second. A long stream that moves from one endpoint that crashes to the next stays below the bound.

--- a/internal/board/board.go
+++ b/internal/board/board.go
@@ -99,17 +99,48 @@
 
 // Begun records that the answer to a request began.
 func (board *Board) Begun(request crash.Request) {
-	now := board.clock.Now()
 	board.mu.Lock()
 	defer board.mu.Unlock()
-	for _, part := range request.Parts {
+	board.setBegun(request.Parts)
+}
+
+// Survived records that the answer to a request has gone on for crash.SurvivalTime. That
+// exonerates the parts of its prompt, not yet the request.
+func (board *Board) Survived(request crash.Request) {
+	board.mu.Lock()
+	defer board.mu.Unlock()
+	board.setSurvived(request.Parts)
+}
+
+// Completed records that a request was answered completely.
+func (board *Board) Completed(request crash.Request) {
+	board.mu.Lock()
+	defer board.mu.Unlock()
+	board.setBegun(request.Parts)
+	board.setSurvived(request.Parts)
+	if board.core.IsSuspectRequest(request.Fingerprint) {
+		board.apply(crash.Cleared{Fingerprint: request.Fingerprint, At: board.clock.Now()})
+	}
+}
+
+// setBegun records that an answer with prompt parts began. The caller holds mu.
+func (board *Board) setBegun(parts []uint64) {
+	now := board.clock.Now()
+	for _, part := range parts {
 		board.history.Put(part, now)
 		if board.core.IsSuspect(part) {
 			board.apply(crash.Begun{Part: part, At: now})
 		}
 	}
-	if board.core.IsSuspectRequest(request.Fingerprint) {
-		board.apply(crash.Cleared{Fingerprint: request.Fingerprint, At: now})
+}
+
+// setSurvived records that an answer with prompt parts went on. The caller holds mu.
+func (board *Board) setSurvived(parts []uint64) {
+	now := board.clock.Now()
+	for _, part := range parts {
+		if board.core.IsSuspect(part) {
+			board.apply(crash.Survived{Part: part, At: now})
+		}
 	}
 }
 
--- a/internal/crash/codec.go
+++ b/internal/crash/codec.go
@@ -22,7 +22,7 @@
 	}
 	for _, suspect := range crash.Suspects {
 		report.Suspects = append(report.Suspects, &wire.Suspect{
-			Fingerprint: suspect.Fingerprint, Parts: suspect.Parts, RequestId: suspect.RequestID, Customer: suspect.Customer,
+			Fingerprint: suspect.Fingerprint, Parts: suspect.Parts, RequestId: suspect.RequestID, Customer: suspect.Customer, Begun: suspect.Begun,
 		})
 	}
 	return report
@@ -37,7 +37,7 @@
 	for _, suspect := range report.GetSuspects() {
 		crash.Suspects = append(crash.Suspects, Suspect{
 			Request:   Request{Fingerprint: suspect.GetFingerprint(), Parts: suspect.GetParts()},
-			RequestID: suspect.GetRequestId(), Customer: suspect.GetCustomer(),
+			RequestID: suspect.GetRequestId(), Customer: suspect.GetCustomer(), Begun: suspect.GetBegun(),
 		})
 	}
 	return crash
@@ -76,6 +76,8 @@
 		return &wire.Evidence{Crashes: []*wire.CrashReport{crash.Message()}}
 	case key.part != 0:
 		return &wire.Evidence{Begun: []*wire.PartBegun{{Part: key.part, At: int64(core.begun[key.part])}}}
+	case key.survivor != 0:
+		return &wire.Evidence{Begun: []*wire.PartBegun{{Part: key.survivor, At: int64(core.survived[key.survivor]), Survived: true}}}
 	case core.IsSuspectRequest(key.fingerprint):
 		return &wire.Evidence{Cleared: []*wire.Clearance{{Fingerprint: key.fingerprint, At: int64(core.cleared[key.fingerprint])}}}
 	}
@@ -96,7 +98,12 @@
 		list = append(list, Crashed{Crash: crash})
 	}
 	for _, begun := range message.GetBegun() {
-		list = append(list, Begun{Part: begun.GetPart(), At: clock.Millis(begun.GetAt()) + shift})
+		at := clock.Millis(begun.GetAt()) + shift
+		if begun.GetSurvived() {
+			list = append(list, Survived{Part: begun.GetPart(), At: at})
+			continue
+		}
+		list = append(list, Begun{Part: begun.GetPart(), At: at})
 	}
 	return list
 }
--- a/internal/crash/core.go
+++ b/internal/crash/core.go
@@ -19,8 +19,11 @@
 	// retractAfter is the time after a crash from which on an announcement of the
 	// crashed incarnation cannot have been sent before the crash.
 	retractAfter = clock.Second
-	// blockingCrashes is the number of crashes after which a request is blocked.
-	blockingCrashes = 2
+	// blockingGuilt is the guilt from which on a request is blocked. A crash before its answer
+	// began counts fullGuilt, one soon after that begunGuilt.
+	blockingGuilt = 4
+	fullGuilt     = 2
+	begunGuilt    = 1
 )
 
 // Treatment states how a request may run.
@@ -76,6 +79,8 @@
 	blocks map[uint64]block
 	// begun holds, by prompt part, when an answer to a request with it last began.
 	begun map[uint64]clock.Millis
+	// survived holds, by prompt part, when an answer to a request with it last went on.
+	survived map[uint64]clock.Millis
 	// recorded holds the blocks of the configuration.
 	recorded map[recordKey]Record
 	// probedAt is when the last probe was granted; zero for never.
@@ -86,11 +91,12 @@
 	changed  map[item]uint64
 }
 
-// item identifies a crash, the begin of answers with a part or the clearance of a
-// request; the other fields are zero.
+// item identifies a crash, the begin or survival of answers with a part, or the clearance of
+// a request; the other fields are zero.
 type item struct {
 	crash       crashKey
 	part        uint64
+	survivor    uint64
 	fingerprint uint64
 }
 
@@ -132,6 +138,8 @@
 		return core.withEnded(event.Fingerprint, now), nil
 	case Begun:
 		return core.withBegun(event), nil
+	case Survived:
+		return core.withSurvived(event), nil
 	case Recorded:
 		return core.withRecorded(event, now), nil
 	case Tick:
@@ -164,9 +172,11 @@
 	switch {
 	case len(counted) == 0:
 		return Decision{}
-	case repeats(fingerprint, counted) >= blockingCrashes && core.isCause(fingerprint, counted):
+	case guilt(fingerprint, counted) >= blockingGuilt && core.isCause(fingerprint, counted):
 		last := latest(counted)
 		return Decision{Treatment: Wait, Crashes: len(counted), Latest: last, Until: last + reportTime}
+	case !slices.ContainsFunc(counted, func(crash Crash) bool { return crash.weight(fingerprint) == fullGuilt }):
+		return Decision{}
 	}
 	return Decision{Treatment: Quarantine, Crashes: len(counted), Latest: latest(counted)}
 }
@@ -201,7 +211,7 @@
 	}
 	core.crashes = with(core.crashes, crash.key(), merged)
 	var actions []Action
-	if !known || len(merged.Suspects) != len(old.Suspects) || merged.Retracted != old.Retracted || merged.QuarantinedFingerprint != old.QuarantinedFingerprint {
+	if !known || !sameSuspects(merged, old) || merged.Retracted != old.Retracted || merged.QuarantinedFingerprint != old.QuarantinedFingerprint {
 		core = core.withChanged(core.itemsOf(merged)...)
 		actions = append(actions, Share{Crash: merged})
 	}
@@ -224,6 +234,9 @@
 			if _, ok := core.begun[part]; ok {
 				list = append(list, item{part: part})
 			}
+			if _, ok := core.survived[part]; ok {
+				list = append(list, item{survivor: part})
+			}
 		}
 	}
 	return list
@@ -271,7 +284,7 @@
 // crashes support now.
 func (core Core) withoutUnfounded(now clock.Millis) Core {
 	for fingerprint, current := range core.blocks {
-		if current.crashes > 0 && repeats(fingerprint, core.crashesAgainst(fingerprint, now)) < blockingCrashes {
+		if current.crashes > 0 && guilt(fingerprint, core.crashesAgainst(fingerprint, now)) < blockingGuilt {
 			core.blocks = without(core.blocks, fingerprint)
 		}
 	}
@@ -298,7 +311,7 @@
 	core.cleared = filtered(core.cleared, func(_ uint64, at clock.Millis) bool { return at > cutoff })
 	core.recorded = filtered(core.recorded, func(_ recordKey, record Record) bool { return record.Until > now })
 	if len(core.crashes) == 0 && len(core.recorded) == 0 {
-		core.begun = nil
+		core.begun, core.survived = nil, nil
 	}
 	core.changed = filtered(core.changed, func(key item, _ uint64) bool { return core.holds(key) })
 	return core.withBlocks(now)
@@ -308,8 +321,9 @@
 func (core Core) holds(key item) bool {
 	_, isCrash := core.crashes[key.crash]
 	_, isBegun := core.begun[key.part]
+	_, hasSurvived := core.survived[key.survivor]
 	_, isCleared := core.cleared[key.fingerprint]
-	return isCrash || isBegun || isCleared
+	return isCrash || isBegun || hasSurvived || isCleared
 }
 
 // withBlocks blocks the requests that are identified as the cause of enough
@@ -320,7 +334,7 @@
 		for _, suspect := range crash.Suspects {
 			counted := core.crashesAgainst(suspect.Fingerprint, now)
 			_, blocked := core.blocks[suspect.Fingerprint]
-			if blocked || repeats(suspect.Fingerprint, counted) < blockingCrashes || !core.isCause(suspect.Fingerprint, counted) || !reportsComplete(counted, now) {
+			if blocked || guilt(suspect.Fingerprint, counted) < blockingGuilt || !core.isCause(suspect.Fingerprint, counted) || !reportsComplete(counted, now) {
 				continue
 			}
 			added := block{until: now + suspicionTime, crashes: len(counted), latest: latest(counted), requestID: suspect.RequestID}
@@ -355,21 +369,47 @@
 	})
 }
 
-// repeats counts the crashes against a request that are independent of each other. Equal
+// sameSuspects reports whether two reports of a crash have the same suspects. One has all
+// suspects of the other.
+func sameSuspects(first, second Crash) bool {
+	return slices.EqualFunc(first.Suspects, second.Suspects, func(one, other Suspect) bool {
+		return one.Fingerprint == other.Fingerprint && one.Begun == other.Begun
+	})
+}
+
+// guilt sums up the crashes against a request that are independent of each other. Equal
 // requests of several callers may be on many endpoints that end at once; the same
 // request is on one endpoint after the other.
-func repeats(fingerprint uint64, crashes []Crash) int {
+func guilt(fingerprint uint64, crashes []Crash) int {
 	ordered := slices.SortedFunc(slices.Values(crashes), func(first, second Crash) int { return cmp.Compare(first.At, second.At) })
-	count, lastAt, lastID := 0, clock.Millis(0), ""
+	sum, lastAt, lastID := 0, clock.Millis(0), ""
 	for _, crash := range ordered {
 		at := slices.IndexFunc(crash.Suspects, func(suspect Suspect) bool { return suspect.Fingerprint == fingerprint })
 		id := crash.Suspects[at].RequestID
-		if count == 0 || crash.At-lastAt > episodeTime || id == lastID || crash.QuarantinedFingerprint == fingerprint {
-			count++
+		if sum == 0 || crash.At-lastAt > episodeTime || id == lastID || crash.QuarantinedFingerprint == fingerprint {
+			sum += crash.weight(fingerprint)
 		}
 		lastAt, lastID = crash.At, id
 	}
-	return count
+	return sum
+}
+
+// weight returns the guilt of a suspect of the crash.
+func (crash Crash) weight(fingerprint uint64) int {
+	hasBegun := slices.ContainsFunc(crash.Suspects, func(suspect Suspect) bool { return suspect.Fingerprint == fingerprint && suspect.Begun })
+	if hasBegun && crash.QuarantinedFingerprint != fingerprint {
+		return begunGuilt
+	}
+	return fullGuilt
+}
+
+// totalWeight returns the sum of a suspect's weights in crashes.
+func totalWeight(fingerprint uint64, crashes []Crash) int {
+	sum := 0
+	for _, crash := range crashes {
+		sum += crash.weight(fingerprint)
+	}
+	return sum
 }
 
 // latest returns the time of the latest crash.
@@ -377,9 +417,9 @@
 	return slices.MaxFunc(crashes, func(first, second Crash) int { return cmp.Compare(first.At, second.At) }).At
 }
 
-// isCause reports whether a request ran alone in one of its crashes or is the
-// only suspect that they have in common. A suspect that was cleared of one of them cannot
-// have caused them all.
+// isCause reports whether a request ran alone in one of its crashes, or whether no other
+// suspect that they have in common is as likely. A suspect that was cleared of one of them
+// cannot have caused them all.
 func (core Core) isCause(fingerprint uint64, crashes []Crash) bool {
 	if slices.ContainsFunc(crashes, func(crash Crash) bool { return crash.QuarantinedFingerprint == fingerprint }) {
 		return true
@@ -388,7 +428,7 @@
 		common := !slices.ContainsFunc(crashes, func(crash Crash) bool {
 			return !crash.has(suspect.Fingerprint) || crash.At <= core.cleared[suspect.Fingerprint]
 		})
-		if common && suspect.Fingerprint != fingerprint {
+		if common && suspect.Fingerprint != fingerprint && totalWeight(suspect.Fingerprint, crashes) >= totalWeight(fingerprint, crashes) {
 			return false
 		}
 	}
--- a/internal/crash/core_test.go
+++ b/internal/crash/core_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"os"
+	"slices"
 	"strconv"
 	"testing"
 
@@ -27,6 +28,8 @@
 	Incarnation uint64       `json:"incarnation"`
 	Alone       uint64       `json:"alone"`
 	Suspects    []uint64     `json:"suspects"`
+	// Begun are the suspects whose answers had begun.
+	Begun []uint64 `json:"begun"`
 	// IDs are the ids of the suspects; r and the fingerprint if there are none.
 	IDs        []string          `json:"ids"`
 	Treatments map[string]string `json:"verdicts"`
@@ -45,7 +48,9 @@
 		if at < len(step.IDs) {
 			id = step.IDs[at]
 		}
-		record.Suspects = append(record.Suspects, crash.Suspect{Request: crash.Request{Fingerprint: fingerprint}, RequestID: id})
+		record.Suspects = append(record.Suspects, crash.Suspect{
+			Request: crash.Request{Fingerprint: fingerprint}, RequestID: id, Begun: slices.Contains(step.Begun, fingerprint),
+		})
 	}
 	switch step.Event {
 	case "crash":
--- a/internal/crash/crash.go
+++ b/internal/crash/crash.go
@@ -33,12 +33,24 @@
 	return digest.Sum64()
 }
 
+const (
+	// SuspectTime is how long after the begin of its answer a request is still a suspect of
+	// a crash of its endpoint.
+	SuspectTime = clock.Second
+	// SurvivalTime is how long an answer must have gone on to exonerate the parts of its
+	// prompt for crashes of endpoints whose answers had begun.
+	SurvivalTime = 500 * clock.Millis(1)
+)
+
 // Suspect is a request that was running on an endpoint when it crashed, and whose
-// answer had not begun as far as is known.
+// answer had not begun more than SuspectTime before, as far as is known.
 type Suspect struct {
 	Request
 	RequestID string
 	Customer  string
+	// Begun is set when the answer had begun. Streams that move from one crashed endpoint to
+	// another are such suspects again and again, so it weighs less.
+	Begun bool
 }
 
 // Crash is the loss of one incarnation of an endpoint process with requests
@@ -74,16 +86,20 @@
 	crash.Retracted = crash.Retracted || other.Retracted
 	suspects := slices.Clone(crash.Suspects)
 	for _, suspect := range other.Suspects {
-		if !crash.has(suspect.Fingerprint) {
+		at := slices.IndexFunc(suspects, func(known Suspect) bool { return known.Fingerprint == suspect.Fingerprint })
+		switch {
+		case at < 0:
 			suspects = append(suspects, suspect)
+		case !suspect.Begun:
+			suspects[at].Begun = false
 		}
 	}
 	crash.Suspects = suspects
 	return crash
 }
 
-// Event is one of Crashed, Silent, Announced, Cleared, Blocked, Ended, Begun, Recorded and
-// Tick.
+// Event is one of Crashed, Silent, Announced, Cleared, Blocked, Ended, Begun, Survived,
+// Recorded and Tick.
 type Event interface{ event() }
 
 // Crashed reports a crash, detected by this or another entry VM.
@@ -99,7 +115,7 @@
 	Incarnation uint64
 }
 
-// Cleared reports that a request ran to its end in quarantine.
+// Cleared reports that a request was answered completely, or ran to its end in quarantine.
 type Cleared struct {
 	Fingerprint uint64
 	At          clock.Millis
@@ -120,6 +136,13 @@
 	At   clock.Millis
 }
 
+// Survived reports that an answer to a request with a prompt part went on for SurvivalTime
+// or to its end.
+type Survived struct {
+	Part uint64
+	At   clock.Millis
+}
+
 // Recorded reports all blocks for crashes that the configuration holds.
 type Recorded struct{ Records []Record }
 
@@ -133,6 +156,7 @@
 func (Blocked) event()   {}
 func (Ended) event()     {}
 func (Begun) event()     {}
+func (Survived) event()  {}
 func (Recorded) event()  {}
 func (Tick) event()      {}
 
--- a/internal/crash/parts.go
+++ b/internal/crash/parts.go
@@ -17,9 +17,12 @@
 	// episodeTime is the time within which crashes have one cause: a failure of many
 	// endpoints, or several requests with one part.
 	episodeTime = clock.Second
-	// knownPartCrashes is the number of crashes after which a part with a history is
-	// held, though the crashes may be due to new parts.
-	knownPartCrashes = 3
+	// knownPartGuilt is the guilt from which on a part with a history is held, though the
+	// crashes may be due to new parts. If they are not, blockingGuilt suffices.
+	knownPartGuilt = 3 * fullGuilt
+	// shiftedCrashes is the number of crashes that one request must have been in to be
+	// blamed in place of a part.
+	shiftedCrashes = 2
 	// probeInterval is the minimum time between probes, in which most show a result.
 	// Of two probes at the same time, it is not known which one crashed an endpoint.
 	probeInterval = 500 * clock.Millis(1)
@@ -37,8 +40,8 @@
 }
 
 // decideParts returns how a request may run by the parts of its prompt. A part is
-// exonerated for a crash when an answer with it begins later, because a part that
-// crashes endpoints does so when the answer begins.
+// exonerated for a crash when an answer with it gets further later than it did before the
+// crash, because a part that crashes endpoints does so about when the answer begins.
 func (core Core) decideParts(request Request, now clock.Millis) Decision {
 	if len(core.crashes) == 0 {
 		return Decision{}
@@ -71,14 +74,15 @@
 		return suspicion{}, false
 	}
 	isNew := core.isNew(part, counted[0])
-	episodes := core.episodes(counted, isNew)
+	episodes, guilt := core.episodes(part, counted, isNew)
 	unexplained := slices.DeleteFunc(slices.Clone(counted), func(crash Crash) bool {
-		return core.explainedByPart(crash, part, episodes, now) || !isNew && core.hasNewPart(crash)
+		return core.explainedByPart(crash, part, guilt, now) || !isNew && core.hasNewPart(crash)
 	})
+	_, unexplainedGuilt := core.episodes(part, unexplained, false)
 	switch {
 	case isNew && len(unexplained) == 0:
 		return suspicion{}, false
-	case !isNew && core.episodes(unexplained, false) < blockingCrashes && episodes < knownPartCrashes:
+	case !isNew && unexplainedGuilt < blockingGuilt && guilt < knownPartGuilt:
 		return suspicion{}, false
 	}
 	hold := minHoldTime
@@ -88,19 +92,33 @@
 	return suspicion{part: part, crashes: counted, episodes: episodes, isNew: isNew, until: latest(counted) + hold}, true
 }
 
+// hadBegun reports whether the answers to all requests with a part had begun before the crash.
+func (crash Crash) hadBegun(part uint64) bool {
+	return !slices.ContainsFunc(crash.Suspects, func(suspect Suspect) bool { return !suspect.Begun && slices.Contains(suspect.Parts, part) })
+}
+
+// weightOfPart returns the guilt of a part in the crash.
+func (crash Crash) weightOfPart(part uint64) int {
+	if crash.hadBegun(part) {
+		return begunGuilt
+	}
+	return fullGuilt
+}
+
 // episodes counts the crashes, given in the order of time, that are independent of each
-// other. For a part that is not new, an answer to another request must have begun in
-// between: while none begins, for example in a group of ranks that is away, the next
-// crash says nothing about requests.
-func (core Core) episodes(crashes []Crash, isNew bool) int {
-	count, last := 0, clock.Millis(0)
+// other, and sums up the guilt of a part in them. For a part that is not new, an answer must
+// have begun in between: while none begins, for example in a group of ranks that is away, the
+// next crash says nothing about requests.
+func (core Core) episodes(part uint64, crashes []Crash, isNew bool) (count, guilt int) {
+	last := clock.Millis(0)
 	for _, crash := range crashes {
-		if count == 0 || crash.At-last > episodeTime && (isNew || core.begunBetween(last, crash.At)) {
+		if count == 0 || crash.At-last > episodeTime && (isNew || crash.hadBegun(part) || core.begunBetween(last, crash.At)) {
 			count++
+			guilt += crash.weightOfPart(part)
 		}
 		last = crash.At
 	}
-	return count
+	return count, guilt
 }
 
 func (core Core) begunBetween(from, to clock.Millis) bool {
@@ -112,12 +130,21 @@
 	return false
 }
 
+// exoneratedAt returns until when crashes do not count against a part, if all answers with it
+// had begun before the crash, or not.
+func (core Core) exoneratedAt(part uint64, hadBegun bool) clock.Millis {
+	if hadBegun {
+		return core.survived[part]
+	}
+	return core.begun[part]
+}
+
 // crashesWithPart returns the crashes, in the order of time, in which a request with
-// the part ran and after which no answer with the part has begun.
+// the part ran and for which no later answer exonerates it.
 func (core Core) crashesWithPart(part uint64, now clock.Millis) []Crash {
 	var list []Crash
 	for _, crash := range core.crashes {
-		if !crash.Retracted && now-crash.At < suspicionTime && crash.At >= core.begun[part] && crash.hasPart(part) {
+		if !crash.Retracted && now-crash.At < suspicionTime && crash.hasPart(part) && crash.At >= core.exoneratedAt(part, crash.hadBegun(part)) {
 			list = append(list, crash)
 		}
 	}
@@ -128,25 +155,29 @@
 // isNew reports whether no answer with the part had begun before a crash, and none
 // since.
 func (core Core) isNew(part uint64, crash Crash) bool {
+	if slices.ContainsFunc(crash.Suspects, func(suspect Suspect) bool { return suspect.Begun && slices.Contains(suspect.Parts, part) }) {
+		return false
+	}
 	begun, ok := core.begun[part]
 	return !ok || begun <= crash.At && crash.At-begun > historyTime
 }
 
+// hasNewPart reports whether a suspect whose answer had not begun has a part that is new.
 func (core Core) hasNewPart(crash Crash) bool {
 	return slices.ContainsFunc(crash.Suspects, func(suspect Suspect) bool {
-		return slices.ContainsFunc(suspect.Parts, func(part uint64) bool { return core.isNew(part, crash) })
+		return !suspect.Begun && slices.ContainsFunc(suspect.Parts, func(part uint64) bool { return core.isNew(part, crash) })
 	})
 }
 
 // explainedByPart reports whether another part in a crash has several crashes
-// against it, and more than the given part.
-func (core Core) explainedByPart(crash Crash, part uint64, crashes int, now clock.Millis) bool {
+// against it, and more guilt than the given part.
+func (core Core) explainedByPart(crash Crash, part uint64, guilt int, now clock.Millis) bool {
 	for _, suspect := range crash.Suspects {
 		for _, other := range suspect.Parts {
 			if other == part {
 				continue
 			}
-			if count := core.episodes(core.crashesWithPart(other, now), true); count >= blockingCrashes && count > crashes {
+			if _, others := core.episodes(other, core.crashesWithPart(other, now), true); others >= blockingGuilt && others > guilt {
 				return true
 			}
 		}
@@ -160,7 +191,7 @@
 // of them. Such a part is probed at once, since prompts share their first parts and many
 // sound requests may have it.
 func (core Core) canShiftBlame(held suspicion, request Request) bool {
-	if held.episodes >= blockingCrashes && !slices.ContainsFunc(held.crashes, func(crash Crash) bool { return !crash.onlyFrom(held.part, held.crashes[0], request) }) {
+	if held.episodes >= shiftedCrashes && !slices.ContainsFunc(held.crashes, func(crash Crash) bool { return !crash.onlyFrom(held.part, held.crashes[0], request) }) {
 		return true
 	}
 	return !slices.ContainsFunc(held.crashes, func(crash Crash) bool {
@@ -210,6 +241,19 @@
 	return core
 }
 
+// withSurvived records that an answer went on if that exonerates its part for a crash.
+func (core Core) withSurvived(event Survived) Core {
+	old := core.survived[event.Part]
+	exonerates := core.hasCrash(func(crash Crash) bool {
+		return crash.hasPart(event.Part) && crash.hadBegun(event.Part) && event.At > crash.At && old <= crash.At
+	})
+	if !exonerates {
+		return core
+	}
+	core.survived = with(core.survived, event.Part, event.At)
+	return core.withChanged(item{survivor: event.Part})
+}
+
 // IsSuspect reports whether a request with the part ran on an endpoint that crashed, as
 // far as is known or recorded.
 func (core Core) IsSuspect(part uint64) bool {
--- a/internal/crash/parts_test.go
+++ b/internal/crash/parts_test.go
@@ -16,6 +16,8 @@
 type partRequest struct {
 	Fingerprint uint64   `json:"fingerprint"`
 	Parts       []uint64 `json:"parts"`
+	// Begun is set if the answer had begun before a crash.
+	Begun bool `json:"begun"`
 }
 
 func (request partRequest) request() crash.Request {
@@ -56,7 +58,7 @@
 	case "crash":
 		record := crash.Crash{Endpoint: step.Endpoint, Incarnation: 1, At: step.At}
 		for _, suspect := range step.Requests {
-			record.Suspects = append(record.Suspects, crash.Suspect{Request: suspect.request()})
+			record.Suspects = append(record.Suspects, crash.Suspect{Request: suspect.request(), Begun: suspect.Begun})
 		}
 		core, _ = core.Step(crash.Crashed{Crash: record}, step.At)
 	case "begun":
@@ -65,6 +67,8 @@
 			at = step.At
 		}
 		core, _ = core.Step(crash.Begun{Part: step.Part, At: at}, step.At)
+	case "survived":
+		core, _ = core.Step(crash.Survived{Part: step.Part, At: step.At}, step.At)
 	case "alive":
 		core, _ = core.Step(crash.Announced{Endpoint: step.Endpoint, Incarnation: 1}, step.At)
 	case "probe":
--- a/internal/fake/brittle.go
+++ b/internal/fake/brittle.go
@@ -18,6 +18,9 @@
 // brittleDownTime is how long an endpoint of Brittle is down after a crash.
 const brittleDownTime = 300 * time.Millisecond
 
+// brittleEventTime lets the events that an endpoint of Brittle sends arrive before it crashes.
+const brittleEventTime = 30 * time.Millisecond
+
 // Brittle is a set of fake endpoints that answer with a short event stream and
 // crash when they begin to answer a request with a deadly header value. Each is
 // back after a while, as another incarnation at its address.
@@ -44,6 +47,8 @@
 type BrittleSettings struct {
 	// Header is the header of a request that may contain the value Deadly.
 	Header, Deadly string
+	// Events is the number of events of an answer that an endpoint sends before it crashes.
+	Events int
 	// AnswerHeader is the header of an answer to a sound request, beside the request's
 	// id in IDHeader.
 	AnswerHeader map[string]string
@@ -73,14 +78,22 @@
 
 func (brittle *Brittle) start(number, incarnation int, listener net.Listener) {
 	server := &http.Server{ReadHeaderTimeout: time.Minute, Handler: http.HandlerFunc(func(w http.ResponseWriter, request *http.Request) {
-		if strings.Contains(request.Header.Get(brittle.settings.Header), brittle.settings.Deadly) {
-			brittle.crash(number, incarnation)
-			panic(http.ErrAbortHandler)
-		}
 		for name, value := range brittle.settings.AnswerHeader {
 			w.Header().Set(name, value)
 		}
 		w.Header().Set(brittle.settings.IDHeader, request.Header.Get(brittle.settings.IDHeader))
+		if strings.Contains(request.Header.Get(brittle.settings.Header), brittle.settings.Deadly) {
+			for event := range brittle.settings.Events {
+				// The gateway may be gone.
+				_, _ = fmt.Fprintf(w, "id: %d\ndata: a\n\n", event+1)
+				_ = http.NewResponseController(w).Flush()
+			}
+			if brittle.settings.Events > 0 {
+				time.Sleep(brittleEventTime)
+			}
+			brittle.crash(number, incarnation)
+			panic(http.ErrAbortHandler)
+		}
 		brittle.mu.Lock()
 		brittle.answers++
 		brittle.mu.Unlock()
--- a/internal/gate/attempt.go
+++ b/internal/gate/attempt.go
@@ -41,7 +41,7 @@
 	if forwarder.permittedAt > 0 && gateway.clock.Now()-forwarder.permittedAt > permitLifetime || forwarder.hasExpired() {
 		return notSent, errors.New("the permit expired before the request was sent")
 	}
-	forwarder.begun, forwarder.brokeStale, forwarder.limit, forwarder.readAt = false, false, nil, 0
+	forwarder.begun, forwarder.survived, forwarder.brokeStale, forwarder.limit, forwarder.readAt = false, false, false, nil, 0
 	forwarder.begin(endpoint.ID)
 	defer forwarder.finish(endpoint.ID)
 	defer gateway.countUse(forwarder.call)()
@@ -217,6 +217,7 @@
 	if response.StatusCode < http.StatusMultipleChoices {
 		forwarder.readAt = forwarder.gateway.clock.Now()
 		forwarder.recordBegun()
+		forwarder.recordCompleted()
 	}
 	forwarder.deliver(buffered)
 	return delivered, true, nil
@@ -234,6 +235,9 @@
 		forwarder.gateway.log.Write(event.RequestEnded, "id", forwarder.task.ID, "outcome", "brokenOff", "error", err)
 		panic(http.ErrAbortHandler)
 	}
+	if response.StatusCode < http.StatusMultipleChoices {
+		forwarder.recordCompleted()
+	}
 	forwarder.logAnswered(response.StatusCode)
 	return delivered, true, nil
 }
--- a/internal/gate/crash.go
+++ b/internal/gate/crash.go
@@ -50,14 +50,47 @@
 	return made
 }
 
-// recordBegun records that the answer to the request began.
+// recordBegun records that the current attempt returned the first part of its answer.
 func (forwarder *forwarder) recordBegun() {
-	forwarder.begun = true
-	if len(forwarder.task.Prompt) > 1 || !forwarder.gateway.board.Idle() {
+	forwarder.begun, forwarder.begunAt = true, forwarder.gateway.clock.Now()
+	if forwarder.hasEvidence() {
 		forwarder.gateway.board.Begun(forwarder.identity())
 	}
 }
 
+// recordSurvival records once that the answer of the current attempt has gone on for long
+// enough to exonerate the parts of the prompt.
+func (forwarder *forwarder) recordSurvival() {
+	if forwarder.survived || forwarder.gateway.clock.Now()-forwarder.begunAt < crash.SurvivalTime {
+		return
+	}
+	forwarder.survived = true
+	if forwarder.hasEvidence() {
+		forwarder.gateway.board.Survived(forwarder.identity())
+	}
+}
+
+// recordCompleted records that the request was answered completely.
+func (forwarder *forwarder) recordCompleted() {
+	if forwarder.hasEvidence() {
+		forwarder.gateway.board.Completed(forwarder.identity())
+	}
+}
+
+// hasEvidence reports whether the request's answer may speak for it or its prompt parts.
+func (forwarder *forwarder) hasEvidence() bool {
+	return len(forwarder.task.Prompt) > 1 || !forwarder.gateway.board.Idle()
+}
+
+// isSuspect reports whether the request may have crashed the endpoint of an attempt that has
+// just ended.
+func (forwarder *forwarder) isSuspect(ended result) bool {
+	if ended == notSent {
+		return forwarder.brokeStale
+	}
+	return ended == unknown && (!forwarder.begun || forwarder.gateway.clock.Now()-forwarder.begunAt < crash.SuspectTime)
+}
+
 // hasCrashed reports whether nothing listens at an endpoint's address.
 func (forwarder *forwarder) hasCrashed(ctx context.Context, endpoint roster.Record) bool {
 	gateway := forwarder.gateway
@@ -93,11 +126,11 @@
 }
 
 // reportBreak reports the request as a suspect after its connection to an endpoint
-// broke before the answer began. An endpoint may be silent without having crashed.
+// broke. An endpoint may be silent without having crashed.
 func (forwarder *forwarder) reportBreak(ctx context.Context, endpoint roster.Record) {
 	gateway := forwarder.gateway
 	record := crash.Crash{Endpoint: endpoint.ID, Incarnation: uint64(endpoint.Born), At: gateway.clock.Now(), Suspects: []crash.Suspect{{
-		Request: forwarder.identity(), RequestID: forwarder.task.ID, Customer: forwarder.customer,
+		Request: forwarder.identity(), RequestID: forwarder.task.ID, Customer: forwarder.customer, Begun: forwarder.begun,
 	}}}
 	if forwarder.hasCrashed(ctx, endpoint) {
 		gateway.board.Step(crash.Crashed{Crash: record})
--- a/internal/gate/crash_test.go
+++ b/internal/gate/crash_test.go
@@ -30,14 +30,17 @@
 	sent     int
 }
 
-func newBrittleSite(endpoints int) *brittleSite { return startBrittleSite(endpoints, false) }
+func newBrittleSite(endpoints int) *brittleSite {
+	return startBrittleSite(endpoints, fake.BrittleSettings{})
+}
 
-func startBrittleSite(endpoints int, isPartition bool) *brittleSite {
+// startBrittleSite starts a site whose endpoints have some of the settings.
+func startBrittleSite(endpoints int, settings fake.BrittleSettings) *brittleSite {
 	address := free()
 	made := &brittleSite{site: &site{control: newControl(address)}}
 	made.gateways = []*gate.Gateway{newNamedGateway("gateway1", address), newNamedGateway("gateway2", address)}
 	brittle, err := fake.NewBrittle(fake.BrittleSettings{
-		Header: "Hibiscuslug-Prompt-Prefix", Deadly: deadlyPart, IDHeader: idHeader, Partition: isPartition,
+		Header: "Hibiscuslug-Prompt-Prefix", Deadly: deadlyPart, IDHeader: idHeader, Partition: settings.Partition, Events: settings.Events,
 		AnswerHeader: map[string]string{"Hibiscuslug-Response-Seal": "s", "Content-Type": "text/event-stream"},
 		Started: func(number int, address string, incarnation int) {
 			Expect(made.control.Heard(context.Background(), roster.Record{
@@ -100,10 +103,39 @@
 	Expect(site.brittle.Crashes()).To(BeNumerically("<=", crashesAllowed))
 })
 
+// repeat sends the same request once more, which crashes endpoints after the first events of
+// its answers, and whose shared prompt parts are sound.
+func (made *brittleSite) repeat() int {
+	made.sent++
+	made.gateway = made.gateways[made.sent%len(made.gateways)]
+	built := request(script{Method: "POST", Path: "/draft/1", Send: "the same"})
+	built.Header.Set("Hibiscuslug-Prompt-Prefix", soundParts+","+deadlyPart+":20")
+	return made.status(built)
+}
+
+// Guards against a request that is never a suspect because it crashes endpoints only after
+// its answers have begun.
+var _ = It("blocks a request that crashes endpoints after its first events and serves the others", func() {
+	site := startBrittleSite(12, fake.BrittleSettings{Events: 2})
+	Expect(site.ask(soundParts)).To(Equal(http.StatusOK))
+	Eventually(func() int {
+		status := site.repeat()
+		Eventually(func() int { return site.ask(soundParts) }).WithTimeout(limit).Should(Equal(http.StatusOK))
+		return status
+	}).WithTimeout(limit).WithPolling(time.Second).Should(Equal(http.StatusServiceUnavailable))
+	Expect(site.brittle.Crashes()).To(BeNumerically("<=", crashesAllowed+requestsAllowed))
+	crashes := site.brittle.Crashes()
+	for range 10 {
+		Expect(site.repeat()).To(Equal(http.StatusServiceUnavailable))
+		Expect(site.ask(soundParts)).To(Equal(http.StatusOK))
+	}
+	Expect(site.brittle.Crashes()).To(Equal(crashes))
+})
+
 // Guards against requests that are held for crashes that did not happen: a partition
 // that refuses connections to a zone looks like the end of each endpoint there.
 var _ = It("does not take a partition that refuses connections for crashes", func() {
-	site := startBrittleSite(3, true)
+	site := startBrittleSite(3, fake.BrittleSettings{Partition: true})
 	site.ask(deadlyParts)
 	Expect(site.brittle.Crashes()).To(BeNumerically(">", 0))
 	Expect(site.brittle.Heal()).To(Succeed())
--- a/internal/gate/forward.go
+++ b/internal/gate/forward.go
@@ -92,9 +92,11 @@
 	endpointError *bufferedResponse
 	// isProbe is set when the next attempt probes whether a stalled group works again.
 	isProbe bool
-	// begun is set once the current attempt has returned a part of its response, and
-	// brokeStale when its reused connection broke without one.
-	begun, brokeStale bool
+	// begun is set once the current attempt has returned a part of its response, at begunAt,
+	// survived once the response has gone on for a while, and brokeStale when its reused
+	// connection broke without one.
+	begun, survived, brokeStale bool
+	begunAt                     clock.Millis
 	// readAt is when the current attempt had read a complete successful response, before
 	// the caller took it; zero if it has not.
 	readAt clock.Millis
@@ -141,7 +143,7 @@
 			return
 		}
 		forwarder.countAttempt(outcome)
-		if ctx.Err() == nil && (outcome == unknown && !forwarder.begun || outcome == notSent && forwarder.brokeStale) {
+		if ctx.Err() == nil && forwarder.isSuspect(outcome) {
 			forwarder.reportBreak(ctx, endpoint)
 		}
 		if ctx.Err() != nil || outcome == callerGone {
--- a/internal/gate/relay.go
+++ b/internal/gate/relay.go
@@ -45,6 +45,7 @@
 				forwarder.gateway.beginStream(endpoint.Group.Name)
 				defer forwarder.gateway.endStream(endpoint.Group.Name)
 			}
+			forwarder.recordSurvival()
 			forwarder.gateway.clearStall(endpoint.Group)
 			forwarder.open(response)
 			forwarder.stream.events = events
@@ -68,6 +69,7 @@
 // complete records the end of a stream that was sent to the caller.
 func (forwarder *forwarder) complete(response *http.Response) result {
 	forwarder.open(response)
+	forwarder.recordCompleted()
 	forwarder.gateway.recordDuration(forwarder.service.Name, forwarder.gateway.clock.Now()-forwarder.stream.began)
 	forwarder.logAnswered(response.StatusCode)
 	return delivered
