gate: find out about the crash of a begun stream's endpoint in the background

Callers would see a longer pause in a stream that goes on at another endpoint.

Cause: since a stream that breaks a moment after its first event asks whether its endpoint still listens, which takes up to 600 ms a connection in a partition, before it goes on elsewhere.

Change: for streams that have begun, this runs beside the next attempt.

--- a/internal/gate/crash.go
+++ b/internal/gate/crash.go
@@ -92,11 +92,10 @@
 }
 
 // hasCrashed reports whether nothing listens at an endpoint's address.
-func (forwarder *forwarder) hasCrashed(ctx context.Context, endpoint roster.Record) bool {
-	gateway := forwarder.gateway
+func (gateway *Gateway) hasCrashed(ctx context.Context, service string, endpoint roster.Record) bool {
 	var others []roster.Record
 	if endpoint.Zone != gateway.settings.Node.Zone {
-		others = slices.DeleteFunc(gateway.poller.Endpoints(forwarder.service.Name), func(other roster.Record) bool {
+		others = slices.DeleteFunc(gateway.poller.Endpoints(service), func(other roster.Record) bool {
 			return other.Zone != endpoint.Zone || other.ID == endpoint.ID
 		})
 	}
@@ -126,17 +125,25 @@
 }
 
 // reportBreak reports the request as a suspect after its connection to an endpoint
-// broke. An endpoint may be silent without having crashed.
+// broke. An endpoint may be silent without having crashed. A stream that has begun goes on
+// elsewhere meanwhile: finding out may take the time of several connections.
 func (forwarder *forwarder) reportBreak(ctx context.Context, endpoint roster.Record) {
 	gateway := forwarder.gateway
 	record := crash.Crash{Endpoint: endpoint.ID, Incarnation: uint64(endpoint.Born), At: gateway.clock.Now(), Suspects: []crash.Suspect{{
 		Request: forwarder.identity(), RequestID: forwarder.task.ID, Customer: forwarder.customer, Begun: forwarder.begun,
 	}}}
-	if forwarder.hasCrashed(ctx, endpoint) {
-		gateway.board.Step(crash.Crashed{Crash: record})
+	report := func(ctx context.Context) {
+		if gateway.hasCrashed(ctx, forwarder.service.Name, endpoint) {
+			gateway.board.Step(crash.Crashed{Crash: record})
+			return
+		}
+		gateway.board.Step(crash.Silent{Crash: record})
+	}
+	if forwarder.begun {
+		gateway.loops.Go(func() { report(gateway.running) })
 		return
 	}
-	gateway.board.Step(crash.Silent{Crash: record})
+	report(ctx)
 }
 
 // decide returns how the request may run as far as crashes of endpoints are concerned.
