--- a/test/soak/leave_test.go
+++ b/test/soak/leave_test.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net/http"
 	"strings"
+	"syscall"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -182,3 +183,38 @@
 		})
 	}
 })
+
+// Guards against a control VM whose peers do not answer and that leaves endpoints without an
+// answer, or never acknowledges that they leave.
+var _ = It("answers endpoints at a control VM whose peers stand still", func() {
+	const seed = 1
+	random := rand.New(rand.NewPCG(seed, 84))
+	recorder := newRecorder()
+	deployment := newDeployment(random, recorder)
+	DeferCleanup(func() { deployment.close(seed) })
+	for _, node := range deployment.nodes {
+		Expect(node.start(true)).To(Succeed())
+	}
+	ctx, client := context.Background(), &http.Client{Timeout: leavePost}
+	beat := func(at int) int {
+		backend := deployment.backends[at]
+		return post(ctx, client, "http://"+deployment.control[0]+"/Instances.Heartbeat/"+backend.id, backend.heartbeat(deployment.backendProxies[at].Address()))
+	}
+	for at := range endpoints {
+		Expect(beat(at)).To(Equal(http.StatusOK))
+	}
+	for _, node := range deployment.nodes[1:controls] {
+		Expect(node.process.Signal(syscall.SIGSTOP)).To(Succeed())
+	}
+	DeferCleanup(func() {
+		for _, node := range deployment.nodes[1:controls] {
+			Expect(node.process.Signal(syscall.SIGCONT)).To(Succeed())
+		}
+	})
+	Eventually(func() int {
+		Expect(beat(1)).To(Equal(http.StatusOK), "a heartbeat waits for nobody")
+		status := post(ctx, client, "http://"+deployment.control[0]+"/Instances.Deregister/"+deployment.backends[0].id, "")
+		Expect(status).To(BeElementOf(http.StatusOK, http.StatusServiceUnavailable), "a call is answered within %s", leavePost)
+		return status
+	}).WithTimeout(recoveryLimit).WithPolling(200 * time.Millisecond).Should(Equal(http.StatusOK))
+})
