--- a/internal/ctrl/replicate_test.go
+++ b/internal/ctrl/replicate_test.go
@@ -22,7 +22,9 @@
 	control := &Control{pool: link.NewPool(), clock: clock.NewSystem()}
 	DeferCleanup(control.pool.Close)
 	address := server.Address()
-	send := func() error { return control.sendCopy(context.Background(), address, roster.Record{ID: "e1", Gone: true}) }
+	send := func() error {
+		return control.sendCopy(context.Background(), address, roster.Record{ID: "e1", Gone: true})
+	}
 	Expect(errors.Is(send(), errUnsupported)).To(BeTrue())
 	Expect(server.Close()).To(Succeed())
 	err = send()
