--- a/internal/crash/parts.go
+++ b/internal/crash/parts.go
@@ -130,8 +130,8 @@
 	return false
 }
 
-// exoneratedAt returns until when crashes do not count against a part, if all answers with it
-// had begun before the crash, or not.
+// exoneratedAt returns the time up to which crashes do not count against a part: those after
+// the begin of all answers with it, if hadBegun is set, or the others.
 func (core Core) exoneratedAt(part uint64, hadBegun bool) clock.Millis {
 	if hadBegun {
 		return core.survived[part]
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -182,20 +182,20 @@
 	return true
 }
 
-// last returns the latest start of the endpoint that the record covers.
-func (record Record) last() clock.Millis { return max(record.Born, record.EndedAt) }
+// lastStart returns the latest start of the endpoint that the record covers.
+func (record Record) lastStart() clock.Millis { return max(record.Born, record.EndedAt) }
 
 // Covers reports whether the record tells the end of all starts that another record of the
 // endpoint tells the end of.
 func (record Record) Covers(other Record) bool {
-	return record.last() >= other.last() && (record.Gone || record.Draining && !other.Gone)
+	return record.lastStart() >= other.lastStart() && (record.Gone || record.Draining && !other.Gone)
 }
 
 // newer reports whether a record supersedes the current one.
 func newer(record, current Record) bool {
 	switch {
-	case record.last() != current.last():
-		return record.last() > current.last()
+	case record.lastStart() != current.lastStart():
+		return record.lastStart() > current.lastStart()
 	case record.Gone != current.Gone:
 		return record.Gone
 	case record.Gone:
