--- a/test/soak/deployment_test.go
+++ b/test/soak/deployment_test.go
@@ -1,9 +1,11 @@
 package soak_test
 
 import (
+	"context"
 	"fmt"
 	"math/rand/v2"
 	"net"
+	"net/http"
 	"os"
 	"path/filepath"
 	"strings"
@@ -13,6 +15,7 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"github.com/sourcegraph/conc"
 
 	"github.com/hibiscuslug/hibiscuslug/internal/fault"
 	"github.com/hibiscuslug/hibiscuslug/internal/ports"
@@ -84,6 +87,32 @@
 	return deployment
 }
 
+// startDeployment starts a deployment, which ends with the spec.
+func startDeployment(seed uint64, random *rand.Rand) *deployment {
+	deployment := newDeployment(random, newRecorder())
+	DeferCleanup(func() { deployment.close(seed) })
+	for _, node := range deployment.nodes {
+		Expect(node.start(true)).To(Succeed())
+	}
+	return deployment
+}
+
+// serve sends the first configuration, sends heartbeats until the spec ends, and waits until
+// all gateways serve. It returns the context of the spec.
+func (deployment *deployment) serve(seed uint64) context.Context {
+	ctx, cancel := context.WithCancel(context.Background())
+	var running conc.WaitGroup
+	DeferCleanup(func() { cancel(); running.Wait() })
+	first := configuration(1, true)
+	deployment.recorder.sent[1] = first
+	Eventually(func() int {
+		return post(ctx, &http.Client{Timeout: time.Second}, "http://"+deployment.control[0]+"/Config.Put", first)
+	}).WithTimeout(startLimit).Should(Equal(http.StatusOK))
+	running.Go(func() { deployment.sendHeartbeats(ctx, seed) })
+	deployment.waitServing(ctx, "start", startLimit)
+	return ctx
+}
+
 func (deployment *deployment) seeds(host string) []string {
 	var list []string
 	for number := range controls {
--- a/test/soak/leave_test.go
+++ b/test/soak/leave_test.go
@@ -153,21 +153,8 @@
 	for _, seed := range plan.Leaves {
 		It(fmt.Sprintf("sends them requests only while they serve, with seed %d", seed), func() {
 			random := rand.New(rand.NewPCG(seed, 83))
-			recorder := newRecorder()
-			deployment := newDeployment(random, recorder)
-			DeferCleanup(func() { deployment.close(seed) })
-			for _, node := range deployment.nodes {
-				Expect(node.start(true)).To(Succeed())
-			}
-			ctx, cancel := context.WithCancel(context.Background())
-			var running conc.WaitGroup
-			DeferCleanup(func() { cancel(); running.Wait() })
-			recorder.sent[1] = configuration(1, true)
-			Eventually(func() int {
-				return post(ctx, &http.Client{Timeout: time.Second}, "http://"+deployment.control[0]+"/Config.Put", recorder.sent[1])
-			}).WithTimeout(startLimit).Should(Equal(http.StatusOK))
-			running.Go(func() { deployment.sendHeartbeats(ctx, seed) })
-			deployment.waitServing(ctx, "start", startLimit)
+			deployment := startDeployment(seed, random)
+			ctx := deployment.serve(seed)
 			load, stop := context.WithCancel(ctx)
 			var loading conc.WaitGroup
 			for number := range clients {
@@ -179,7 +166,7 @@
 			stop()
 			loading.Wait()
 			time.Sleep(time.Second)
-			Expect(recorder.check()).To(BeEmpty(), "seed %d", seed)
+			Expect(deployment.recorder.check()).To(BeEmpty(), "seed %d", seed)
 		})
 	}
 })
@@ -189,12 +176,7 @@
 var _ = It("answers endpoints at a control VM whose peers stand still", func() {
 	const seed = 1
 	random := rand.New(rand.NewPCG(seed, 84))
-	recorder := newRecorder()
-	deployment := newDeployment(random, recorder)
-	DeferCleanup(func() { deployment.close(seed) })
-	for _, node := range deployment.nodes {
-		Expect(node.start(true)).To(Succeed())
-	}
+	deployment := startDeployment(seed, random)
 	ctx, client := context.Background(), &http.Client{Timeout: leavePost}
 	beat := func(at int) int {
 		backend := deployment.backends[at]
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -144,22 +144,9 @@
 // runSoak runs one seed.
 func runSoak(seed uint64, span time.Duration) {
 	random := rand.New(rand.NewPCG(seed, seed))
-	recorder := newRecorder()
-	deployment := newDeployment(random, recorder)
-	DeferCleanup(func() { deployment.close(seed) })
-	for _, node := range deployment.nodes {
-		Expect(node.start(true)).To(Succeed())
-	}
-	ctx, cancel := context.WithCancel(context.Background())
-	var running conc.WaitGroup
-	DeferCleanup(func() { cancel(); running.Wait() })
-	first := configuration(1, true)
-	recorder.sent[1] = first
-	Eventually(func() int {
-		return post(ctx, &http.Client{Timeout: time.Second}, "http://"+deployment.control[0]+"/Config.Put", first)
-	}).WithTimeout(startLimit).Should(Equal(http.StatusOK))
-	running.Go(func() { deployment.sendHeartbeats(ctx, seed) })
-	deployment.waitServing(ctx, "start", startLimit)
+	deployment := startDeployment(seed, random)
+	recorder := deployment.recorder
+	ctx := deployment.serve(seed)
 	load, stop := context.WithCancel(ctx)
 	var loading conc.WaitGroup
 	for number := range clients {
