ctrl: copies do not read a context that is replaced meanwhile

Cause: the variable that the copies in the background derive their context from was assigned again after they had started. The values did the same, so nothing was seen but by the race detector.

Change: the context of the copies has its own variable.

--- a/internal/ctrl/replicate.go
+++ b/internal/ctrl/replicate.go
@@ -105,11 +105,12 @@
 	peers := control.replicationPeers()
 	results := make(chan copyResult, len(peers))
 	var inContact []bool
+	// The copies go on after the record is acknowledged.
+	background := context.WithoutCancel(ctx)
 	for address, heard := range peers {
 		inContact = append(inContact, heard)
-		// The copy goes on after the record is acknowledged.
 		send := func() {
-			ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), replicateTimeout.Duration())
+			ctx, cancel := context.WithTimeout(background, replicateTimeout.Duration())
 			defer cancel()
 			results <- copyResult{address: address, inContact: heard, err: control.sendCopy(ctx, address, record)}
 		}
