fake tests: the long request has fewer and longer intervals

Cause: "limits concurrent requests, schedules them by priority and reassigns the slot of a paused one" ran a request of 2,000 events, 1 ms apart.

Change: 200 events, 10 ms apart: as long without load, and a tenth of the wake-ups. The checks are unchanged.

--- a/internal/fake/model_test.go
+++ b/internal/fake/model_test.go
@@ -46,7 +46,7 @@
 // Guards against a fake engine that runs more requests than it has slots, or
 // starts waiting requests in another order than by priority.
 var _ = It("limits concurrent requests, schedules them by priority and reassigns the slot of a paused one", func() {
-	model, err := fake.NewModel(fake.ModelSettings{Listen: "127.0.0.1:0", Interval: time.Millisecond, Slots: 1})
+	model, err := fake.NewModel(fake.ModelSettings{Listen: "127.0.0.1:0", Interval: 10 * time.Millisecond, Slots: 1})
 	Expect(err).NotTo(HaveOccurred())
 	DeferCleanup(model.Close)
 	ended := make(chan string, 3)
@@ -62,7 +62,7 @@
 		}()
 		Eventually(load(model, id)).WithTimeout(limit).ShouldNot(HaveField("Request.State", "gone"))
 	}
-	start("long", 0, 2000)
+	start("long", 0, 200)
 	start("low", 0, 3)
 	start("high", 5, 3)
 	Expect(load(model, "high")()).To(And(HaveField("Running", 1), HaveField("Waiting", 2), HaveField("Request.State", "waiting")))
