crash: an episode weighs as much as the crash of it that weighs most

Callers would see: a request, or a part of prompts, that crashes endpoints is kept from them one crash later than before.

Cause: crashes within a second count as one, and the first one gave the weight. Since that may be a crash after the begin of an answer, which counts half, and hide one before it, which counts fully.

Change: one tally for requests and parts adds up episodes by their heaviest crash. The weight that others are compared with is computed once.

--- a/internal/crash/core.go
+++ b/internal/crash/core.go
@@ -382,16 +382,31 @@
 // request is on one endpoint after the other.
 func guilt(fingerprint uint64, crashes []Crash) int {
 	ordered := slices.SortedFunc(slices.Values(crashes), func(first, second Crash) int { return cmp.Compare(first.At, second.At) })
-	sum, lastAt, lastID := 0, clock.Millis(0), ""
+	sum, lastAt, lastID := tally{}, clock.Millis(0), ""
 	for _, crash := range ordered {
 		at := slices.IndexFunc(crash.Suspects, func(suspect Suspect) bool { return suspect.Fingerprint == fingerprint })
 		id := crash.Suspects[at].RequestID
-		if sum == 0 || crash.At-lastAt > episodeTime || id == lastID || crash.QuarantinedFingerprint == fingerprint {
-			sum += crash.weight(fingerprint)
-		}
+		isIndependent := crash.At-lastAt > episodeTime || id == lastID || crash.QuarantinedFingerprint == fingerprint
+		sum = sum.withCrash(isIndependent, crash.weight(fingerprint))
 		lastAt, lastID = crash.At, id
 	}
-	return sum
+	return sum.guilt
+}
+
+// tally adds up episodes, which are crashes that are not independent of each other. Each
+// weighs as much as the crash of it that weighs most.
+type tally struct {
+	episodes, guilt int
+	// weight is that of the latest episode.
+	weight int
+}
+
+func (sum tally) withCrash(isIndependent bool, weight int) tally {
+	if sum.episodes == 0 || isIndependent {
+		return tally{episodes: sum.episodes + 1, guilt: sum.guilt + weight, weight: weight}
+	}
+	more := max(weight-sum.weight, 0)
+	return tally{episodes: sum.episodes, guilt: sum.guilt + more, weight: sum.weight + more}
 }
 
 // weight returns the guilt of a suspect of the crash.
@@ -424,11 +439,12 @@
 	if slices.ContainsFunc(crashes, func(crash Crash) bool { return crash.QuarantinedFingerprint == fingerprint }) {
 		return true
 	}
+	own := totalWeight(fingerprint, crashes)
 	for _, suspect := range crashes[0].Suspects {
 		common := !slices.ContainsFunc(crashes, func(crash Crash) bool {
 			return !crash.has(suspect.Fingerprint) || crash.At <= core.cleared[suspect.Fingerprint]
 		})
-		if common && suspect.Fingerprint != fingerprint && totalWeight(suspect.Fingerprint, crashes) >= totalWeight(fingerprint, crashes) {
+		if common && suspect.Fingerprint != fingerprint && totalWeight(suspect.Fingerprint, crashes) >= own {
 			return false
 		}
 	}
--- a/internal/crash/parts.go
+++ b/internal/crash/parts.go
@@ -110,15 +110,13 @@
 // have begun in between: while none begins, for example in a group of ranks that is away, the
 // next crash says nothing about requests.
 func (core Core) episodes(part uint64, crashes []Crash, isNew bool) (count, guilt int) {
-	last := clock.Millis(0)
+	sum, last := tally{}, clock.Millis(0)
 	for _, crash := range crashes {
-		if count == 0 || crash.At-last > episodeTime && (isNew || crash.hadBegun(part) || core.begunBetween(last, crash.At)) {
-			count++
-			guilt += crash.weightOfPart(part)
-		}
+		isIndependent := crash.At-last > episodeTime && (isNew || crash.hadBegun(part) || core.begunBetween(last, crash.At))
+		sum = sum.withCrash(isIndependent, crash.weightOfPart(part))
 		last = crash.At
 	}
-	return count, guilt
+	return sum.episodes, sum.guilt
 }
 
 func (core Core) begunBetween(from, to clock.Millis) bool {
