board, gate: a whole answer does not record its begin again

Cause: since the end of each answer recorded the begin of its prompt parts once more, and two tests of package board had to end an answer where they had begun one.

Change: Completed expects that the begin was recorded; a large response that is passed through records it now.

--- a/internal/board/board.go
+++ b/internal/board/board.go
@@ -99,9 +99,15 @@
 
 // Begun records that the answer to a request began.
 func (board *Board) Begun(request crash.Request) {
+	now := board.clock.Now()
 	board.mu.Lock()
 	defer board.mu.Unlock()
-	board.setBegun(request.Parts)
+	for _, part := range request.Parts {
+		board.history.Put(part, now)
+		if board.core.IsSuspect(part) {
+			board.apply(crash.Begun{Part: part, At: now})
+		}
+	}
 }
 
 // Survived records that the answer to a request has gone on for crash.SurvivalTime. That
@@ -112,28 +118,16 @@
 	board.setSurvived(request.Parts)
 }
 
-// Completed records that a request was answered completely.
+// Completed records that the answer to a request, whose begin was recorded, is complete.
 func (board *Board) Completed(request crash.Request) {
 	board.mu.Lock()
 	defer board.mu.Unlock()
-	board.setBegun(request.Parts)
 	board.setSurvived(request.Parts)
 	if board.core.IsSuspectRequest(request.Fingerprint) {
 		board.apply(crash.Cleared{Fingerprint: request.Fingerprint, At: board.clock.Now()})
 	}
 }
 
-// setBegun records that an answer with prompt parts began. The caller holds mu.
-func (board *Board) setBegun(parts []uint64) {
-	now := board.clock.Now()
-	for _, part := range parts {
-		board.history.Put(part, now)
-		if board.core.IsSuspect(part) {
-			board.apply(crash.Begun{Part: part, At: now})
-		}
-	}
-}
-
 // setSurvived records that an answer with prompt parts went on. The caller holds mu.
 func (board *Board) setSurvived(parts []uint64) {
 	now := board.clock.Now()
--- a/internal/board/board_test.go
+++ b/internal/board/board_test.go
@@ -34,7 +34,7 @@
 	control := board.New(ticker, event.Discard())
 	gateways := []*board.Board{board.New(ticker, event.Discard()), board.New(ticker, event.Discard()), board.New(ticker, event.Discard())}
 	sound, deadly := crash.Request{Fingerprint: 1, Parts: []uint64{10}}, crash.Request{Fingerprint: 2, Parts: []uint64{10, 66}}
-	gateways[2].Completed(sound)
+	gateways[2].Begun(sound)
 	ticker.Advance(clock.Second)
 	gateways[0].Step(crash.Crashed{Crash: crash.Crash{Endpoint: "e1", Incarnation: 1, At: ticker.Now(), Suspects: []crash.Suspect{{Request: deadly}}}})
 	_, changed := gateways[1].Evidence(board.Revision{})
--- a/internal/board/volume_test.go
+++ b/internal/board/volume_test.go
@@ -35,7 +35,7 @@
 	}
 	for number, request := range requests {
 		reporter := board.New(ticker, event.Discard())
-		reporter.Completed(request)
+		reporter.Begun(request)
 		endpoint := number / slots
 		reporter.Step(crash.Crashed{Crash: crash.Crash{
 			Endpoint: fmt.Sprintf("endpoint-%03d", endpoint), Incarnation: 1_700_000_000_000, At: ticker.Now(),
--- a/internal/gate/attempt.go
+++ b/internal/gate/attempt.go
@@ -236,6 +236,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	if response.StatusCode < http.StatusMultipleChoices {
+		forwarder.recordBegun()
 		forwarder.recordCompleted()
 	}
 	forwarder.logAnswered(response.StatusCode)
