ctrl, roster: names of what is acknowledged, one lifetime of ends

Cause: an end that was acknowledged without copies, since all others were silent, was kept as replicated, and the two minutes for which an end counts stood twice.

Change: the replicator keeps what was acknowledged, for roster.TombstoneLifetime. No change of behaviour.

--- a/internal/ctrl/control.go
+++ b/internal/ctrl/control.go
@@ -76,7 +76,7 @@
 	peers    *peers
 	poller   *poll.Poller
 	board    *board.Board
-	// replicator keeps what other control VMs hold.
+	// replicator copies ends of endpoints to other control VMs.
 	replicator *replicator
 	// incarnation distinguishes this start of the process from earlier ones.
 	incarnation uint64
--- a/internal/ctrl/replicate.go
+++ b/internal/ctrl/replicate.go
@@ -16,44 +16,41 @@
 	"github.com/hibiscuslug/hibiscuslug/pkg/wire"
 )
 
-const (
-	// replicateTimeout bounds the wait for a copy at another control VM. An endpoint waits a
-	// second for its acknowledgement before it calls the next control VM.
-	replicateTimeout = 250 * clock.Millis(1)
-	// replicatedLifetime is how long it is remembered that other control VMs hold a record.
-	replicatedLifetime = 2 * clock.Minute
-)
+// replicateTimeout bounds the wait for a copy at another control VM. An endpoint waits a
+// second for its acknowledgement before it calls the next control VM.
+const replicateTimeout = 250 * clock.Millis(1)
 
-// replicator keeps which ends of endpoints other control VMs hold.
+// replicator sends copies in the background and keeps which ends of endpoints this process
+// has acknowledged.
 type replicator struct {
 	sends conc.WaitGroup
 
 	// mu guards the fields below. No other lock is acquired while it is held.
-	mu         sync.Mutex
-	replicated map[string]roster.Record
-	isClosed   bool
+	mu           sync.Mutex
+	acknowledged map[string]roster.Record
+	isClosed     bool
 }
 
-func newReplicator() *replicator { return &replicator{replicated: map[string]roster.Record{}} }
+func newReplicator() *replicator { return &replicator{acknowledged: map[string]roster.Record{}} }
 
-// isReplicated reports whether other control VMs hold the record's end of its endpoint.
-func (replicator *replicator) isReplicated(record roster.Record) bool {
+// isAcknowledged reports whether the record's end of its endpoint was acknowledged.
+func (replicator *replicator) isAcknowledged(record roster.Record) bool {
 	replicator.mu.Lock()
 	defer replicator.mu.Unlock()
-	held, ok := replicator.replicated[record.ID]
+	held, ok := replicator.acknowledged[record.ID]
 	return ok && held.Covers(record)
 }
 
-// setReplicated records that other control VMs hold a record.
-func (replicator *replicator) setReplicated(record roster.Record, now clock.Millis) {
+// setAcknowledged records that a record is acknowledged.
+func (replicator *replicator) setAcknowledged(record roster.Record, now clock.Millis) {
 	replicator.mu.Lock()
 	defer replicator.mu.Unlock()
-	for id, held := range replicator.replicated {
-		if now-held.ReceivedAt > replicatedLifetime {
-			delete(replicator.replicated, id)
+	for id, held := range replicator.acknowledged {
+		if now-held.ReceivedAt > roster.TombstoneLifetime {
+			delete(replicator.acknowledged, id)
 		}
 	}
-	replicator.replicated[record.ID] = record
+	replicator.acknowledged[record.ID] = record
 }
 
 // run calls send in the background, unless the replicator is closed.
@@ -80,13 +77,13 @@
 func (control *Control) Heard(ctx context.Context, record roster.Record) error {
 	stored, ok := control.poller.PutEndpoint(record)
 	isEnd := (record.Draining || record.Gone) && ok && (stored.Draining || stored.Gone)
-	if !isEnd || control.replicator.isReplicated(stored) {
+	if !isEnd || control.replicator.isAcknowledged(stored) {
 		return nil
 	}
 	if err := control.replicate(ctx, stored); err != nil {
 		return err
 	}
-	control.replicator.setReplicated(stored, control.clock.Now())
+	control.replicator.setAcknowledged(stored, control.clock.Now())
 	return nil
 }
 
@@ -137,7 +134,7 @@
 		}
 	}
 	verdict := write.Verdict(true)
-	if verdict == repl.Acknowledge && write.Stored() >= min(1, len(peers)) {
+	if verdict == repl.Acknowledge && (write.Stored() > 0 || len(peers) == 0) {
 		return nil
 	}
 	control.log.Write(event.CopiesMissing, "endpoint", record.ID, "draining", record.Draining, "gone", record.Gone, "acknowledged", verdict == repl.Acknowledge,
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -6,9 +6,9 @@
 	"github.com/hibiscuslug/hibiscuslug/pkg/clock"
 )
 
-// tombstoneLifetime is how long the record of a stopped or silent endpoint is kept, so
+// TombstoneLifetime is how long the record of a stopped or silent endpoint is kept, so
 // that a delayed message does not add it again. Messages are delayed by seconds at most.
-const tombstoneLifetime = 2 * clock.Minute
+const TombstoneLifetime = 2 * clock.Minute
 
 // Group is an endpoint's membership in a group of ranks.
 type Group struct {
@@ -137,8 +137,9 @@
 			record.ColdUntil, record.ColdUnstated = current.ColdUntil, current.ColdUnstated
 		}
 	}
-	isFinal := record.Gone
-	if !table.takeAddress(&record) && !ok && !isFinal {
+	// An end is kept also if the address belongs to another endpoint by now.
+	isEnd := record.Gone
+	if !table.takeAddress(&record) && !ok && !isEnd {
 		return Stale
 	}
 	table.position++
@@ -260,10 +261,10 @@
 	return list
 }
 
-// Expire removes endpoints whose last message is older than tombstoneLifetime.
+// Expire removes endpoints whose last message is older than TombstoneLifetime.
 func (table *Table) Expire(now clock.Millis) {
 	for id, entry := range table.records {
-		if now-entry.ReceivedAt <= tombstoneLifetime {
+		if now-entry.ReceivedAt <= TombstoneLifetime {
 			continue
 		}
 		if table.byAddress[entry.Address] == id {
