tests: a fixed order of exchange, and no start between a heartbeat and the end

Cause: two tables exchanged their records in the random order of a map. In the soak of endpoints that leave, a heartbeat that is held back could itself begin a new start (after a stated leave), in the millisecond of the deregistration that follows it.

Change: the first table sends first. What is checked is unchanged.

--- a/internal/roster/orders_test.go
+++ b/internal/roster/orders_test.go
@@ -60,7 +60,8 @@
 
 func (tables pair) exchange() {
 	const now = 10_000
-	for from, to := range map[int]int{0: 1, 1: 0} {
+	for from := range tables {
+		to := 1 - from
 		for _, record := range tables[from].Since(0) {
 			tables[to].Put(roster.FromMessage(record.Message(now), now))
 		}
--- a/test/soak/leave_test.go
+++ b/test/soak/leave_test.go
@@ -104,12 +104,13 @@
 	backend := deployment.backends[at]
 	backend.setSilent()
 	if random.IntN(2) == 0 {
-		// The control VMs know an earlier start only, or none. A start and a deregistration in
-		// the same millisecond cannot be told apart.
+		// The control VMs know an earlier start only, or none.
 		backend.restart(true)
-		time.Sleep(startTime)
 	}
+	// A heartbeat may be the first of a new start. A start and a deregistration in the same
+	// millisecond cannot be told apart.
 	heartbeats := []string{backend.heartbeat(deployment.backendProxies[at].Address()), backend.heartbeat(deployment.backendProxies[at].Address())}
+	time.Sleep(startTime)
 	sent := deployment.newLeave(random, at)
 	number := deployment.send(ctx, random, sent)
 	var faults conc.WaitGroup
